--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# `make test` and `make demo` set up everything they need on a fresh clone.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+export PYTHONPATH = src:.
+
+.PHONY: setup test lint format demo bench bench-check capacity schedules clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest -q
+
+lint: setup
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format src tests bench
+
+clean:
+	rm -rf build .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: speed and policy figures live here, never in the tests."""
--- /dev/null
+++ b/src/ebonycleat/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the product: one module per program."""
--- /dev/null
+++ b/src/ebonycleat/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Machinery behind the public API; import from ``ebonycleat`` instead."""
--- /dev/null
+++ b/src/ebonycleat/internal/process/__init__.py
@@ -0,0 +1,1 @@
+"""State and rules that live as long as the node process."""
--- /dev/null
+++ b/src/ebonycleat/internal/version/__init__.py
@@ -0,0 +1,1 @@
+"""State and rules of one configuration version."""
