Effects that decisions return to their driver

Cause: ownership, budgets and dedupe all ask for peer messages and log appends; each would invent its own form. Change: SendToPeer, AppendToLog and the results of an append. Conclusion: any driver can run the decisions of many nodes on one clock.

--- /dev/null
+++ b/src/ebonycleat/internal/process/effects.py
@@ -0,0 +1,52 @@
+"""What decision classes ask the shell, or a test driver, to do.
+
+Decisions never touch sockets. They return effects, and whoever drives them
+carries the effects out and reports back with typed calls.
+"""
+
+import dataclasses
+from typing import Any, TypeAlias
+
+from ebonycleat.internal.connection.log_service import Stream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send one peer message; it may be lost, delayed or duplicated."""
+
+    node: str
+    message: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendToLog:
+    """Append one record; report the result under ``operation_id``."""
+
+    stream: Stream
+    record: Any
+    operation_id: str
+
+
+Effect: TypeAlias = SendToPeer | AppendToLog
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendDone:
+    """The log confirmed the append; the record stands at ``offset``."""
+
+    operation_id: str
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendFailed:
+    """The append did not succeed, or its answer was lost.
+
+    With ``may_have_taken_effect`` only reading the stream tells.
+    """
+
+    operation_id: str
+    may_have_taken_effect: bool
+
+
+AppendResult: TypeAlias = AppendDone | AppendFailed
