Peer links and the HTTP front

Cause: a call must travel from caller to node to peer before any decision can be tried end to end. Conclusion: transport only moves bytes; the decisions come next.

--- /dev/null
+++ b/src/ebonycleat/internal/connection/link.py
@@ -0,0 +1,160 @@
+"""One websocket link to a peer node.
+
+A link knows which calls it carries, so that a closed link resolves exactly
+these calls: those that had left are unknown, the others surely did not run.
+"""
+
+import asyncio
+import collections
+import contextlib
+from collections.abc import AsyncIterator, Callable, Collection
+from typing import Any, TypeAlias
+
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from ebonycleat.internal.connection.codec import MessageCodec
+from ebonycleat.internal.connection.errors import MalformedMessage
+from ebonycleat.internal.connection.messages import (
+    PeerAnswer,
+    PeerCall,
+    PeerRefusal,
+    Ping,
+    Pong,
+)
+
+PING_INTERVAL_S = 0.3
+SILENCE_LIMIT_S = 1.0
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+MessageHandler: TypeAlias = Callable[['Link', Any], None]
+
+
+class Link:
+    """Sends and receives messages over one open websocket."""
+
+    def __init__(
+        self,
+        connection: Connection,
+        codec: MessageCodec,
+        node: str,
+    ) -> None:
+        """Wrap a websocket whose handshake with ``node`` is complete."""
+        self.connection = connection
+        self.codec = codec
+        self.node = node
+        self.loop = asyncio.get_running_loop()
+        self.outbox: collections.deque[Any] = collections.deque()
+        self.outbox_filled = asyncio.Event()
+        self.sent_calls: set[str] = set()
+        self.last_heard = self.loop.time()
+        self.pings_sent = 0
+        self.closed = False
+
+    def send(self, message: Any) -> None:
+        """Queue one message; it leaves in order, or is lost on closing."""
+        self.outbox.append(message)
+        self.outbox_filled.set()
+
+    def unsent_calls(self) -> set[str]:
+        """Call ids that were queued but never left."""
+        return {
+            message.call.call_id
+            for message in self.outbox
+            if isinstance(message, PeerCall)
+        }
+
+    async def run(self, on_message: MessageHandler) -> None:
+        """Exchange messages until the link closes or falls silent."""
+        async with self.close_at_end():
+            tasks = [
+                asyncio.create_task(self.write_queued_messages()),
+                asyncio.create_task(self.ping_until_silent()),
+                asyncio.create_task(self.read_messages(on_message)),
+            ]
+            async with cancelling(tasks):
+                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+
+    @contextlib.asynccontextmanager
+    async def close_at_end(self) -> AsyncIterator[None]:
+        """Abort the connection; a silent peer would hang a polite close."""
+        try:
+            yield
+        finally:
+            self.closed = True
+            self.connection.transport.abort()
+
+    async def write_queued_messages(self) -> None:
+        """Send what is queued, in order."""
+        with contextlib.suppress(ConnectionClosed):
+            while True:
+                await self.outbox_filled.wait()
+                await self.write_next_message()
+
+    async def write_next_message(self) -> None:
+        """Send the first queued message."""
+        if not self.outbox:
+            self.outbox_filled.clear()
+            return
+        message = self.outbox.popleft()
+        if isinstance(message, PeerCall):
+            self.sent_calls.add(message.call.call_id)
+        await self.connection.send(self.codec.encode(message))
+
+    async def ping_until_silent(self) -> None:
+        """Return when nothing was heard for the silence limit."""
+        while self.loop.time() - self.last_heard < SILENCE_LIMIT_S:
+            self.pings_sent += 1
+            self.send(Ping(self.pings_sent))
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    async def read_messages(self, on_message: MessageHandler) -> None:
+        """Hand each message to ``on_message`` until the link closes."""
+        async for message in received_messages(self.connection, self.codec):
+            self.last_heard = self.loop.time()
+            if isinstance(message, Ping):
+                self.send(Pong(message.number))
+            elif not isinstance(message, Pong):
+                self.forget_answered_call(message)
+                on_message(self, message)
+
+    def forget_answered_call(self, message: Any) -> None:
+        """Stop tracking a call whose result arrived."""
+        if isinstance(message, PeerAnswer):
+            self.sent_calls.discard(message.answer.call_id)
+        elif isinstance(message, PeerRefusal):
+            self.sent_calls.discard(message.refused.call_id)
+
+
+async def received_messages(
+    connection: Connection,
+    codec: MessageCodec,
+) -> AsyncIterator[Any]:
+    """Decode messages until the websocket closes or sends garbage.
+
+    A peer that sends bytes that are no message is broken or of another
+    version; closing the link is safer than guessing.
+    """
+    with contextlib.suppress(ConnectionClosed, MalformedMessage):
+        async for frame in connection:
+            if isinstance(frame, str):
+                return
+            yield codec.decode(frame)
+
+
+@contextlib.asynccontextmanager
+async def cancelling(
+    tasks: Collection[asyncio.Task[None]],
+) -> AsyncIterator[None]:
+    """Cancel the tasks at the end and wait until they ended."""
+    try:
+        yield
+    finally:
+        await cancel_tasks(tuple(tasks))
+
+
+async def cancel_tasks(tasks: Collection[asyncio.Task[None]]) -> None:
+    """Cancel the tasks and wait until they ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/src/ebonycleat/internal/process/http_server.py
@@ -0,0 +1,232 @@
+"""HTTP front for callers and operators on cherrypy's server.
+
+Worker threads only move bytes: they parse a request, hand it to the loop
+and wait for the answer. A grafted WSGI application avoids the dispatch
+machinery of cherrypy's page handlers, which costs a third of the calls a
+second that one node can serve.
+"""
+
+import abc
+import contextlib
+import dataclasses
+import json
+import threading
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from concurrent import futures
+from http import HTTPStatus
+from typing import Any, TypeAlias
+
+from cheroot import wsgi
+
+from ebonycleat.internal.request.incoming import (
+    IncomingRequest,
+    OutgoingAnswer,
+    create_incoming_request,
+    is_plain_path,
+)
+from ebonycleat.internal.request.outgoing import render_refusal
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+
+Environment: TypeAlias = dict[str, Any]
+StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
+
+OPERATOR_PATH = '/-/ebonycleat/operator'
+HEALTH_PATH = '/-/ebonycleat/health'
+# Threads above slots and queue, so that a full node can still refuse.
+SPARE_THREADS = 16
+# The decisions answer each request by its deadline; a longer wait means
+# that the loop stopped, which callers must not wait for.
+ANSWER_WAIT_S = 75.0
+ACCEPT_QUEUE_LENGTH = 2048
+
+
+class CallerPort(abc.ABC):
+    """Where the HTTP front hands requests over; called on its threads."""
+
+    @abc.abstractmethod
+    def submit(
+        self,
+        request: IncomingRequest,
+    ) -> futures.Future[OutgoingAnswer]:
+        """Start a caller's request."""
+
+    @abc.abstractmethod
+    def submit_operator(
+        self,
+        request: IncomingRequest,
+    ) -> futures.Future[OutgoingAnswer]:
+        """Start an operator's request."""
+
+    @abc.abstractmethod
+    def health(self) -> OutgoingAnswer:
+        """Tell whether this node takes requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Sizes of the HTTP front.
+
+    ``concurrent_requests`` is slots plus queue length of the target;
+    ``body_bytes`` bounds the body of one request.
+    """
+
+    concurrent_requests: int
+    body_bytes: int
+
+
+class HttpApplication:
+    """The WSGI application of one node."""
+
+    def __init__(self, port: CallerPort, limits: HttpLimits) -> None:
+        """Serve ``port`` within ``limits``."""
+        self.port = port
+        self.limits = limits
+        self.free_places = threading.Semaphore(limits.concurrent_requests)
+
+    def __call__(
+        self,
+        environment: Environment,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        answer = self.answer(environment)
+        status = HTTPStatus(answer.status)
+        headers = [*answer.headers, ('Content-Length', str(len(answer.body)))]
+        start_response(f'{status.value} {status.phrase}', headers)
+        return [answer.body]
+
+    def answer(self, environment: Environment) -> OutgoingAnswer:
+        """Produce the answer to one HTTP request."""
+        request_id = uuid.uuid4().hex
+        if environment['PATH_INFO'] == HEALTH_PATH:
+            return self.port.health()
+        if not self.free_places.acquire(blocking=False):
+            return render_refusal(request_id, _SATURATED)
+        with self.place_freed():
+            request = self.read_request(request_id, environment)
+            if isinstance(request, Refusal):
+                return render_refusal(request_id, request)
+            return self.wait_for_answer(request)
+
+    @contextlib.contextmanager
+    def place_freed(self) -> Iterator[None]:
+        """Free the request's place at the end."""
+        try:
+            yield
+        finally:
+            self.free_places.release()
+
+    def read_request(
+        self,
+        request_id: str,
+        environment: Environment,
+    ) -> IncomingRequest | Refusal:
+        """Read the request; refuse a body that is too large or cut off."""
+        length = int(environment.get('CONTENT_LENGTH') or 0)
+        if length > self.limits.body_bytes:
+            return refuse_not_run(
+                Reason.BAD_REQUEST,
+                f'the body has {length} bytes; '
+                f'send at most {self.limits.body_bytes}',
+            )
+        body = environment['wsgi.input'].read(length) if length else b''
+        if len(body) != length:
+            return refuse_not_run(Reason.BAD_REQUEST, 'the body is cut off')
+        # The raw form, because PATH_INFO has lost the percent encoding.
+        path = environment['REQUEST_URI']
+        if not is_plain_path(path):
+            return refuse_not_run(Reason.BAD_REQUEST, _PATH_ADVICE)
+        return create_incoming_request(
+            request_id,
+            environment['REQUEST_METHOD'],
+            path,
+            _headers(environment),
+            body,
+        )
+
+    def wait_for_answer(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Hand the request to the loop and wait."""
+        if request.path == OPERATOR_PATH:
+            future = self.port.submit_operator(request)
+        else:
+            future = self.port.submit(request)
+        try:
+            return future.result(ANSWER_WAIT_S)
+        except (TimeoutError, futures.CancelledError):
+            return render_refusal(request.request_id, _STOPPED)
+
+
+@contextlib.contextmanager
+def serving_http(
+    application: HttpApplication,
+    host: str,
+    port: int,
+) -> Iterator[int]:
+    """Serve on cherrypy's server while the context is open.
+
+    Yields the bound port. Raises ``OSError`` when the address is taken.
+    """
+    server = create_http_server(application, host, port)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, name='http-accept')
+    thread.start()
+    try:
+        yield server.bind_addr[1]
+    finally:
+        server.stop()
+        thread.join()
+
+
+def create_http_server(
+    application: HttpApplication,
+    host: str,
+    port: int,
+) -> Any:
+    """Create a server with a thread for each request it may hold."""
+    server = wsgi.Server(
+        (host, port),
+        application,
+        numthreads=application.limits.concurrent_requests + SPARE_THREADS,
+        request_queue_size=ACCEPT_QUEUE_LENGTH,
+        server_name='ebonycleat',
+    )
+    server.max_request_body_size = application.limits.body_bytes * 2
+    return server
+
+
+_SATURATED = refuse_not_run(
+    Reason.NODE_SATURATED,
+    'this node holds as many requests as its target can queue',
+    retry_after_s=1,
+)
+
+_PATH_ADVICE = 'send an absolute path without "." or ".." segments'
+
+_STOPPED = refuse_outcome_unknown(
+    Reason.OUTCOME_UNKNOWN,
+    'the node stopped before it knew the outcome',
+)
+
+
+def _headers(environment: Environment) -> dict[str, str]:
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environment.items()
+        if name.startswith('HTTP_')
+    }
+    if environment.get('CONTENT_TYPE'):
+        headers['content-type'] = environment['CONTENT_TYPE']
+    return headers
+
+
+def health_answer(*, serving: bool, version: int) -> OutgoingAnswer:
+    """Render the health answer of a node."""
+    status = HTTPStatus.OK if serving else HTTPStatus.SERVICE_UNAVAILABLE
+    body = json.dumps({'serving': serving, 'version': version}).encode()
+    return OutgoingAnswer(status, (('Content-Type', 'application/json'),), body)
