Gate: adaptive limit, fair queue and admission level

Cause: the node needs one place that alone admits work to its target. Change: the gate queues by priority, then by work already paid for, then by deficit round robin over teams; it sheds what cannot meet its deadline and follows an adaptive concurrency limit that never exceeds the slots. Calls of teams far beyond their share stand behind all others but critical ones.

--- /dev/null
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -0,0 +1,251 @@
+"""How many calls may run at one target at the same time.
+
+The slots of a target are an upper bound that its owner declares. A target
+that is cold, starved of CPU or waiting for a slow dependency can run fewer
+calls well, and its health endpoint is too late or wrong to tell. The limit
+therefore follows the service times and refusals that the node sees itself.
+"""
+
+import abc
+
+from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
+
+WINDOW_S = 0.2
+"""Shorter windows hold too few answers to tell noise from a slowdown."""
+
+MIN_WINDOW_ANSWERS = 10
+TOLERATED_SLOWDOWN = 1.5
+"""Service times vary by route; smaller ratios are taken for normal."""
+
+DECREASE = 0.9
+INCREASE_SHARE = 0.05
+FUTILE_SHARE = 0.8
+"""After this cut the service time must have improved, or the cut is undone."""
+
+IMPROVEMENT = 0.95
+BASELINE_DRIFT = 0.02
+COLD_SHARE = 0.125
+SLOW_START_STEP = 0.5
+"""Slots gained per success: the limit grows by half per service time."""
+
+HEALTH_VALID_S = 2
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 2
+"""A restarted target is noticed at most this long after it is back."""
+
+PAUSE_GROWTH = 2
+
+
+class ConcurrencyLimit(abc.ABC):
+    """Decides how many calls may run; never more than the slots."""
+
+    def __init__(self, slots: int) -> None:
+        """Declare the slots of the target, at least one."""
+        if slots < 1:
+            raise ValueError(f'a target needs at least 1 slot, not {slots}')
+        self.slots = slots
+
+    @abc.abstractmethod
+    def allowed(self, now: float) -> int:
+        """Count of calls that may run now; zero while the target is down."""
+
+    @abc.abstractmethod
+    def note_outcome(self, outcome: RunOutcome, now: float) -> None:
+        """Learn how one run ended."""
+
+    @abc.abstractmethod
+    def note_health(self, usable_slots: int, now: float) -> None:
+        """Learn what the health endpoint claims; it can only lower."""
+
+
+class FixedLimit(ConcurrencyLimit):
+    """Always the declared slots; the baseline in benchmarks."""
+
+    def allowed(self, now: float) -> int:
+        """Return the slots."""
+        return self.slots
+
+    def note_outcome(self, outcome: RunOutcome, now: float) -> None:
+        """Ignore the outcome."""
+
+    def note_health(self, usable_slots: int, now: float) -> None:
+        """Ignore the claim."""
+
+
+class ServiceTimeWindow:
+    """Mean service time of the successes in the current window."""
+
+    def __init__(self) -> None:
+        """Start empty; the first answer opens the window."""
+        self.started_at: float = 0
+        self.count = 0
+        self.total_s: float = 0
+
+    def add(self, service_s: float, now: float) -> None:
+        """Add one success."""
+        if not self.count:
+            self.started_at = now
+        self.count += 1
+        self.total_s += service_s
+
+    def is_complete(self, now: float) -> bool:
+        """Whether the window holds enough answers over enough time."""
+        enough = self.count >= MIN_WINDOW_ANSWERS
+        return enough and now - self.started_at >= WINDOW_S
+
+    def close(self) -> float:
+        """Return the mean in seconds and start over."""
+        mean_s = self.total_s / self.count
+        self.count = 0
+        self.total_s = 0
+        return mean_s
+
+
+class TargetPause:
+    """Keeps calls from a target that just died, for growing pauses."""
+
+    def __init__(self) -> None:
+        """Start with a target that is up."""
+        self.until: float = 0
+        self.next_pause_s = float(FIRST_PAUSE_S)
+        self.is_down = False
+
+    def note_death(self, now: float) -> None:
+        """Begin a pause, unless one runs (calls die together)."""
+        if now < self.until:
+            return
+        self.is_down = True
+        self.until = now + self.next_pause_s
+        self.next_pause_s = min(
+            self.next_pause_s * PAUSE_GROWTH,
+            LONGEST_PAUSE_S,
+        )
+
+    def note_success(self) -> None:
+        """End the caution: the target answered."""
+        self.is_down = False
+        self.next_pause_s = FIRST_PAUSE_S
+
+    def allowed(self, now: float) -> int | None:
+        """Zero during a pause, one for the trial call, else no opinion."""
+        if not self.is_down:
+            return None
+        return 0 if now < self.until else 1
+
+
+class AdaptiveLimit(ConcurrencyLimit):
+    """Cuts the limit while cutting shortens the service time.
+
+    A service time above the baseline has two causes. If too many calls run
+    at once, running fewer makes each faster, and the lower limit is kept. If
+    the target waits for something else, running fewer only loses throughput:
+    once a cut to ``FUTILE_SHARE`` has not helped, the longer time becomes the
+    baseline and the limit returns to where it was.
+    """
+
+    def __init__(self, slots: int) -> None:
+        """Start cold: nothing is known about the target yet."""
+        super().__init__(slots)
+        self.limit: float = 0
+        self.window = ServiceTimeWindow()
+        self.pause = TargetPause()
+        self.baseline_s: float = 0
+        self.cut_from: float = 0
+        self.cut_from_s: float = 0
+        self.shed_until: float = 0
+        self.health_slots = slots
+        self.health_until: float = 0
+        self.start_cold()
+
+    def start_cold(self) -> None:
+        """Begin a slow start, as after a restart of the target."""
+        self.limit = max(1, self.slots * COLD_SHARE)
+        self.is_slow_start = True
+        self.baseline_s = 0
+        self.cut_from = 0
+        self.window = ServiceTimeWindow()
+
+    def allowed(self, now: float) -> int:
+        """Whole calls allowed now, between 0 (down) and the slots."""
+        paused = self.pause.allowed(now)
+        if paused is not None:
+            return paused
+        whole = min(int(self.limit), self.slots)
+        if now < self.health_until:
+            whole = min(whole, self.health_slots)
+        return max(1, whole)
+
+    def note_outcome(self, outcome: RunOutcome, now: float) -> None:
+        """Adapt; only successes count towards the service time."""
+        if outcome.result is RunResult.TARGET_DIED:
+            self.pause.note_death(now)
+            self.start_cold()
+        elif outcome.result is RunResult.TARGET_SHED:
+            self.cut_after_shed(now)
+        elif outcome.result is RunResult.SUCCEEDED:
+            self.note_success(outcome.service_s, now)
+        else:
+            # An error answer still shows that the process is alive.
+            self.pause.note_success()
+
+    def note_health(self, usable_slots: int, now: float) -> None:
+        """Cap the limit for ``HEALTH_VALID_S``; one call always may run."""
+        self.health_slots = usable_slots
+        self.health_until = now + HEALTH_VALID_S
+
+    def note_success(self, service_s: float, now: float) -> None:
+        """Grow during slow start, and judge each complete window."""
+        self.pause.note_success()
+        if self.is_slow_start:
+            self.limit = min(self.slots, self.limit + SLOW_START_STEP)
+            self.is_slow_start = self.limit < self.slots
+        self.window.add(service_s, now)
+        if self.window.is_complete(now):
+            self.judge_window(self.window.close())
+
+    def cut_after_shed(self, now: float) -> None:
+        """Cut once per window, however many calls the target refused."""
+        self.pause.note_success()
+        if now < self.shed_until:
+            return
+        self.is_slow_start = False
+        self.shed_until = now + WINDOW_S
+        self.limit = max(1, min(self.limit, self.slots) * DECREASE)
+
+    def judge_window(self, mean_s: float) -> None:
+        """Raise, cut, or undo a cut that did not help."""
+        if not self.baseline_s or mean_s < self.baseline_s:
+            self.baseline_s = mean_s
+        if mean_s <= self.baseline_s * TOLERATED_SLOWDOWN:
+            self.baseline_s += (mean_s - self.baseline_s) * BASELINE_DRIFT
+            self.cut_from = 0
+            step = max(1, self.slots * INCREASE_SHARE)
+            self.limit = min(self.slots, self.limit + step)
+            return
+        self.is_slow_start = False
+        self.cut_or_undo(mean_s)
+
+    def cut_or_undo(self, mean_s: float) -> None:
+        """Continue a cut while it shortens the service time."""
+        if not self.cut_from:
+            self.cut_from = self.limit
+            self.cut_from_s = mean_s
+        if self.limit > self.cut_from * FUTILE_SHARE:
+            self.limit = max(1, self.limit * DECREASE)
+        elif mean_s > self.cut_from_s * IMPROVEMENT:
+            self.limit = self.cut_from
+            self.baseline_s = mean_s
+            self.cut_from = 0
+        else:
+            self.cut_from = self.limit
+            self.cut_from_s = mean_s
+
+
+def create_adaptive_limit(slots: int) -> ConcurrencyLimit:
+    """Build the limit that nodes use; it starts cold."""
+    return AdaptiveLimit(slots)
+
+
+def create_fixed_limit(slots: int) -> ConcurrencyLimit:
+    """Build a limit that never moves."""
+    return FixedLimit(slots)
--- /dev/null
+++ b/src/ebonycleat/internal/process/fair_queue.py
@@ -0,0 +1,201 @@
+"""The bounded queue in front of a target.
+
+Order: priority first; within a priority the calls that earlier hops have
+paid for, then fresh ones; within those, deficit round robin over the teams,
+weighted by their configured rates. Calls of teams that take far more than
+their share (``surplus``) stand behind all others, so that one team's normal
+requests cannot push out another team's low ones.
+"""
+
+import dataclasses
+import heapq
+from collections import deque
+from collections.abc import Iterator, Mapping
+
+from ebonycleat.internal.request.call import Call, Priority
+
+RANKS_PER_PRIORITY = 2
+SURPLUS_RANK = len(Priority) * RANKS_PER_PRIORITY
+RANK_COUNT = SURPLUS_RANK * 2
+LARGEST_QUANTUM = 64
+"""Bounds how many calls of one team may start in a row."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedCall:
+    """A waiting call; a start after ``latest_start`` misses its deadline.
+
+    ``cost`` is in units of an average call.
+    """
+
+    call: Call
+    queued_at: float
+    latest_start: float
+    cost: float = 1
+    surplus: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Position of its ring; lower ranks are served first."""
+        rank = self.call.priority * RANKS_PER_PRIORITY
+        if not self.call.depth:
+            rank += 1
+        if self.surplus:
+            rank += SURPLUS_RANK
+        return rank
+
+
+class TeamRing:
+    """Deficit round robin over the teams' calls of one rank."""
+
+    def __init__(self, quanta: Mapping[str, float]) -> None:
+        """Share the quanta mapping with the queue; absent teams have 1."""
+        self.quanta = quanta
+        self.waiting: dict[str, dict[str, QueuedCall]] = {}
+        self.turns: deque[str] = deque()
+        self.deficits: dict[str, float] = {}
+
+    def quantum(self, team: str) -> float:
+        """Cost that one turn of the team adds to its allowance."""
+        return self.quanta.get(team, 1)
+
+    def push(self, entry: QueuedCall) -> None:
+        """Append to the team's calls; a new team goes last in turn."""
+        team = entry.call.team
+        if team not in self.waiting:
+            self.waiting[team] = {}
+            self.turns.append(team)
+            self.deficits[team] = self.quantum(team)
+        self.waiting[team][entry.call.call_id] = entry
+
+    def pop(self, newest_first: bool) -> QueuedCall:
+        """Take the next call in turn; the ring must not be empty."""
+        while True:
+            team = self.turns[0]
+            calls = self.waiting[team]
+            ends = reversed(calls) if newest_first else iter(calls)
+            entry = calls[next(ends)]
+            if self.deficits[team] >= entry.cost:
+                self.deficits[team] -= entry.cost
+                self.remove(entry)
+                return entry
+            self.deficits[team] += self.quantum(team)
+            self.turns.rotate(-1)
+
+    def remove(self, entry: QueuedCall) -> None:
+        """Take out one call; an idle team keeps no unused allowance."""
+        team = entry.call.team
+        calls = self.waiting[team]
+        calls.pop(entry.call.call_id)
+        if not calls:
+            self.waiting.pop(team)
+            self.deficits.pop(team)
+            self.turns.remove(team)
+
+    def weighted_length(self, team: str) -> float:
+        """Waiting calls of a team in proportion to its share."""
+        return len(self.waiting.get(team, ())) / self.quantum(team)
+
+    def longest(self) -> QueuedCall:
+        """Newest call of the team that waits with most for its share."""
+        calls = self.waiting[max(self.turns, key=self.weighted_length)]
+        return calls[next(reversed(calls))]
+
+
+class FairQueue:
+    """All waiting calls of one target; the caller keeps the bound."""
+
+    def __init__(self) -> None:
+        """Start empty with equal shares."""
+        self.quanta: dict[str, float] = {}
+        self.rings = tuple(TeamRing(self.quanta) for _ in range(RANK_COUNT))
+        self.by_id: dict[str, QueuedCall] = {}
+        self.expiries: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        """Count of waiting calls."""
+        return len(self.by_id)
+
+    def __contains__(self, call_id: object) -> bool:
+        """Whether the call waits here."""
+        return call_id in self.by_id
+
+    def __iter__(self) -> Iterator[QueuedCall]:
+        """Iterate over the waiting calls, the oldest first."""
+        return iter(tuple(self.by_id.values()))
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Set the teams' shares, for example their configured rates."""
+        positive = [weight for weight in weights.values() if weight > 0]
+        smallest = min(positive, default=1)
+        self.quanta.clear()
+        for team, weight in weights.items():
+            quantum = max(1, weight / smallest)
+            self.quanta[team] = min(quantum, LARGEST_QUANTUM)
+
+    def push(self, entry: QueuedCall) -> None:
+        """Add one call; its id must not be waiting already."""
+        self.by_id[entry.call.call_id] = entry
+        self.rings[entry.rank].push(entry)
+        heapq.heappush(
+            self.expiries,
+            (entry.latest_start, entry.call.call_id),
+        )
+
+    def pop(self, newest_first: bool) -> QueuedCall:
+        """Take the call that should start next; must not be empty."""
+        ring = next(ring for ring in self.rings if ring.turns)
+        entry = ring.pop(newest_first)
+        self.by_id.pop(entry.call.call_id)
+        self.forget_old_expiries()
+        return entry
+
+    def remove(self, call_id: str) -> QueuedCall:
+        """Take out one waiting call."""
+        entry = self.by_id.pop(call_id)
+        self.rings[entry.rank].remove(entry)
+        self.forget_old_expiries()
+        return entry
+
+    def take_expired(self, now: float) -> list[QueuedCall]:
+        """Take out the calls whose latest start has passed."""
+        expired = []
+        while self.expiries and self.expiries[0][0] <= now:
+            call_id = heapq.heappop(self.expiries)[1]
+            if call_id in self.by_id:
+                expired.append(self.remove(call_id))
+        return expired
+
+    def victim_for(self, newcomer: QueuedCall) -> QueuedCall:
+        """Choose who leaves when the queue is full, maybe the newcomer.
+
+        The lowest rank loses first. Within the newcomer's own rank, the
+        team with most waiting for its share loses its newest call.
+        """
+        for ring in reversed(self.rings[newcomer.rank + 1 :]):
+            if ring.turns:
+                return ring.longest()
+        own_ring = self.rings[newcomer.rank]
+        if not own_ring.turns:
+            return newcomer
+        longest = own_ring.longest()
+        team = newcomer.call.team
+        own_length = own_ring.weighted_length(team)
+        own_length += 1 / own_ring.quantum(team)
+        if own_ring.weighted_length(longest.call.team) > own_length:
+            return longest
+        return newcomer
+
+    def oldest_wait(self, now: float) -> float:
+        """Seconds that the oldest call has waited; zero when empty."""
+        oldest = next(iter(self.by_id.values()), None)
+        return now - oldest.queued_at if oldest else 0
+
+    def forget_old_expiries(self) -> None:
+        """Keep the heap in proportion to the waiting calls."""
+        if len(self.expiries) > 2 * len(self.by_id) + RANK_COUNT:
+            self.expiries = [
+                (entry.latest_start, call_id)
+                for call_id, entry in self.by_id.items()
+            ]
+            heapq.heapify(self.expiries)
--- /dev/null
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -0,0 +1,59 @@
+"""What a gate has seen lately, as the signals that its decisions use."""
+
+from ebonycleat.internal.process.admission_level import AdmissionLevel
+from ebonycleat.internal.process.fair_queue import FairQueue, QueuedCall
+from ebonycleat.internal.process.service_time import ServiceTimes
+from ebonycleat.internal.process.team_shares import TeamShares
+from ebonycleat.internal.request.call import Call, Priority
+
+STANDING_WAIT_S = 0.1
+STANDING_FOR_S = 0.5
+"""From design section 7.2: when the newest calls go first."""
+
+
+class GateSignals:
+    """Service times, shares of teams, queue delay and admission level."""
+
+    def __init__(self, queue: FairQueue) -> None:
+        """Watch this queue."""
+        self.queue = queue
+        self.level = AdmissionLevel()
+        self.shares = TeamShares()
+        self.service_times = ServiceTimes()
+        self.waits_since: float | None = None
+
+    def delay_s(self, allowed: int) -> float:
+        """Seconds that the queue takes to empty at the present limit."""
+        backlog_s = len(self.queue) * self.service_times.overall_s
+        return backlog_s / max(1, allowed)
+
+    def update(self, allowed: int, now: float) -> None:
+        """Move the admission level and notice standing overload."""
+        self.level.update(self.delay_s(allowed), now)
+        if self.queue.oldest_wait(now) <= STANDING_WAIT_S:
+            self.waits_since = None
+        elif self.waits_since is None:
+            self.waits_since = now
+
+    def is_newest_first(self, now: float) -> bool:
+        """Whether the queue has been overloaded for long."""
+        since = self.waits_since
+        return since is not None and now - since > STANDING_FOR_S
+
+    def latest_start(self, call: Call, now: float) -> float:
+        """Last moment at which a start can still meet the deadline."""
+        expected_s = self.service_times.expected_s(call.route, now)
+        return call.deadline - expected_s
+
+    def describe(self, call: Call, now: float) -> QueuedCall:
+        """Describe an arriving call for the queue.
+
+        Critical calls never count as surplus: they are shed last.
+        """
+        is_over = self.shares.is_over(call.team, now)
+        return QueuedCall(
+            call=call,
+            queued_at=now,
+            latest_start=self.latest_start(call, now),
+            surplus=is_over and call.priority is not Priority.CRITICAL,
+        )
--- /dev/null
+++ b/tests/cover/test_gate.py
@@ -0,0 +1,140 @@
+"""The gate loses no call, doubles none and keeps its order."""
+
+import random
+
+from ebonycleat.internal.process.concurrency_limit import FixedLimit
+from ebonycleat.internal.process.gate import Gate, create_gate
+from ebonycleat.internal.process.gate_events import (
+    Dispatch,
+    GateEvent,
+    Refuse,
+)
+from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
+from ebonycleat.internal.request.call import Call, Priority
+from ebonycleat.internal.request.refusal import Outcome, Reason
+
+DONE = RunOutcome(RunResult.SUCCEEDED, 0.1)
+
+
+def make_call(
+    call_id: str,
+    priority: Priority = Priority.NORMAL,
+    team: str = 'a',
+    deadline: float = 10,
+    depth: int = 0,
+    key_digest: str = '',
+) -> Call:
+    return Call(
+        call_id=call_id,
+        root_id=call_id,
+        team=team,
+        route='map',
+        service='map',
+        priority=priority,
+        idempotent=True,
+        deadline=deadline,
+        method='GET',
+        path='/',
+        depth=depth,
+        key_digest=key_digest,
+    )
+
+
+def make_gate(slots: int = 1, queue_limit: int = 4) -> Gate:
+    limit = FixedLimit(slots)
+    return create_gate(slots, queue_limit, 'z1', random.Random(1), limit)
+
+
+def only(events: list[GateEvent]) -> GateEvent:
+    assert len(events) == 1
+    return events[0]
+
+
+def test_queued_call_starts_when_a_slot_is_freed() -> None:
+    """Guards against a slot that stays empty although calls wait."""
+    gate = make_gate()
+    first, second = make_call('1'), make_call('2')
+    assert gate.offer(first, 0) == [Dispatch(first)]
+    assert not gate.offer(second, 0)
+    assert gate.finished('1', DONE, 0.1) == [Dispatch(second)]
+    assert not gate.finished('1', DONE, 0.2)
+
+
+def test_important_and_deep_calls_start_before_others() -> None:
+    """Guards against shedding important or already paid work first."""
+    gate = make_gate(queue_limit=9)
+    gate.offer(make_call('run'), 0)
+    gate.offer(make_call('low', Priority.LOW), 0)
+    gate.offer(make_call('fresh'), 0)
+    gate.offer(make_call('deep', depth=3), 0)
+    gate.offer(make_call('top', Priority.CRITICAL), 0)
+    order = []
+    call_id = 'run'
+    for _ in range(4):
+        event = only(gate.finished(call_id, DONE, 0.01))
+        assert isinstance(event, Dispatch)
+        call_id = event.call.call_id
+        order.append(call_id)
+    assert order == ['top', 'deep', 'fresh', 'low']
+
+
+def test_full_queue_evicts_the_least_important_call() -> None:
+    """Guards against a full queue of low calls keeping important ones out."""
+    gate = make_gate(queue_limit=2)
+    gate.offer(make_call('run'), 0)
+    gate.offer(make_call('low', Priority.LOW), 0)
+    gate.offer(make_call('normal'), 0)
+    event = only(gate.offer(make_call('top', Priority.CRITICAL), 0))
+    assert isinstance(event, Refuse)
+    assert event.call.call_id == 'low'
+    assert event.refusal.reason is Reason.QUEUE_FULL
+    assert event.refusal.outcome is Outcome.NOT_RUN
+
+
+def test_call_that_cannot_meet_its_deadline_never_starts() -> None:
+    """Guards against work whose caller has already given up."""
+    gate = make_gate()
+    gate.offer(make_call('1'), 0)
+    gate.offer(make_call('2', deadline=0.5), 0)
+    event = only(gate.finished('1', RunOutcome(RunResult.SUCCEEDED, 0.6), 0.6))
+    assert isinstance(event, Refuse)
+    assert event.refusal.reason is Reason.DEADLINE
+
+
+def test_withdrawn_key_reaches_queued_calls_only_of_that_key() -> None:
+    """Guards against a queued call outliving the withdrawal of its key."""
+    gate = make_gate()
+    gate.offer(make_call('1', key_digest='k1'), 0)
+    gate.offer(make_call('2', key_digest='k1'), 0)
+    gate.offer(make_call('3', key_digest='k2'), 0)
+    event = only(gate.withdraw('k1', 0.1))
+    assert isinstance(event, Refuse)
+    assert event.call.call_id == '2'
+    assert event.refusal.reason is Reason.WITHDRAWN_KEY
+    assert not gate.withdraw('', 0.1)
+
+
+def test_draining_gate_refuses_queued_and_new_calls_as_not_run() -> None:
+    """Guards against cutting off requests at a planned stop."""
+    gate = make_gate()
+    gate.offer(make_call('1'), 0)
+    gate.offer(make_call('2'), 0)
+    events = gate.drain(0.1) + gate.offer(make_call('3'), 0.1)
+    reasons = [
+        event.refusal.reason for event in events if isinstance(event, Refuse)
+    ]
+    assert reasons == [Reason.DRAINING, Reason.DRAINING]
+    assert gate.load(0.1).running == 1
+
+
+def test_dead_target_gets_one_trial_call_after_a_pause() -> None:
+    """Guards against sending a queue of calls to a dead process."""
+    gate = create_gate(16, 8, 'z1', random.Random(1))
+    gate.offer(make_call('1'), 0)
+    gate.finished('1', RunOutcome(RunResult.TARGET_DIED), 0)
+    refused = only(gate.offer(make_call('2'), 0.1))
+    assert isinstance(refused, Refuse)
+    assert refused.refusal.reason is Reason.NO_TARGET
+    trial = only(gate.offer(make_call('3'), 0.3))
+    assert isinstance(trial, Dispatch)
+    assert not gate.offer(make_call('4'), 0.3)
