--- /dev/null
+++ b/src/ebonycleat/internal/process/settings.py
@@ -0,0 +1,206 @@
+"""Settings of one node, as its VM's administrator writes them in TOML."""
+
+import dataclasses
+import ipaddress
+import re
+from typing import Annotated, Literal, TypeAlias
+
+from msgspec import Meta
+
+from ebonycleat.internal.process.settings_file import Check
+
+MIB = 1048576
+
+_HOST_PORT = re.compile(r'\[?([0-9a-fA-F.:]+?)\]?:([0-9]{1,5})')
+_NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z'
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port`` or ``[IPv6]:port``; raises ``ValueError``."""
+    parts = _HOST_PORT.fullmatch(address)
+    if parts is None or not is_ip_address(parts.group(1)):
+        raise ValueError(f'{address!r} is not IP:port')
+    port = int(parts.group(2))
+    if not 0 < port < 65536:
+        raise ValueError(f'{address!r} has no port from 1 to 65535')
+    return parts.group(1), port
+
+
+def is_ip_address(text: str) -> bool:
+    """Names are not accepted: nodes must work while DNS does not."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_peer_address(text: str) -> bool:
+    try:
+        split_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_reachable_address(text: str) -> bool:
+    if not is_ip_address(text):
+        return False
+    return not ipaddress.ip_address(text).is_unspecified
+
+
+Name: TypeAlias = Annotated[
+    str,
+    Meta(
+        pattern=_NAME_PATTERN,
+        description='1 to 64 letters, digits, dots, dashes or underscores',
+    ),
+]
+IpAddress: TypeAlias = Annotated[str, Check(is_ip_address, 'an IP address')]
+ReachableAddress: TypeAlias = Annotated[
+    str,
+    Check(_is_reachable_address, 'an IP address that other VMs can reach'),
+]
+PeerAddress: TypeAlias = Annotated[str, Check(_is_peer_address, 'IP:port')]
+Port: TypeAlias = Annotated[
+    int,
+    Meta(ge=0, le=65535, description='a port, 0 to 65535 (0: any free one)'),
+]
+FixedPort: TypeAlias = Annotated[
+    int,
+    Meta(ge=1, le=65535, description='a port, 1 to 65535'),
+]
+KeyDigest: TypeAlias = Annotated[
+    str,
+    Meta(
+        pattern=r'^[0-9a-f]{64}\Z',
+        description='a SHA-256 digest, 64 lowercase hexadecimal digits',
+    ),
+]
+HttpUrl: TypeAlias = Annotated[
+    str,
+    Meta(
+        pattern=r'^https?://[0-9A-Za-z.:\[\]-]+(/[!-~]*)?\Z',
+        description='http://HOST:PORT or https://HOST:PORT',
+    ),
+]
+Seconds: TypeAlias = Annotated[
+    float,
+    Meta(gt=0, le=600, description='seconds, above 0 and up to 600'),
+]
+PositiveInt: TypeAlias = Annotated[
+    int,
+    Meta(ge=1, le=1_000_000, description='a whole number, 1 to 1000000'),
+]
+ByteLimit: TypeAlias = Annotated[
+    int,
+    Meta(ge=1, le=256 * MIB, description='bytes, 1 to 268435456'),
+]
+LogLevel: TypeAlias = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeIdentity:
+    """Who this node is; ``seed`` starts its random generator.
+
+    A node id belongs to one VM for good, see the assumption in the design.
+    With ``seed`` 0 the shell takes a seed from the operating system.
+    """
+
+    id: Name
+    zone: Name
+    service: Name
+    seed: Annotated[int, Meta(ge=0, description='a whole number from 0')] = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallersSettings:
+    """Where callers reach the node, and what they may send."""
+
+    address: IpAddress
+    port: Port
+    max_body_bytes: ByteLimit = MIB
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeersSettings:
+    """Where other nodes reach this one; the address is announced to them.
+
+    ``seeds`` are asked for a snapshot when the log cannot be read.
+    """
+
+    address: ReachableAddress
+    port: Port
+    seeds: tuple[PeerAddress, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetSettings:
+    """The one target that this node admits work to."""
+
+    host: IpAddress
+    port: FixedPort
+    slots: PositiveInt
+    max_answer_bytes: ByteLimit = 8 * MIB
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LogServiceSettings:
+    """Where the platform's append-only log is."""
+
+    base_url: HttpUrl
+    timeout_s: Seconds = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueueSettings:
+    """Bound of the gate's queue, in requests."""
+
+    length: PositiveInt = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorSettings:
+    """An operator who may change the configuration through this node."""
+
+    name: Name
+    key_digest: KeyDigest
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StatsdSettings:
+    """Where counters are sent; without this table none are sent."""
+
+    host: IpAddress
+    port: FixedPort = 8125
+    prefix: Name = 'ebonycleat'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoggingSettings:
+    """Lowest level of the log lines that are written."""
+
+    level: LogLevel = 'INFO'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeSettings:
+    """The whole settings file of ``ebonycleat-node``."""
+
+    node: NodeIdentity
+    callers: CallersSettings
+    peers: PeersSettings
+    target: TargetSettings
+    log: LogServiceSettings
+    queue: QueueSettings = QueueSettings()
+    operators: tuple[OperatorSettings, ...] = ()
+    statsd: StatsdSettings | None = None
+    logging: LoggingSettings = LoggingSettings()
+
+    def __post_init__(self) -> None:
+        """Refuse combinations that no single key shows to be wrong."""
+        digests = {operator.key_digest for operator in self.operators}
+        if len(digests) < len(self.operators):
+            raise ValueError('operators whose key digests differ')
+        if self.callers.port and self.callers.port == self.peers.port:
+            raise ValueError('callers.port and peers.port that differ')
