--- a/src/ebonycleat/internal/connection/messages.py
+++ b/src/ebonycleat/internal/connection/messages.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from ebonycleat.internal.process.gate_events import GateLoad
 from ebonycleat.internal.request.call import Answer, Call, RefusedCall
 
 
@@ -43,22 +44,6 @@
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GateLoad:
-    """What a gate tells its callers with each answer.
-
-    ``latency_s`` is the smoothed service time in seconds. ``level`` is the
-    admission level: calls above it would be refused now.
-    """
-
-    queue_length: int = 0
-    running: int = 0
-    limit: int = 0
-    latency_s: float = 0
-    level: int = 0
-    draining: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCall:
     """Asks a node to run a call at its own target.
--- a/src/ebonycleat/internal/process/effects.py
+++ b/src/ebonycleat/internal/process/effects.py
@@ -8,6 +8,8 @@
 from typing import Any, TypeAlias
 
 from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.incoming import OutgoingAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +32,28 @@
 Effect: TypeAlias = SendToPeer | AppendToLog
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallTarget:
+    """Send this call to the target beside the node.
+
+    ``context`` is the opaque context that the target may pass on.
+    """
+
+    call: Call
+    context: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRequest:
+    """Answer the caller or operator that waits under ``request_id``."""
+
+    request_id: str
+    answer: OutgoingAnswer
+
+
+NodeEffect: TypeAlias = Effect | CallTarget | AnswerRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendDone:
     """The log confirmed the append; the record stands at ``offset``."""
--- /dev/null
+++ b/src/ebonycleat/internal/process/gate_service.py
@@ -0,0 +1,160 @@
+"""The gate's side of a call: from this node's ingress or from a peer.
+
+Remembers where each admitted call came from, so that its result goes back
+there and nowhere else.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import TypeAlias
+
+from ebonycleat.internal.connection.target_client import (
+    FailureKind,
+    TargetAnswer,
+    TargetFailure,
+    TargetResult,
+)
+from ebonycleat.internal.process.effects import CallTarget
+from ebonycleat.internal.process.gate import Gate
+from ebonycleat.internal.process.gate_events import (
+    Dispatch,
+    GateEvent,
+    GateLoad,
+)
+from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
+from ebonycleat.internal.request.call import (
+    Answer,
+    Call,
+    CallResult,
+    RefusedCall,
+)
+
+OWN_INGRESS = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallResolved:
+    """The result of a call for the node that sent it.
+
+    ``origin`` is the peer's node id, or empty for this node's own ingress.
+    """
+
+    origin: str
+    result: CallResult
+    load: GateLoad
+
+
+GateOutput: TypeAlias = CallTarget | CallResolved
+
+FAILURES_OF_A_DEAD_TARGET = frozenset((
+    FailureKind.NOT_CONNECTED,
+    FailureKind.BROKEN,
+))
+
+
+class GateService:
+    """Admits calls to the target and routes their results back."""
+
+    def __init__(self, gate: Gate, zone: str) -> None:
+        """Serve the target behind ``gate`` in ``zone``."""
+        self.gate = gate
+        self.zone = zone
+        self.origins: dict[str, str] = {}
+        self.dispatched_at: dict[str, float] = {}
+
+    def offer(self, call: Call, origin: str, now: float) -> list[GateOutput]:
+        """Queue, dispatch or refuse a call; a repeated id is ignored."""
+        if call.call_id in self.origins:
+            return []
+        self.origins[call.call_id] = origin
+        return self.handle_events(self.gate.offer(call, now), now)
+
+    def finished(
+        self,
+        call_id: str,
+        target_result: TargetResult,
+        now: float,
+    ) -> list[GateOutput]:
+        """Send the target's result back and start what waits."""
+        started_at = self.dispatched_at.pop(call_id, None)
+        if started_at is None:
+            return []
+        outcome = RunOutcome(classify_run(target_result), now - started_at)
+        events = self.gate.finished(call_id, outcome, now)
+        call_result = self.call_result(call_id, target_result)
+        return [
+            self.resolved(call_result, now),
+            *self.handle_events(events, now),
+        ]
+
+    def cancel(self, call_id: str, now: float) -> list[GateOutput]:
+        """Free the queue place of a call whose caller left."""
+        return self.handle_events(self.gate.cancel(call_id, now), now)
+
+    def withdraw_key(self, key_digest: str, now: float) -> list[GateOutput]:
+        """Refuse queued calls of a withdrawn key."""
+        events = self.gate.withdraw(key_digest, now)
+        return self.handle_events(events, now)
+
+    def drain(self, now: float) -> list[GateOutput]:
+        """Refuse queued and new calls; running ones finish."""
+        return self.handle_events(self.gate.drain(now), now)
+
+    def tick(self, now: float) -> list[GateOutput]:
+        """Shed late calls and start what fits."""
+        return self.handle_events(self.gate.tick(now), now)
+
+    def handle_events(
+        self,
+        events: Iterable[GateEvent],
+        now: float,
+    ) -> list[GateOutput]:
+        """Turn the gate's events into target calls and results."""
+        outputs: list[GateOutput] = []
+        for event in events:
+            call_id = event.call.call_id
+            if isinstance(event, Dispatch):
+                self.dispatched_at[call_id] = now
+                outputs.append(CallTarget(event.call))
+            else:
+                refused = RefusedCall(
+                    call_id,
+                    event.refusal,
+                    event.call.retry_allowance,
+                )
+                outputs.append(self.resolved(refused, now))
+        return outputs
+
+    def resolved(self, call_result: CallResult, now: float) -> CallResolved:
+        """Address a result to the node that sent the call."""
+        origin = self.origins.pop(call_result.call_id)
+        return CallResolved(origin, call_result, self.gate.load(now))
+
+    def call_result(
+        self,
+        call_id: str,
+        target_result: TargetResult,
+    ) -> CallResult:
+        """Translate the target's result into the result of the call."""
+        if isinstance(target_result, TargetAnswer):
+            return Answer(
+                call_id,
+                target_result.status,
+                target_result.headers,
+                target_result.body,
+            )
+        return RefusedCall(call_id, target_result.as_refusal(self.zone))
+
+
+def classify_run(target_result: TargetResult) -> RunResult:
+    """Tell the gate how a run ended."""
+    if isinstance(target_result, TargetFailure):
+        if target_result.kind in FAILURES_OF_A_DEAD_TARGET:
+            return RunResult.TARGET_DIED
+        return RunResult.FAILED
+    if target_result.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return RunResult.TARGET_SHED
+    if target_result.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return RunResult.FAILED
+    return RunResult.SUCCEEDED
--- /dev/null
+++ b/src/ebonycleat/internal/process/shell.py
@@ -0,0 +1,247 @@
+"""Connects the decisions of one node to sockets, threads and the clock.
+
+Nothing is decided here. Each input is handed to the node core together with
+the loop's time, and the effects that come back are carried out.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import Executor, Future
+from typing import Any
+
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.connection.peer_transport import (
+    PeerListener,
+    PeerTransport,
+)
+from ebonycleat.internal.connection.target_client import (
+    TargetClient,
+    TargetResult,
+)
+from ebonycleat.internal.process.effects import (
+    AnswerRequest,
+    AppendResult,
+    AppendToLog,
+    CallTarget,
+    NodeEffect,
+    SendToPeer,
+)
+from ebonycleat.internal.process.http_server import (
+    CallerPort,
+    health_answer,
+)
+from ebonycleat.internal.process.log_reader import LogReader, ReadResult
+from ebonycleat.internal.process.node_core import NodeCore
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.incoming import (
+    IncomingRequest,
+    OutgoingAnswer,
+)
+from ebonycleat.internal.request.target_headers import headers_for_target
+
+TICK_S = 0.02
+
+
+class NodeShell(PeerListener, CallerPort):
+    """Carries out what the core decides; all state stays in the core."""
+
+    def __init__(
+        self,
+        core: NodeCore,
+        loop: asyncio.AbstractEventLoop,
+        log_reader: LogReader,
+        target: TargetClient,
+        target_threads: Executor,
+    ) -> None:
+        """Drive ``core`` on ``loop``."""
+        self.core = core
+        self.loop = loop
+        self.log_reader = log_reader
+        self.target = target
+        self.target_threads = target_threads
+        self.waiting: dict[str, Future[OutgoingAnswer]] = {}
+        self.tasks: set[asyncio.Future[None]] = set()
+        self.transport: PeerTransport | None = None
+
+    def submit(self, request: IncomingRequest) -> Future[OutgoingAnswer]:
+        """Start a caller's request; called on worker threads."""
+        return self.start_on_loop(request, self.core.request_received)
+
+    def submit_operator(
+        self,
+        request: IncomingRequest,
+    ) -> Future[OutgoingAnswer]:
+        """Start an operator's request; called on worker threads."""
+        return self.start_on_loop(request, self.core.operator_request)
+
+    def start_on_loop(
+        self,
+        request: IncomingRequest,
+        handler: Callable[[IncomingRequest, float], list[NodeEffect]],
+    ) -> Future[OutgoingAnswer]:
+        """Hand a request to the loop and return the future of its answer."""
+        future: Future[OutgoingAnswer] = Future()
+        self.loop.call_soon_threadsafe(
+            self.handle_request,
+            request,
+            future,
+            handler,
+        )
+        return future
+
+    def handle_request(
+        self,
+        request: IncomingRequest,
+        future: Future[OutgoingAnswer],
+        handler: Callable[[IncomingRequest, float], list[NodeEffect]],
+    ) -> None:
+        """Give a request to the core; runs on the loop."""
+        self.waiting[request.request_id] = future
+        self.perform(handler(request, self.loop.time()))
+
+    def health(self) -> OutgoingAnswer:
+        """Tell whether this node takes requests."""
+        return health_answer(
+            serving=self.core.is_serving(),
+            version=self.core.configuration_version(),
+        )
+
+    def message_received(self, node: str, message: Any) -> None:
+        """Take one message from a peer."""
+        now = self.loop.time()
+        self.perform(self.core.message_received(node, message, now))
+
+    def calls_lost(
+        self,
+        node: str,
+        call_ids: Iterable[str],
+        *,
+        sent: bool,
+    ) -> None:
+        """Resolve calls whose link closed."""
+        now = self.loop.time()
+        for call_id in tuple(call_ids):
+            effects = self.core.call_lost(node, call_id, now, sent=sent)
+            self.perform(effects)
+
+    def perform(self, effects: Iterable[NodeEffect]) -> None:
+        """Carry out effects in order."""
+        for effect in effects:
+            match effect:
+                case SendToPeer():
+                    self.send_to_peer(effect)
+                case CallTarget():
+                    self.spawn(self.call_target(effect.call, effect.context))
+                case AnswerRequest():
+                    self.answer(effect)
+                case AppendToLog():
+                    self.spawn(self.append_to_log(effect))
+
+    def send_to_peer(self, effect: SendToPeer) -> None:
+        """Send one message; the address is what membership says now."""
+        if self.transport is None:
+            return
+        address = self.core.address_of(effect.node)
+        if address is not None:
+            self.transport.addresses[effect.node] = address
+        self.transport.send(effect.node, effect.message)
+
+    def answer(self, effect: AnswerRequest) -> None:
+        """Wake the worker thread that waits for the answer."""
+        future = self.waiting.pop(effect.request_id, None)
+        if future is not None and future.set_running_or_notify_cancel():
+            future.set_result(effect.answer)
+
+    async def call_target(self, call: Call, context: str) -> None:
+        """Run one call at the target on a worker thread."""
+        target_result: TargetResult = await self.loop.run_in_executor(
+            self.target_threads,
+            self.target.send,
+            call.method,
+            call.path,
+            headers_for_target(call, context, self.loop.time()),
+            call.body,
+            call.deadline - self.loop.time(),
+        )
+        now = self.loop.time()
+        self.perform(
+            self.core.target_finished(call.call_id, target_result, now),
+        )
+
+    async def append_to_log(self, effect: AppendToLog) -> None:
+        """Append one record on a worker thread."""
+        append_result: AppendResult = await self.loop.run_in_executor(
+            self.log_reader.executor,
+            self.log_reader.append_once,
+            effect.stream,
+            self.core.log_codec.encode(effect.record),
+            effect.operation_id,
+        )
+        now = self.loop.time()
+        self.perform(self.core.append_finished(append_result, now))
+
+    def log_read(self, read_result: ReadResult) -> None:
+        """Give the result of one read to the core."""
+        self.perform(self.core.log_read(read_result, self.loop.time()))
+
+    async def tick_until_cancelled(self) -> None:
+        """Let time-driven decisions happen."""
+        while True:
+            self.perform(self.core.tick(self.loop.time()))
+            await asyncio.sleep(TICK_S)
+
+    async def run(self, host: str, port: int, started: Future[int]) -> None:
+        """Listen for peers and follow the log until cancelled."""
+        transport = PeerTransport(
+            self.core.identity,
+            self.core.peer_codec,
+            self,
+        )
+        self.transport = transport
+        async with transport.listen(host, port) as bound_port:
+            started.set_result(bound_port)
+            await asyncio.gather(
+                self.tick_until_cancelled(),
+                *(self.follow(stream) for stream in self.core.followed),
+            )
+
+    async def follow(self, stream: Stream) -> None:
+        """Follow one stream of the log until cancelled."""
+        await self.log_reader.follow(
+            stream,
+            lambda: self.core.next_offset(stream),
+            self.log_read,
+        )
+
+    def spawn(self, coroutine: Any) -> None:
+        """Run a coroutine and keep it alive until it ends."""
+        task = self.loop.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+@contextlib.contextmanager
+def running_shell(shell: NodeShell, host: str, port: int) -> Iterator[int]:
+    """Run the shell on its loop while the context is open.
+
+    Yields the port on which peers reach the node. Raises ``OSError`` when
+    the address is taken.
+    """
+    started: Future[int] = Future()
+    running = asyncio.run_coroutine_threadsafe(
+        shell.run(host, port, started),
+        shell.loop,
+    )
+    running.add_done_callback(lambda ended: _report_end(ended, started))
+    try:
+        yield started.result()
+    finally:
+        running.cancel()
+        with contextlib.suppress(BaseException):
+            running.result()
+
+
+def _report_end(ended: Future[None], started: Future[int]) -> None:
+    if not started.done() and not ended.cancelled():
+        started.set_exception(ended.exception() or RuntimeError('no port'))
