--- /dev/null
+++ b/tests/configuration_records.py
@@ -0,0 +1,53 @@
+"""Builders of configuration records for tests."""
+
+import hashlib
+
+from ebonycleat import Priority
+from ebonycleat.internal.connection.codec import create_codec
+from ebonycleat.internal.connection.log_service import LogRecord
+from ebonycleat.internal.version.records import ChangeSet, PutRoute, PutTeam
+from ebonycleat.internal.version.snapshot import CONFIGURATION_RECORDS
+
+codec = create_codec(*CONFIGURATION_RECORDS)
+WEIGHTS = (('a', 1.0), ('b', 3.0))
+
+
+def digest_of(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def put_team(name='survey', rate=100.0, burst=20.0, weights=WEIGHTS):
+    return PutTeam(name, rate, burst, weights)
+
+
+def put_route(name='map', path='/map', methods=('GET',), **changed):
+    definition = {
+        'priority': Priority.CRITICAL,
+        'idempotent': True,
+        'retry_limit': 2,
+        'timeout_ms': 2000,
+        'open_to_all': False,
+        **changed,
+    }
+    return PutRoute(
+        route=name,
+        service='map',
+        methods=methods,
+        path_prefix=path,
+        **definition,
+    )
+
+
+def change_set(operation_id, *changes, expected=()):
+    return ChangeSet(operation_id, 'kim', 1.0, tuple(expected), changes)
+
+
+def log_records(*payloads):
+    """Number records as a log does that has just begun."""
+    return tuple(
+        LogRecord(
+            offset,
+            payload if isinstance(payload, bytes) else codec.encode(payload),
+        )
+        for offset, payload in enumerate(payloads, 1)
+    )
--- /dev/null
+++ b/tests/cover/test_configuration_fold.py
@@ -0,0 +1,174 @@
+"""The fold decides who wins a race and what is in force, in one way only."""
+
+import pytest
+
+from ebonycleat import Reason
+from ebonycleat.internal.version.fold import create_fold
+from ebonycleat.internal.version.records import (
+    Accepted,
+    AlreadyApplied,
+    FenceNode,
+    PutKey,
+    Rejected,
+    RejectionReason,
+    WithdrawKey,
+    WithdrawRoute,
+    WithdrawTeam,
+)
+from ebonycleat.internal.version.view import NO_PART, UnknownTeam, ZonePart
+from tests.configuration_records import (
+    change_set,
+    digest_of,
+    put_route,
+    put_team,
+)
+
+KEY = digest_of('key')
+
+
+def fold_of(*changes):
+    fold = create_fold()
+    assert fold.apply(1, change_set('first', *changes)) == Accepted(1)
+    return fold
+
+
+def test_the_later_of_two_racing_changes_loses_and_names_the_winner():
+    """Guards against an operator who overwrites a change unseen."""
+    fold = fold_of(put_team())
+    expected = [('team:survey', 1)]
+    winner = change_set('w', put_team(rate=200.0), expected=expected)
+    loser = change_set('l', put_team(rate=300.0), expected=expected)
+    assert fold.apply(2, winner) == Accepted(2)
+    rejected = fold.apply(3, loser)
+    assert isinstance(rejected, Rejected)
+    assert rejected.reason is RejectionReason.CONFLICT
+    assert (rejected.subject, rejected.lost_to) == ('team:survey', 2)
+    assert fold.view.team('survey').rate_per_s == 200
+    assert (fold.view.version, fold.view.offset) == (2, 3)
+
+
+def test_losing_to_a_withdrawal_names_the_withdrawal():
+    """Guards against a rejection that cannot name the change it lost to."""
+    fold = fold_of(put_team())
+    fold.apply(2, change_set('w', WithdrawTeam('survey')))
+    stale = [('team:survey', 1)]
+    rejected = fold.apply(3, change_set('l', put_team(), expected=stale))
+    assert rejected.lost_to == 2
+    orphan = fold.apply(4, change_set('k', PutKey(KEY, 'survey')))
+    assert (orphan.reason, orphan.lost_to) == (RejectionReason.UNKNOWN_TEAM, 2)
+
+
+@pytest.mark.parametrize('decided', [put_team(), put_team(rate=-1.0)])
+def test_a_second_copy_of_an_append_changes_nothing(decided):
+    """Guards against the copy that a lost append answer leaves behind."""
+    fold = create_fold()
+    record = change_set('op', decided)
+    fold.apply(1, record)
+    fold.apply(2, change_set('other', put_team('other')))
+    before = fold.view
+    assert fold.apply(3, record) == AlreadyApplied(1)
+    assert fold.view.teams is before.teams
+    assert fold.view.operations is before.operations
+
+
+def test_one_wrong_change_rejects_its_whole_set():
+    """Guards against half of a change in force."""
+    fold = create_fold()
+    changes = (put_team(), PutKey(KEY, 'survey'), WithdrawRoute('none'))
+    rejected = fold.apply(1, change_set('op', *changes))
+    assert rejected.reason is RejectionReason.NOT_FOUND
+    assert fold.view.team('survey') == UnknownTeam('survey')
+    assert fold.view.team_of_key(KEY).reason is Reason.UNKNOWN_KEY
+    assert fold.view.version == 0
+
+
+@pytest.mark.parametrize(
+    ('change', 'reason'),
+    [
+        (PutKey(KEY, 'nobody'), RejectionReason.UNKNOWN_TEAM),
+        (PutKey('the key itself', 'survey'), RejectionReason.MALFORMED),
+        (put_team(rate=-0.1), RejectionReason.BAD_RATE),
+        (put_team(burst=float('nan')), RejectionReason.BAD_RATE),
+        (put_team('x', weights=()), RejectionReason.BAD_ZONE_WEIGHTS),
+        (put_team('x', weights=(('a', 0),)), RejectionReason.BAD_ZONE_WEIGHTS),
+        (
+            put_team('x', weights=(('a', 1.0), ('a', 2.0))),
+            RejectionReason.BAD_ZONE_WEIGHTS,
+        ),
+        (put_team(weights=(('a', 1.0),)), RejectionReason.ZONE_WEIGHTS_FIXED),
+        (put_team('no spaces'), RejectionReason.MALFORMED),
+        (WithdrawTeam('nobody'), RejectionReason.NOT_FOUND),
+        (WithdrawKey(KEY), RejectionReason.NOT_FOUND),
+        (put_route(path='/map/../admin'), RejectionReason.MALFORMED),
+        (put_route(methods=()), RejectionReason.MALFORMED),
+        (put_route(retry_limit=-1), RejectionReason.BAD_LIMIT),
+        (put_route(timeout_ms=0), RejectionReason.BAD_LIMIT),
+        (put_route('twin', '/old/'), RejectionReason.ROUTE_OVERLAP),
+        (FenceNode('gone'), RejectionReason.ALREADY_FENCED),
+    ],
+)
+def test_a_change_without_sense_is_rejected(change, reason):
+    """Guards against a record that breaks the nodes that serve by it."""
+    fold = fold_of(put_team(), put_route('old', '/old'), FenceNode('gone'))
+    rejected = fold.apply(2, change_set('op', change))
+    assert isinstance(rejected, Rejected)
+    assert rejected.reason is reason
+
+
+def test_zone_weights_cannot_change_inside_one_change_set():
+    """Guards against withdraw and create as a way round fixed weights."""
+    fold = fold_of(put_team())
+    other = put_team(weights=(('a', 9.0),))
+    rejected = fold.apply(2, change_set('op', WithdrawTeam('survey'), other))
+    assert rejected.reason is RejectionReason.ZONE_WEIGHTS_FIXED
+
+
+def test_withdrawn_keys_are_refused_with_the_true_reason():
+    """Guards against keys that outlive their withdrawal or their team."""
+    fold = fold_of(put_team(), PutKey(KEY, 'survey'))
+    fold.apply(2, change_set('again', PutKey(digest_of('2'), 'survey')))
+    assert fold.view.team_of_key(KEY) == 'survey'
+    fold.apply(3, change_set('w', WithdrawKey(KEY)))
+    assert fold.view.team_of_key(KEY).reason is Reason.WITHDRAWN_KEY
+    fold.apply(4, change_set('t', WithdrawTeam('survey')))
+    refusal = fold.view.team_of_key(digest_of('2'))
+    assert refusal.reason is Reason.WITHDRAWN_KEY
+    fold.apply(5, change_set('back', put_team()))
+    assert fold.view.team_of_key(digest_of('2')) == refusal
+
+
+def test_zone_parts_add_up_to_the_rate_of_the_team():
+    """Guards against zones that together grant more than the rate."""
+    view = fold_of(put_team()).view
+    assert view.zone_part('survey', 'a') == ZonePart(25, 5)
+    assert view.zone_part('survey', 'b') == ZonePart(75, 15)
+    assert view.zone_part('survey', 'elsewhere') == NO_PART
+    assert view.zone_part('nobody', 'a') == NO_PART
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'found'),
+    [
+        ('GET', '/map', 'map'),
+        ('GET', '/map/current?zoom=2', 'map'),
+        ('GET', '/map/tiles/1', 'tiles'),
+        ('POST', '/map/tiles/1', 'draw'),
+        ('GET', '/%6Dap/tiles', 'tiles'),
+        ('GET', '/mapping', 'all'),
+        ('POST', '/mapping', Reason.NO_ROUTE),
+        ('GET', '/map/../map', Reason.BAD_REQUEST),
+        ('GET', '/map/%2e%2E/x', Reason.BAD_REQUEST),
+        ('GET', '//map', Reason.BAD_REQUEST),
+        ('GET', '/x/..;a/map', Reason.BAD_REQUEST),
+    ],
+)
+def test_routes_match_whole_segments_of_unambiguous_paths(method, path, found):
+    """Guards against an open route that leads to a path of another route."""
+    view = fold_of(
+        put_route('all', '/', open_to_all=True),
+        put_route('map', '/map'),
+        put_route('tiles', '/map/tiles/'),
+        put_route('draw', '/map', methods=('POST',)),
+    ).view
+    match = view.match_route(method, path)
+    assert found in {getattr(match, 'route', None), getattr(match, 'reason', 0)}
