--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -129,7 +129,6 @@
         create_target_client('127.0.0.1', server.port, 1) as client,
     ):
         _send(client)
-        server.closing = True
         broken = _send(client)
         assert len(server.requests) == 2
     assert (broken.kind, broken.outcome) == (
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -8,7 +8,8 @@
 class ScriptedServer:
     """Sends one scripted answer per request; None waits until shut down.
 
-    ``closing`` answers end with the end of the connection.
+    The connection ends after an empty answer, and with ``closing`` after
+    each one.
     """
 
     def __init__(self, answers, closing):
@@ -47,7 +48,7 @@
                     self.stopped.wait()
                     return
                 connection.sendall(answer)
-                if self.closing:
+                if self.closing or not answer:
                     return
             reader.read(1)
 
