Retry ledger, budget and policy, request contexts, router

Cause: retries multiply over hops, and a node must choose targets by what it has seen itself. One decision combines outcome, ledger, budget, deadline and refused zones. Contexts are random text that only the target's node resolves. The router takes the better of two, its own zone first, and ejects failing targets and zones that it cannot reach.

--- /dev/null
+++ b/src/ebonycleat/internal/process/retry_policy.py
@@ -0,0 +1,111 @@
+"""The one place that decides whether a failed attempt is repeated."""
+
+import dataclasses
+import random
+from typing import TypeAlias
+
+from ebonycleat.internal.process.retry_budget import RetryBudget
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.ledger import RetryLedger
+from ebonycleat.internal.request.refusal import Outcome, Reason, Refusal
+
+RETRYABLE = frozenset((
+    Reason.SHED,
+    Reason.QUEUE_FULL,
+    Reason.NODE_SATURATED,
+    Reason.DRAINING,
+    Reason.NO_TARGET,
+    Reason.NO_CONFIGURATION,
+    Reason.DEDUPE_UNAVAILABLE,
+    Reason.TARGET_FAILED,
+    Reason.TRUNCATED_ANSWER,
+    Reason.CONNECTION_LOST,
+))
+"""All other reasons would be the same at any other target."""
+
+FIRST_BACKOFF_S = 0.01
+LONGEST_BACKOFF_S = 0.25
+SHORTEST_RETRY_AFTER_S = 0.2
+LARGEST_JITTER = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailedAttempt:
+    """One attempt that ended without a whole answer.
+
+    ``refused_zones`` are the zones that refused earlier attempts;
+    ``zones`` are all zones with members of the service.
+    """
+
+    call: Call
+    refusal: Refusal
+    attempts_made: int
+    refused_zones: frozenset[str]
+    zones: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAt:
+    """Repeat the call after ``delay_s``, outside these zones."""
+
+    delay_s: float
+    avoid_zones: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer the caller with this refusal."""
+
+    refusal: Refusal
+
+
+RetryDecision: TypeAlias = RetryAt | GiveUp
+
+
+class RetryPolicy:
+    """Combines truth about the outcome, ledger, budget and deadline."""
+
+    def __init__(self, budget: RetryBudget, rng: random.Random) -> None:
+        """Share the node's budget; ``rng`` jitters the delays."""
+        self.budget = budget
+        self.rng = rng
+
+    def decide(
+        self,
+        failed: FailedAttempt,
+        ledger: RetryLedger,
+        now: float,
+    ) -> RetryDecision:
+        """Decide; ``RetryAt`` has already been paid from both accounts."""
+        avoid_zones = failed.refused_zones
+        if failed.refusal.zone:
+            avoid_zones |= {failed.refusal.zone}
+        delay_s = self.backoff_s(failed.attempts_made)
+        fits = now + delay_s < failed.call.deadline
+        has_zone = bool(failed.zones - avoid_zones)
+        if not (fits and has_zone and _may_run_again(failed)):
+            return GiveUp(self.advised(failed.refusal))
+        service = failed.call.service
+        if self.budget.has_retry(service, now) and ledger.take_retry():
+            self.budget.take(service, now)
+            return RetryAt(delay_s, avoid_zones)
+        return GiveUp(self.advised(failed.refusal))
+
+    def backoff_s(self, attempts_made: int) -> float:
+        """Jittered delay, growing with the attempts already made."""
+        exponent = min(max(0, attempts_made - 1), 8)
+        longest_s = FIRST_BACKOFF_S * 2**exponent
+        return self.rng.uniform(0, min(longest_s, LONGEST_BACKOFF_S))
+
+    def advised(self, refusal: Refusal) -> Refusal:
+        """Add jitter to the advice, so that callers do not return at once."""
+        wait_s = max(refusal.retry_after_s, SHORTEST_RETRY_AFTER_S)
+        jitter = self.rng.uniform(1, LARGEST_JITTER)
+        return dataclasses.replace(refusal, retry_after_s=wait_s * jitter)
+
+
+def _may_run_again(failed: FailedAttempt) -> bool:
+    if failed.refusal.reason not in RETRYABLE:
+        return False
+    not_run = failed.refusal.outcome is Outcome.NOT_RUN
+    return not_run or failed.call.idempotent
--- /dev/null
+++ b/src/ebonycleat/internal/process/router.py
@@ -0,0 +1,165 @@
+"""Chooses the target for one attempt.
+
+What this node has seen itself counts first; what members announce only
+fills the gaps. No list of a whole region is needed: the members handed in
+are those of the own zone and the ones that other zones put forward.
+"""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+from typing import TypeAlias
+
+from ebonycleat.internal.process.admission_level import HeardLevels
+from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.process.target_records import (
+    Member,
+    TargetRecords,
+)
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_not_run,
+)
+
+LOCAL_OCCUPANCY = 0.7
+SPILL_OCCUPANCY = 0.8
+"""Above this the own zone's choice is compared with other zones'."""
+
+OTHER_ZONE_PENALTY = 1.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """One attempt to be placed; ``members`` are those of the service."""
+
+    call: Call
+    members: Sequence[Member]
+    avoid_zones: frozenset[str] = frozenset()
+    avoid_nodes: frozenset[str] = frozenset()
+
+
+RouteChoice: TypeAlias = Member | Refusal
+
+
+class Router:
+    """Places attempts, and learns from how they end.
+
+    Each ``note_sent`` is followed by exactly one of ``note_answer``,
+    ``note_refused``, ``note_failure`` and ``note_abandoned``.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        local_node: str,
+        rng: random.Random,
+    ) -> None:
+        """Place the node; ``rng`` draws the two candidates."""
+        self.zone = zone
+        self.local_node = local_node
+        self.rng = rng
+        self.records = TargetRecords()
+        self.levels = HeardLevels()
+
+    def choose(self, request: RouteRequest, now: float) -> RouteChoice:
+        """Choose a member, or refuse early what all gates would refuse."""
+        usable = [
+            member
+            for member in self.records.usable(request.members, now)
+            if member.zone not in request.avoid_zones
+            and member.node not in request.avoid_nodes
+        ]
+        if not usable:
+            return refuse_not_run(Reason.NO_TARGET, 'no target can be used')
+        admitting = [
+            member
+            for member in usable
+            if self.levels.admits(request.call, member.node, now)
+        ]
+        if not admitting:
+            return refuse_not_run(Reason.SHED, 'overload: retry later')
+        return self.choose_near(admitting, now)
+
+    def choose_near(self, members: Sequence[Member], now: float) -> Member:
+        """Prefer the local target, then the own zone, then the others."""
+        own = [member for member in members if member.zone == self.zone]
+        others = [member for member in members if member.zone != self.zone]
+        for member in own:
+            is_local = member.node == self.local_node
+            if is_local and self.occupancy(member, now) < LOCAL_OCCUPANCY:
+                return member
+        if not own:
+            return self.better_of_two(others, now)
+        near = self.better_of_two(own, now)
+        if not others or self.occupancy(near, now) < SPILL_OCCUPANCY:
+            return near
+        far = self.better_of_two(others, now)
+        far_score = self.score(far, now) * OTHER_ZONE_PENALTY
+        return far if far_score < self.score(near, now) else near
+
+    def better_of_two(self, members: Sequence[Member], now: float) -> Member:
+        """Draw two and take the better; this avoids herds on the best."""
+        drawn = self.rng.sample(members, min(2, len(members)))
+        return min(drawn, key=lambda member: self.score(member, now))
+
+    def occupancy(self, member: Member, now: float) -> float:
+        """Share of the target's limit in use, as far as known."""
+        return self.records.of(member.node).occupancy(member.load, now)
+
+    def score(self, member: Member, now: float) -> float:
+        """Expected time at the target; lower is better."""
+        return self.records.of(member.node).score(member.load, now)
+
+    def note_sent(self, member: Member) -> None:
+        """Count an attempt sent to a member."""
+        self.records.of(member.node).note_sent()
+
+    def note_answer(
+        self,
+        member: Member,
+        load: GateLoad,
+        latency_s: float,
+        now: float,
+    ) -> None:
+        """Learn from a whole answer."""
+        self.records.of(member.node).note_success(latency_s)
+        self.note_refused(member, load, now)
+
+    def note_refused(
+        self,
+        member: Member,
+        load: GateLoad,
+        now: float,
+    ) -> None:
+        """Learn from a refusal of the member's gate, which is no failure."""
+        record = self.records.of(member.node)
+        record.note_ended()
+        record.note_load(load, now)
+        self.records.note_reached(member.zone)
+        self.levels.hear(member.node, load.admission_level, now)
+
+    def note_failure(self, member: Member, reached: bool, now: float) -> None:
+        """Learn from an attempt that failed.
+
+        ``reached`` tells that the node answered, and only its target failed.
+        """
+        record = self.records.of(member.node)
+        record.note_ended()
+        record.note_failure(reached, now)
+        if not reached:
+            self.records.note_unreached(member.zone, now)
+
+    def note_abandoned(self, member: Member) -> None:
+        """Count out an attempt that was cancelled here."""
+        self.records.of(member.node).note_ended()
+
+
+def create_router(
+    zone: str,
+    local_node: str,
+    rng: random.Random,
+) -> Router:
+    """Build the router of one node."""
+    return Router(zone, local_node, rng)
--- /dev/null
+++ b/tests/cover/policy_calls.py
@@ -0,0 +1,40 @@
+"""Calls and loads for the tests of the policy."""
+
+from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.request.call import Call, Priority
+
+
+def make_call(
+    call_id: str,
+    priority: Priority = Priority.NORMAL,
+    team: str = 'a',
+    deadline: float = 10,
+    depth: int = 0,
+    key_digest: str = '',
+    retry_allowance: int = 0,
+    idempotent: bool = True,
+) -> Call:
+    return Call(
+        call_id=call_id,
+        root_id=call_id,
+        team=team,
+        route='map',
+        service='map',
+        priority=priority,
+        idempotent=idempotent,
+        deadline=deadline,
+        method='GET',
+        path='/',
+        depth=depth,
+        key_digest=key_digest,
+        retry_allowance=retry_allowance,
+    )
+
+
+def make_load(
+    running: int = 0,
+    queued: int = 0,
+    level: int = 1280,
+    draining: bool = False,
+) -> GateLoad:
+    return GateLoad(queued, running, 10, 0.01, level, draining)
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -10,36 +10,13 @@
     Refuse,
 )
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
-from ebonycleat.internal.request.call import Call, Priority
+from ebonycleat.internal.request.call import Priority
 from ebonycleat.internal.request.refusal import Outcome, Reason
+from tests.cover.policy_calls import make_call
 
 DONE = RunOutcome(RunResult.SUCCEEDED, 0.1)
 
 
-def make_call(
-    call_id: str,
-    priority: Priority = Priority.NORMAL,
-    team: str = 'a',
-    deadline: float = 10,
-    depth: int = 0,
-    key_digest: str = '',
-) -> Call:
-    return Call(
-        call_id=call_id,
-        root_id=call_id,
-        team=team,
-        route='map',
-        service='map',
-        priority=priority,
-        idempotent=True,
-        deadline=deadline,
-        method='GET',
-        path='/',
-        depth=depth,
-        key_digest=key_digest,
-    )
-
-
 def make_gate(slots: int = 1, queue_limit: int = 4) -> Gate:
     limit = FixedLimit(slots)
     return create_gate(slots, queue_limit, 'z1', random.Random(1), limit)
--- /dev/null
+++ b/tests/cover/test_request_context.py
@@ -0,0 +1,61 @@
+"""A target's further calls keep their rank, and cannot invent one."""
+
+import random
+
+from ebonycleat.internal.request.call import Priority
+from ebonycleat.internal.request.context import (
+    ContextRegistry,
+    NoContext,
+    RequestContext,
+    create_context_registry,
+)
+from tests.cover.policy_calls import make_call
+
+
+def make_registry(capacity: int = 4) -> ContextRegistry:
+    return create_context_registry(capacity, random.Random(1))
+
+
+def test_context_resolves_to_the_call_until_its_deadline() -> None:
+    """Guards against deep calls losing the priority of their root."""
+    registry = make_registry()
+    text = registry.open(make_call('1', deadline=5, depth=2))
+    context = registry.resolve(text, 1)
+    assert isinstance(context, RequestContext)
+    assert context.call.call_id == '1'
+    assert context.child_depth == 3
+    assert registry.resolve(text, 5) is NoContext.EXPIRED
+
+
+def test_calls_without_a_context_rank_lowest_and_have_no_retries() -> None:
+    """Guards against forged contexts gaining priority or retries."""
+    registry = make_registry()
+    assert registry.resolve('', 0) is NoContext.ABSENT
+    unknown = registry.resolve('f' * 32, 0)
+    assert isinstance(unknown, NoContext)
+    assert unknown.priority is Priority.LOWEST
+    assert not unknown.retry_allowance
+
+
+def test_closing_returns_unused_retries_once_and_children() -> None:
+    """Guards against a second close refunding the same retries again."""
+    registry = make_registry()
+    text = registry.open(make_call('1', retry_allowance=2))
+    context = registry.resolve(text, 0)
+    assert isinstance(context, RequestContext)
+    context.children.add('child')
+    closed = registry.close(text)
+    assert closed.retries_unused == 2
+    assert closed.children_to_cancel == ('child',)
+    assert not registry.close(text).retries_unused
+
+
+def test_registry_is_bounded_and_expires() -> None:
+    """Guards against memory growing with calls that never end."""
+    registry = make_registry(capacity=2)
+    first = registry.open(make_call('1', deadline=1))
+    registry.open(make_call('2', deadline=1))
+    registry.open(make_call('3', deadline=9))
+    assert registry.resolve(first, 0) is NoContext.UNKNOWN
+    assert len(registry.close_expired(2)) == 1
+    assert len(registry.by_text) == 1
--- /dev/null
+++ b/tests/cover/test_retry_policy.py
@@ -0,0 +1,88 @@
+"""Retries are made only when they are safe, paid for and in time."""
+
+import random
+
+import pytest
+
+from ebonycleat.internal.process.retry_budget import RetryBudget
+from ebonycleat.internal.process.retry_policy import (
+    FailedAttempt,
+    GiveUp,
+    RetryAt,
+    RetryDecision,
+    RetryPolicy,
+)
+from ebonycleat.internal.request.ledger import RetryLedger
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+from tests.cover.policy_calls import make_call
+
+ZONES = frozenset(('z1', 'z2', 'z3'))
+
+
+def decide(
+    refusal: Refusal,
+    idempotent: bool = True,
+    refused: str = '',
+    deadline: float = 10,
+    ledger: RetryLedger | None = None,
+) -> RetryDecision:
+    call = make_call('1', idempotent=idempotent, deadline=deadline)
+    failed = FailedAttempt(call, refusal, 1, frozenset(refused.split()), ZONES)
+    policy = RetryPolicy(RetryBudget(), random.Random(1))
+    return policy.decide(failed, ledger or RetryLedger(1), 0)
+
+
+def test_retry_avoids_every_zone_that_refused() -> None:
+    """Guards against a second try where the first was refused."""
+    refusal = refuse_not_run(Reason.QUEUE_FULL, zone='z1')
+    decision = decide(refusal, refused='z2')
+    assert isinstance(decision, RetryAt)
+    assert decision.avoid_zones == {'z1', 'z2'}
+    last = decide(refusal, refused='z2 z3')
+    assert isinstance(last, GiveUp)
+
+
+def test_call_that_may_have_run_is_repeated_only_when_idempotent() -> None:
+    """Guards against running a deposit or a renewal twice."""
+    refusal = refuse_outcome_unknown(Reason.CONNECTION_LOST)
+    assert isinstance(decide(refusal), RetryAt)
+    assert isinstance(decide(refusal, idempotent=False), GiveUp)
+    not_run = refuse_not_run(Reason.CONNECTION_LOST)
+    assert isinstance(decide(not_run, idempotent=False), RetryAt)
+
+
+@pytest.mark.parametrize(
+    'reason',
+    [Reason.OVER_RATE, Reason.UNKNOWN_KEY, Reason.CRASH_SUSPECT],
+)
+def test_refusals_that_any_target_would_give_are_final(
+    reason: Reason,
+) -> None:
+    """Guards against carrying a crashing request to further targets."""
+    assert isinstance(decide(refuse_not_run(reason)), GiveUp)
+
+
+def test_no_retry_after_the_deadline_or_without_allowance() -> None:
+    """Guards against work that nobody waits for or that was not paid."""
+    refusal = refuse_not_run(Reason.SHED)
+    assert isinstance(decide(refusal, deadline=0), GiveUp)
+    given_up = decide(refusal, ledger=RetryLedger(0))
+    assert isinstance(given_up, GiveUp)
+    assert given_up.refusal.retry_after_s > 0
+
+
+def test_budget_allows_a_tenth_of_successes_and_is_bounded() -> None:
+    """Guards against retries adding a multiple of the load."""
+    budget = RetryBudget()
+    assert sum(budget.take('map', 0) for _ in range(50)) == 3
+    for _ in range(100):
+        budget.note_success('map', 0)
+    assert sum(budget.take('map', 0) for _ in range(50)) in {9, 10}
+    for _ in range(10_000):
+        budget.note_success('map', 0)
+    assert sum(budget.take('map', 0) for _ in range(500)) <= 100
--- /dev/null
+++ b/tests/cover/test_router.py
@@ -0,0 +1,125 @@
+"""Work goes to targets that can do it, near ones first."""
+
+import random
+
+from ebonycleat.internal.process.router import (
+    RouteRequest,
+    Router,
+    create_router,
+)
+from ebonycleat.internal.process.target_records import Member, MemberState
+from ebonycleat.internal.request.refusal import Reason, Refusal
+from tests.cover.policy_calls import make_call, make_load
+
+MEMBERS = (
+    Member('a1', 'a'),
+    Member('a2', 'a'),
+    Member('b1', 'b'),
+    Member('b2', 'b'),
+)
+
+
+def make_router(local_node: str = '') -> Router:
+    return create_router('a', local_node, random.Random(3))
+
+
+def chosen_nodes(
+    router: Router,
+    now: float,
+    members: tuple[Member, ...] = MEMBERS,
+) -> set[str]:
+    request = RouteRequest(make_call('1'), members)
+    choices = [router.choose(request, now) for _ in range(40)]
+    return {
+        choice.node if isinstance(choice, Member) else choice.reason.value
+        for choice in choices
+    }
+
+
+def fail(router: Router, member: Member, reached: bool, now: float) -> None:
+    router.note_sent(member)
+    router.note_failure(member, reached, now)
+
+
+def hear(router: Router, member: Member, running: int, now: float) -> None:
+    router.note_sent(member)
+    router.note_answer(member, make_load(running), 0.01, now)
+
+
+def test_own_zone_first_and_local_target_first_of_all() -> None:
+    """Guards against paying for zone crossings without need."""
+    assert chosen_nodes(make_router(), 0) == {'a1', 'a2'}
+    assert chosen_nodes(make_router('a2'), 0) == {'a2'}
+
+
+def test_loaded_zone_spills_over_before_refusing() -> None:
+    """Guards against refusing while another zone has room."""
+    router = make_router('a1')
+    for member in MEMBERS[:2]:
+        hear(router, member, 10, 0)
+    assert chosen_nodes(router, 0.1) == {'b1', 'b2'}
+
+
+def test_closed_admission_level_refuses_early_only_if_all_are_closed() -> None:
+    """Guards against sending what each gate would refuse."""
+    router = make_router()
+    for member in MEMBERS[:2]:
+        router.note_refused(member, make_load(level=16), 0)
+    assert chosen_nodes(router, 0.1) == {'b1', 'b2'}
+    for other in MEMBERS[2:]:
+        router.note_refused(other, make_load(level=16), 0)
+    assert chosen_nodes(router, 0.1) == {Reason.SHED.value}
+    assert chosen_nodes(router, 5) == {'a1', 'a2'}
+
+
+def test_failing_target_is_ejected_and_tried_again_one_call_at_a_time() -> None:
+    """Guards against sending a share of all calls to a dead target."""
+    router = make_router()
+    for _ in range(3):
+        fail(router, MEMBERS[0], reached=True, now=0)
+    assert chosen_nodes(router, 4.9) == {'a2'}
+    assert 'a1' in chosen_nodes(router, 5.1)
+    router.note_sent(MEMBERS[0])
+    assert chosen_nodes(router, 5.1) == {'a2'}
+    router.note_failure(MEMBERS[0], reached=True, now=5.2)
+    assert chosen_nodes(router, 15) == {'a2'}
+    assert 'a1' in chosen_nodes(router, 15.3)
+
+
+def test_at_most_half_of_the_targets_are_ejected() -> None:
+    """Guards against a bad request or a node fault closing a service."""
+    router = make_router()
+    for member in MEMBERS * 3:
+        fail(router, member, reached=True, now=0)
+    assert len(chosen_nodes(router, 1)) == 2
+
+
+def test_zone_that_cannot_be_reached_is_cut_and_tried_cautiously() -> None:
+    """Guards against a cut-off zone swallowing its share of requests."""
+    router = make_router()
+    for member in (MEMBERS[0], MEMBERS[1], MEMBERS[1]):
+        fail(router, member, reached=False, now=0)
+    assert chosen_nodes(router, 0) == {'b1', 'b2'}
+    assert chosen_nodes(router, 0.9) == {'b1', 'b2'}
+    assert 'a1' in chosen_nodes(router, 1.1)
+    fail(router, MEMBERS[0], reached=False, now=1.2)
+    assert chosen_nodes(router, 3) == {'b1', 'b2'}
+    hear(router, MEMBERS[0], 0, 3.3)
+    assert 'a1' in chosen_nodes(router, 3.4)
+
+
+def test_draining_targets_get_nothing_new() -> None:
+    """Guards against new work for a target that is leaving."""
+    router = make_router()
+    members = (Member('a1', 'a', MemberState.DRAINING), *MEMBERS[1:])
+    assert chosen_nodes(router, 0, members) == {'a2'}
+    router.note_refused(MEMBERS[1], make_load(draining=True), 0)
+    assert chosen_nodes(router, 0.1, members) == {'b1', 'b2'}
+
+
+def test_no_usable_target_is_a_truthful_refusal() -> None:
+    """Guards against an exception when every zone is to be avoided."""
+    request = RouteRequest(make_call('1'), MEMBERS, frozenset('ab'))
+    refusal = make_router().choose(request, 0)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason is Reason.NO_TARGET
