--- a/tests/cover/test_log_client.py
+++ b/tests/cover/test_log_client.py
@@ -1,8 +1,7 @@
 """The log's client and stand-in: offsets, retention, and lost answers."""
 
 import contextlib
-import queue
-import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import cbor2
 import pytest
@@ -85,17 +84,10 @@
 
 def test_a_waiting_reader_gets_a_later_record():
     """Guards against a long poll that only ends with its wait."""
-    pages = queue.Queue()
-
-    def read_with_wait():
-        pages.put(read(service, wait_s=TIMEOUT_S))
-
-    with log_with() as service:
-        reader = threading.Thread(target=read_with_wait)
-        reader.start()
+    with log_with() as service, ThreadPoolExecutor() as threads:
+        reading = threads.submit(read, service, wait_s=TIMEOUT_S)
         append(service)
-        page = pages.get()
-        reader.join()
+        page = reading.result()
     assert [known.offset for known in page.records] == [1]
 
 
