--- a/src/ebonycleat/internal/process/http_server.py
+++ b/src/ebonycleat/internal/process/http_server.py
@@ -23,7 +23,6 @@
     IncomingRequest,
     OutgoingAnswer,
     create_incoming_request,
-    is_plain_path,
 )
 from ebonycleat.internal.request.outgoing import render_refusal
 from ebonycleat.internal.request.refusal import (
@@ -138,14 +137,11 @@
         body = environment['wsgi.input'].read(length) if length else b''
         if len(body) != length:
             return refuse_not_run(Reason.BAD_REQUEST, 'the body is cut off')
-        # The raw form, because PATH_INFO has lost the percent encoding.
-        path = environment['REQUEST_URI']
-        if not is_plain_path(path):
-            return refuse_not_run(Reason.BAD_REQUEST, _PATH_ADVICE)
         return create_incoming_request(
             request_id,
             environment['REQUEST_METHOD'],
-            path,
+            # The raw form: PATH_INFO has lost the percent encoding.
+            environment['REQUEST_URI'],
             _headers(environment),
             body,
         )
@@ -206,8 +202,6 @@
     retry_after_s=1,
 )
 
-_PATH_ADVICE = 'send an absolute path without "." or ".." segments'
-
 _STOPPED = refuse_outcome_unknown(
     Reason.OUTCOME_UNKNOWN,
     'the node stopped before it knew the outcome',
--- /dev/null
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -0,0 +1,278 @@
+"""The caller's side of a call: admit, place, retry, answer.
+
+Each request that is accepted here is answered exactly once, at its deadline
+at the latest.
+"""
+
+import dataclasses
+import heapq
+from typing import TypeAlias
+
+from ebonycleat.internal.process.directory import Directory
+from ebonycleat.internal.process.effects import AnswerRequest
+from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.process.retry_policy import (
+    FailedAttempt,
+    RetryAt,
+    RetryPolicy,
+)
+from ebonycleat.internal.process.router import RouteRequest, Router
+from ebonycleat.internal.process.target_records import Member
+from ebonycleat.internal.request.call import (
+    Answer,
+    Call,
+    CallResult,
+    RefusedCall,
+)
+from ebonycleat.internal.request.ledger import RetryLedger
+from ebonycleat.internal.request.open_request import (
+    Attempt,
+    OpenRequest,
+    request_id_of,
+)
+from ebonycleat.internal.request.outgoing import render_result
+from ebonycleat.internal.request.refusal import (
+    Outcome,
+    Reason,
+    Refusal,
+    refuse_not_run,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceCall:
+    """Hand the call to the gate of ``node``, which may be this one."""
+
+    node: str
+    call: Call
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelCall:
+    """Tell the gate of ``node`` that nobody waits for the call."""
+
+    node: str
+    call_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """A request was answered; for counters and latency histograms."""
+
+    call: Call
+    result: CallResult
+    latency_s: float
+
+
+IngressOutput: TypeAlias = (
+    PlaceCall | CancelCall | AnswerRequest | RequestEnded
+)
+
+# Failures in which the node itself could not be reached.
+UNREACHED = frozenset((Reason.CONNECTION_LOST, Reason.NO_TARGET))
+FAILED_AT_TARGET = frozenset((
+    Reason.TARGET_FAILED,
+    Reason.TRUNCATED_ANSWER,
+))
+
+
+class Ingress:
+    """Requests that wait for an answer, and what happens to them next."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        router: Router,
+        retry_policy: RetryPolicy,
+    ) -> None:
+        """Place calls at the members that ``directory`` knows."""
+        self.directory = directory
+        self.router = router
+        self.retry_policy = retry_policy
+        self.requests: dict[str, OpenRequest] = {}
+        self.deadlines: list[tuple[float, str]] = []
+        self.retries: list[tuple[float, str]] = []
+
+    def start(self, request: OpenRequest, now: float) -> list[IngressOutput]:
+        """Place the first attempt of an admitted request."""
+        self.requests[request.request_id] = request
+        deadline = (request.call.deadline, request.request_id)
+        heapq.heappush(self.deadlines, deadline)
+        return self.place(request, now)
+
+    def result_arrived(
+        self,
+        call_result: CallResult,
+        load: GateLoad,
+        now: float,
+    ) -> list[IngressOutput]:
+        """Take the result of an attempt; late and crossed ones are ignored."""
+        request = self.request_awaiting(call_result.call_id)
+        if request is None or request.attempt is None:
+            return []
+        attempt = request.attempt
+        self.learn(attempt, call_result, load, now)
+        request.end_attempt(call_result.retries_unused)
+        if isinstance(call_result, Answer):
+            service = request.call.service
+            self.retry_policy.budget.note_success(service, now)
+            return self.end(request, call_result, now)
+        return self.failed(request, call_result.refusal, now)
+
+    def call_lost(
+        self,
+        attempt_id: str,
+        now: float,
+        *,
+        sent: bool,
+    ) -> list[IngressOutput]:
+        """Go on after the link of an attempt closed."""
+        request = self.request_awaiting(attempt_id)
+        if request is None or request.attempt is None:
+            return []
+        self.router.note_failure(request.attempt.member, False, now)
+        if sent:
+            request.lose_attempt()
+        else:
+            request.end_attempt(request.call.retry_allowance)
+        refusal = Refusal(
+            Reason.CONNECTION_LOST,
+            Outcome.UNKNOWN if sent else Outcome.NOT_RUN,
+            'the link to the target\'s node closed',
+        )
+        return self.failed(request, refusal, now)
+
+    def tick(self, now: float) -> list[IngressOutput]:
+        """Send due retries; answer requests whose deadline has passed."""
+        outputs: list[IngressOutput] = []
+        for request in self.take_due(self.retries, now):
+            outputs += self.place(request, now)
+        for request in self.take_due(self.deadlines, now):
+            outputs += self.expire(request, now)
+        return outputs
+
+    def take_due(
+        self,
+        heap: list[tuple[float, str]],
+        now: float,
+    ) -> list[OpenRequest]:
+        """Remove due entries; entries of answered requests are dropped."""
+        due: list[OpenRequest] = []
+        while heap and heap[0][0] <= now:
+            _, request_id = heapq.heappop(heap)
+            request = self.requests.get(request_id)
+            if request is not None:
+                due.append(request)
+        return due
+
+    def request_awaiting(self, attempt_id: str) -> OpenRequest | None:
+        """Find the request whose current attempt has this id."""
+        request = self.requests.get(request_id_of(attempt_id))
+        if request is None or request.attempt is None:
+            return None
+        if request.attempt.attempt_id != attempt_id:
+            return None
+        return request
+
+    def place(self, request: OpenRequest, now: float) -> list[IngressOutput]:
+        """Choose a member and send the next attempt there."""
+        members = self.directory.members_of(request.call.service, now)
+        choice = self.router.choose(
+            RouteRequest(request.call, members, request.refused_zones),
+            now,
+        )
+        if isinstance(choice, Refusal):
+            return self.failed(request, choice, now)
+        self.router.note_sent(choice)
+        return [PlaceCall(choice.node, request.next_attempt(choice, now))]
+
+    def failed(
+        self,
+        request: OpenRequest,
+        refusal: Refusal,
+        now: float,
+    ) -> list[IngressOutput]:
+        """Retry when that is safe and paid for, else answer the caller."""
+        service = request.call.service
+        decision = self.retry_policy.decide(
+            FailedAttempt(
+                request.call,
+                refusal,
+                request.attempts_made,
+                request.refused_zones,
+                self.directory.zones_of(service, now),
+            ),
+            request.ledger,
+            now,
+        )
+        if isinstance(decision, RetryAt):
+            request.refused_zones = decision.avoid_zones
+            retry = (now + decision.delay_s, request.request_id)
+            heapq.heappush(self.retries, retry)
+            return []
+        refused = RefusedCall(request.request_id, decision.refusal)
+        return self.end(request, refused, now)
+
+    def expire(self, request: OpenRequest, now: float) -> list[IngressOutput]:
+        """Answer a request at its deadline and cancel what still runs."""
+        attempt = request.attempt
+        if attempt is None:
+            refusal = refuse_not_run(Reason.DEADLINE, 'no target in time')
+            refused = RefusedCall(request.request_id, refusal)
+            return self.end(request, refused, now)
+        self.router.note_abandoned(attempt.member)
+        request.lose_attempt()
+        refusal = Refusal(
+            Reason.DEADLINE,
+            Outcome.UNKNOWN,
+            'the deadline passed before the answer came',
+        )
+        refused = RefusedCall(request.request_id, refusal)
+        return [
+            CancelCall(attempt.member.node, attempt.attempt_id),
+            *self.end(request, refused, now),
+        ]
+
+    def end(
+        self,
+        request: OpenRequest,
+        call_result: CallResult,
+        now: float,
+    ) -> list[IngressOutput]:
+        """Answer the caller and refund the parent's ledger."""
+        self.requests.pop(request.request_id, None)
+        unused = request.ledger.close()
+        if request.parent is not None:
+            request.parent.ledger.refund(request.request_id, unused)
+            request.parent.children.discard(request.request_id)
+        answer = render_result(request.request_id, call_result)
+        latency_s = now - request.arrived_at
+        return [
+            AnswerRequest(request.request_id, answer),
+            RequestEnded(request.call, call_result, latency_s),
+        ]
+
+    def learn(
+        self,
+        attempt: Attempt,
+        call_result: CallResult,
+        load: GateLoad,
+        now: float,
+    ) -> None:
+        """Let the router learn from the result of an attempt."""
+        member: Member = attempt.member
+        if isinstance(call_result, Answer):
+            latency_s = now - attempt.sent_at
+            self.router.note_answer(member, load, latency_s, now)
+        elif call_result.refusal.reason in FAILED_AT_TARGET:
+            self.router.note_failure(member, True, now)
+        else:
+            self.router.note_refused(member, load, now)
+
+
+def create_open_request(
+    call: Call,
+    now: float,
+) -> OpenRequest:
+    """Open a root request with the retry limit of its route."""
+    return OpenRequest(call, RetryLedger(call.retry_allowance), now)
--- a/src/ebonycleat/internal/request/call_builder.py
+++ b/src/ebonycleat/internal/request/call_builder.py
@@ -5,9 +5,12 @@
 on, or none on a route open to all.
 """
 
+import dataclasses
 import math
+from typing import TypeAlias
 
 from ebonycleat.internal.request.call import Call, Priority
+from ebonycleat.internal.request.context import NoContext, RequestContext
 from ebonycleat.internal.request.incoming import IncomingRequest
 from ebonycleat.internal.request.refusal import (
     Reason,
@@ -19,64 +22,133 @@
 MAX_IDEMPOTENCY_KEY_LENGTH = 200
 MILLISECONDS_PER_S = 1000
 
+ContextOrNone: TypeAlias = RequestContext | NoContext
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Principal:
+    """For whom a request runs, and how important that makes it.
+
+    ``deadline`` is in seconds on the node's clock, infinite for a root
+    request. ``spends_token`` is false for calls inside a call tree: the root
+    has paid for them.
+    """
+
+    team: str
+    key_digest: str
+    priority: Priority
+    retry_limit: int
+    deadline: float = math.inf
+    root_id: str = ''
+    depth: int = 0
+    spends_token: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BuiltCall:
+    """A call that is ready to be admitted."""
+
+    call: Call
+    spends_token: bool
+
 
 def build_call(
     request: IncomingRequest,
     view: ConfigurationView,
+    context: ContextOrNone,
     now: float,
-) -> Call | Refusal:
-    """Build the call of a request that came without a context."""
+) -> BuiltCall | Refusal:
+    """Build the call of a request, or refuse it with the true reason."""
     route = view.match_route(request.method, request.path)
     if isinstance(route, Refusal):
         return route
-    team = _team_of(request, route, view)
-    if isinstance(team, Refusal):
-        return team
+    principal = _principal(request, route, view, context)
+    if isinstance(principal, Refusal):
+        return principal
     time_left_s = _time_left_s(request, route)
     if isinstance(time_left_s, Refusal):
         return time_left_s
     mistake = _idempotency_mistake(request, route)
     if mistake is not None:
         return mistake
+    deadline = min(now + time_left_s, principal.deadline)
+    call = _call_of(request, route, principal, deadline)
+    return BuiltCall(call, principal.spends_token)
+
+
+def _call_of(
+    request: IncomingRequest,
+    route: RouteInForce,
+    principal: Principal,
+    deadline: float,
+) -> Call:
     return Call(
         call_id=request.request_id,
-        root_id=request.request_id,
-        team=team,
+        root_id=principal.root_id or request.request_id,
+        team=principal.team,
         route=route.route,
         service=route.service,
-        priority=route.priority,
+        priority=principal.priority,
         idempotent=route.idempotent,
-        deadline=now + time_left_s,
+        deadline=deadline,
         method=request.method,
         path=request.path,
         headers=request.headers,
         body=request.body,
         idempotency_key='' if route.idempotent else request.idempotency_key,
-        key_digest=request.key_digest if team else '',
-        retry_allowance=route.retry_limit,
+        key_digest=principal.key_digest,
+        depth=principal.depth,
+        retry_allowance=principal.retry_limit,
     )
 
 
-def is_internal(call: Call) -> bool:
-    """Tell whether the call came from a target without its context."""
-    return call.priority is Priority.LOWEST
-
-
-def _team_of(
+def _principal(
     request: IncomingRequest,
     route: RouteInForce,
     view: ConfigurationView,
-) -> str | Refusal:
-    if request.key_digest:
-        return view.team_of_key(request.key_digest)
+    context: ContextOrNone,
+) -> Principal | Refusal:
+    if isinstance(context, RequestContext):
+        return _principal_of_context(context)
+    team = view.team_of_key(request.key_digest)
+    if isinstance(team, str):
+        return Principal(
+            team,
+            request.key_digest,
+            route.priority,
+            route.retry_limit,
+        )
     if route.open_to_all:
-        return ''
+        # Nobody pays for such calls, so they never displace paying callers.
+        return Principal(
+            '',
+            '',
+            context.priority,
+            context.retry_allowance,
+            spends_token=False,
+        )
+    if request.key_digest:
+        return team
     return refuse_not_run(
         Reason.MISSING_KEY,
         'send the team\'s key as "Authorization: Bearer KEY"',
     )
 
 
+def _principal_of_context(context: RequestContext) -> Principal:
+    parent = context.call
+    return Principal(
+        parent.team,
+        parent.key_digest,
+        parent.priority,
+        0,
+        deadline=parent.deadline,
+        root_id=parent.root_id,
+        depth=context.child_depth,
+        spends_token=False,
+    )
+
+
 def _time_left_s(
     request: IncomingRequest,
     route: RouteInForce,
--- a/src/ebonycleat/internal/request/incoming.py
+++ b/src/ebonycleat/internal/request/incoming.py
@@ -7,7 +7,6 @@
 import dataclasses
 import hashlib
 from collections.abc import Mapping
-from urllib.parse import unquote
 
 from ebonycleat.internal.request.call import HeaderPairs
 
@@ -17,8 +16,6 @@
 TIMEOUT_MS_HEADER = 'ebonycleat-timeout-ms'
 CONTEXT_HEADER = 'ebonycleat-context'
 
-DOT_SEGMENTS = frozenset(('.', '..'))
-
 # Headers of the caller that targets may see. Everything else, above all the
 # key, stays at the ingress.
 FORWARDED_HEADERS = frozenset((
@@ -101,18 +98,6 @@
     )
 
 
-def is_plain_path(path: str) -> bool:
-    """Tell whether a target reads the path as the routes do.
-
-    A target that resolves dot segments would otherwise serve another route
-    than the one whose priority and key check were applied.
-    """
-    if not path.startswith('/'):
-        return False
-    segments = unquote(path.partition('?')[0]).split('/')
-    return not DOT_SEGMENTS.intersection(segments)
-
-
 def _digest_of_bearer(authorization: str) -> str:
     if not authorization.startswith(KEY_SCHEME):
         return ''
