--- /dev/null
+++ b/src/ebonycleat/internal/process/config_follower.py
@@ -0,0 +1,218 @@
+"""Keeps a node's configuration in force, and decides what to read next.
+
+Pages come from the log or from the readers of the zone. They are applied
+only in sequence, so the view never goes back and never skips a record.
+"""
+
+import dataclasses
+import random
+from typing import Any, Final, TypeAlias
+
+from ebonycleat.internal.connection.log_service import LogPage, Stream
+from ebonycleat.internal.process.config_pacing import (
+    ReadPacer,
+    SnapshotOffers,
+    SnapshotPacer,
+)
+from ebonycleat.internal.process.config_relay import (
+    MAX_HOPS,
+    ConfigurationPage,
+    SnapshotFetch,
+    SnapshotGiven,
+    SnapshotOffer,
+    SnapshotQuery,
+    children_in_tree,
+    rank_nodes,
+    readers_of,
+)
+from ebonycleat.internal.process.config_stream import (
+    FollowedStream,
+    is_snapshot,
+)
+from ebonycleat.internal.process.effects import (
+    AppendResult,
+    AppendToLog,
+    SendToPeer,
+)
+from ebonycleat.internal.version.snapshot import take_snapshot
+from ebonycleat.internal.version.view import ConfigurationView
+
+READER_SILENCE_S: Final = 1.5
+# Two empty pages must reach the zone within the silence limit.
+READ_WAIT_S: Final = 0.5
+# A page of single changes folds in about 4 ms, which delays calls no longer.
+READ_LIMIT: Final = 64
+READER_RETRY_MAX_S: Final = 2.0
+OTHERS_RETRY_MAX_S: Final = 8.0
+# First part of the operation ids of snapshots.
+SNAPSHOT_OPERATION: Final = 'snapshot'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadConfiguration:
+    """Read the configuration stream; report with the same offset."""
+
+    offset: int
+    limit: int
+    wait_s: float
+
+
+FollowerEffect: TypeAlias = ReadConfiguration | SendToPeer | AppendToLog
+Effects: TypeAlias = list[FollowerEffect]
+
+
+class ConfigurationFollower:
+    """Decides for one node; the driver carries its effects out."""
+
+    def __init__(self, node: str, rng: random.Random, now: float) -> None:
+        """Start with nothing; the first tick reads the log."""
+        self.node = node
+        self.rng = rng
+        self.stream = FollowedStream()
+        self.live: tuple[str, ...] = (node,)
+        self.heard_reader_at = now - READER_SILENCE_S
+        self.reads = ReadPacer(now)
+        self.offers = SnapshotOffers()
+        self.snapshots = SnapshotPacer(rng, now)
+        self.behind_reader = False
+        self.forwarded: dict[int, tuple[int, float]] = {}
+
+    @property
+    def view(self) -> ConfigurationView:
+        """The configuration in force."""
+        return self.stream.fold.view
+
+    @property
+    def ready(self) -> bool:
+        """Whether the view was complete once, so that it may be served."""
+        return self.stream.ready
+
+    def members_changed(self, live: tuple[str, ...]) -> None:
+        """Take over which nodes of the zone are live, this one included."""
+        self.live = tuple(sorted({*live, self.node}))
+
+    def tick(self, now: float) -> Effects:
+        """Decide what time alone makes due; call it each 0.1 s or so."""
+        return [
+            *self._read_if_due(now),
+            *self._ask_peers_if_due(now),
+            *self._snapshot_if_due(now),
+        ]
+
+    def log_answered(self, offset: int, page: LogPage, now: float) -> Effects:
+        """Take the answer to ``ReadConfiguration(offset, ...)``."""
+        self.reads.answered()
+        self.snapshots.log_begins_at(page.first_offset)
+        for record in page.records:
+            if is_snapshot(record):
+                self.snapshots.seen(record.offset, now)
+        was_ready = self.ready
+        if self.stream.take_log_page(offset, page):
+            self.behind_reader = self.behind_reader and not page.at_end
+        sent = self._send_page(offset, page, now) if was_ready else []
+        return [*sent, *self._read_if_due(now)]
+
+    def log_expired(self, first_offset: int, now: float) -> Effects:
+        """Take ``OffsetExpired``: only a snapshot leads on from here."""
+        self.reads.answered()
+        self.stream.seek_from(first_offset)
+        return self.tick(now)
+
+    def log_failed(self, now: float) -> Effects:
+        """Take ``LogUnavailable``: keep what is in force and try later."""
+        is_reader = self.node in readers_of(self.live)
+        limit = READER_RETRY_MAX_S if is_reader else OTHERS_RETRY_MAX_S
+        self.reads.failed(now, limit, self.rng)
+        return self._ask_peers_if_due(now)
+
+    def peer_message(self, sender: str, message: Any, now: float) -> Effects:
+        """Take one of ``CONFIGURATION_MESSAGES`` from a peer."""
+        match message:
+            case ConfigurationPage():
+                return self._take_page(message, now)
+            case SnapshotQuery() if self.ready:
+                return [SendToPeer(sender, SnapshotOffer(self.view.offset))]
+            case SnapshotOffer():
+                self.offers.take(sender, message.offset)
+            case SnapshotFetch() if self.ready:
+                given = SnapshotGiven(take_snapshot(self.view))
+                return [SendToPeer(sender, given)]
+            case SnapshotGiven():
+                self.stream.load(message.snapshot)
+                return self._read_if_due(now)
+        return []
+
+    def append_finished(self, result: AppendResult, now: float) -> None:
+        """Take the result of a snapshot's append, whatever it is."""
+        self.snapshots.finished(now)
+
+    def _take_page(self, page: ConfigurationPage, now: float) -> Effects:
+        self.heard_reader_at = now
+        self.snapshots.seen(page.snapshot_at, now)
+        if self.stream.take_relayed_page(page):
+            self.behind_reader = False
+        elif page.next_offset > self.stream.next_offset:
+            self.behind_reader = True
+        return [*self._forward(page, now), *self._read_if_due(now)]
+
+    def _send_page(self, offset: int, page: LogPage, now: float) -> Effects:
+        readers = readers_of(self.live)
+        if self.node not in readers or self.stream.seek_offset:
+            return []
+        relayed = ConfigurationPage(
+            readers.index(self.node),
+            MAX_HOPS + 1,
+            offset,
+            page.next_offset,
+            self.snapshots.seen_at,
+            tuple(record for record in page.records if not is_snapshot(record)),
+        )
+        return self._forward(relayed, now)
+
+    def _forward(self, page: ConfigurationPage, now: float) -> Effects:
+        upto, sent_at = self.forwarded.get(page.tree, (0, 0))
+        is_news = page.next_offset > upto or now - sent_at >= READ_WAIT_S / 2
+        if not is_news or page.hops_left <= 1:
+            return []
+        self.forwarded[page.tree] = (max(upto, page.next_offset), now)
+        onward = dataclasses.replace(page, hops_left=page.hops_left - 1)
+        return [
+            SendToPeer(child, onward)
+            for child in children_in_tree(page.tree, self.node, self.live)
+        ]
+
+    def _read_if_due(self, now: float) -> Effects:
+        is_silent = now - self.heard_reader_at >= READER_SILENCE_S
+        wanted = self.behind_reader or self.stream.seek_offset or is_silent
+        wanted = wanted or self.node in readers_of(self.live)
+        if not wanted or not self.reads.may_start(now):
+            return []
+        self.reads.started(now)
+        offset = self.stream.seek_offset or self.stream.next_offset
+        return [ReadConfiguration(offset, READ_LIMIT, READ_WAIT_S)]
+
+    def _ask_peers_if_due(self, now: float) -> Effects:
+        best = self.offers.best_if_due(now, self.stream.next_offset)
+        if best:
+            return [SendToPeer(best, SnapshotFetch())]
+        is_stale = self.behind_reader or not self.ready
+        is_stuck = self.stream.seek_offset or (is_stale and self.reads.failures)
+        if not is_stuck or not self.offers.may_start(now):
+            return []
+        self.offers.started(now)
+        return [
+            SendToPeer(peer, SnapshotQuery())
+            for peer in self.live
+            if peer != self.node
+        ]
+
+    def _snapshot_if_due(self, now: float) -> Effects:
+        winner = rank_nodes('configuration-snapshot', self.live)[0]
+        if winner != self.node or self.stream.seek_offset or not self.ready:
+            return []
+        if not self.snapshots.may_start(now, self.view.offset):
+            return []
+        self.snapshots.started()
+        snapshot = take_snapshot(self.view)
+        operation_id = f'{SNAPSHOT_OPERATION}-{self.node}-{snapshot.offset}'
+        return [AppendToLog(Stream.CONFIGURATION, snapshot, operation_id)]
--- /dev/null
+++ b/src/ebonycleat/internal/process/config_relay.py
@@ -0,0 +1,104 @@
+"""Who reads the configuration stream for a zone, and who passes it on to whom.
+
+A reader that sent each record to all nodes of a zone itself would need more
+than its traffic allowance in a zone of hundreds of nodes. Each reader is the
+root of a tree instead. Every reader has its own tree, in which other nodes
+are in the middle, so that one dead node does not cut off a subtree of both.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+import xxhash
+
+from ebonycleat.internal.connection.log_service import LogRecord
+from ebonycleat.internal.version.snapshot import Snapshot
+
+READERS_PER_ZONE: Final = 2
+FAN_OUT: Final = 8
+# Eight to the power of six is above any zone; it ends loops among nodes that
+# for a moment disagree on who is live.
+MAX_HOPS: Final = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationPage:
+    """What the log has from ``from_offset`` up to ``next_offset``.
+
+    Snapshots are left out, because only starting nodes need them;
+    ``snapshot_at`` is the offset of the newest one. A page without records
+    says that the reader is alive and where the stream ends.
+    """
+
+    tree: int
+    hops_left: int
+    from_offset: int
+    next_offset: int
+    snapshot_at: int
+    records: tuple[LogRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotQuery:
+    """Ask a peer how far its configuration goes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotOffer:
+    """The sender's configuration goes up to ``offset``."""
+
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotFetch:
+    """Ask a peer for its configuration in force."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotGiven:
+    """The sender's configuration in force."""
+
+    snapshot: Snapshot
+
+
+CONFIGURATION_MESSAGES: Final = (
+    ConfigurationPage,
+    SnapshotQuery,
+    SnapshotOffer,
+    SnapshotFetch,
+    SnapshotGiven,
+)
+
+
+def rank_nodes(purpose: str, nodes: Iterable[str]) -> list[str]:
+    """Order nodes by rendezvous hash; every node computes the same order."""
+    return sorted(
+        set(nodes),
+        key=lambda node: (_rendezvous_hash(purpose, node), node),
+        reverse=True,
+    )
+
+
+def readers_of(nodes: Iterable[str]) -> list[str]:
+    """Choose the readers of a zone among its live nodes."""
+    return rank_nodes('configuration-reader', nodes)[:READERS_PER_ZONE]
+
+
+def children_in_tree(tree: int, node: str, nodes: Iterable[str]) -> list[str]:
+    """List the nodes to which ``node`` passes pages of one reader's tree."""
+    readers = readers_of(nodes)
+    if tree >= len(readers):
+        return []
+    root = readers[tree]
+    ranked = rank_nodes(f'configuration-tree-{tree}', nodes)
+    order = [root, *(other for other in ranked if other != root)]
+    if node not in order:
+        return []
+    first = order.index(node) * FAN_OUT + 1
+    return order[first : first + FAN_OUT]
+
+
+def _rendezvous_hash(purpose: str, node: str) -> int:
+    return xxhash.xxh64_intdigest(f'{purpose}|{node}'.encode())
--- /dev/null
+++ b/tests/configuration_strategies.py
@@ -0,0 +1,71 @@
+"""Hypothesis strategies for changes and whole logs."""
+
+from hypothesis import strategies as st
+
+from ebonycleat import Priority
+from ebonycleat.internal.version.records import (
+    ChangeSet,
+    FenceNode,
+    PutKey,
+    PutRoute,
+    PutTeam,
+    WithdrawKey,
+    WithdrawRoute,
+    WithdrawTeam,
+)
+from tests.configuration_records import digest_of
+
+names = st.sampled_from(['a', 'b-1', 'team', 'x.y_z'])
+digests = st.sampled_from([digest_of(key) for key in '1234'])
+quantities = st.floats(0, 1e12, allow_subnormal=False)
+paths = st.sampled_from(['/', '/map', '/map/', '/map/tiles'])
+weights = st.dictionaries(
+    names,
+    st.floats(1e-3, 1e6),
+    min_size=1,
+    max_size=3,
+).map(lambda parts: tuple(sorted(parts.items())))
+routes = st.builds(
+    PutRoute,
+    route=names,
+    service=names,
+    methods=st.sampled_from([('GET',), ('POST', 'GET')]),
+    path_prefix=paths,
+    priority=st.sampled_from(Priority),
+    idempotent=st.booleans(),
+    retry_limit=st.integers(0, 20),
+    timeout_ms=st.integers(1, 3_600_000),
+    open_to_all=st.booleans(),
+)
+teams = st.builds(PutTeam, names, quantities, quantities, weights)
+keys = st.builds(PutKey, digests, names)
+withdrawals = st.one_of(
+    st.builds(WithdrawTeam, names),
+    st.builds(WithdrawKey, digests),
+    st.builds(WithdrawRoute, names),
+)
+changes = st.one_of(
+    # A team that two sets may both put, so that keys find their team.
+    st.builds(
+        PutTeam, st.just('a'), quantities, quantities, st.just((('z', 1.0),))
+    ),
+    teams,
+    keys,
+    routes,
+    withdrawals,
+    st.builds(FenceNode, names),
+)
+change_sets = st.builds(
+    ChangeSet,
+    st.integers(0, 30).map('op{}'.format),
+    names,
+    st.floats(0, 1e10),
+    st.one_of(
+        st.just(()),
+        st.lists(
+            st.tuples(names.map('team:{}'.format), st.integers(0, 9)),
+            max_size=1,
+        ).map(tuple),
+    ),
+    st.lists(changes, min_size=1, max_size=3).map(tuple),
+)
