Node core and program: the whole path from caller to target

Cause: the parts of a node had no common driver interface. Change: NodeCore builds all decisions behind typed inputs and effects; ebonycleat-node runs them with cherrypy's engine, peer links and the log. Conclusion: one synchronous core can be driven by a shell or by a test.

--- /dev/null
+++ b/src/ebonycleat/commands/node.py
@@ -0,0 +1,150 @@
+"""``ebonycleat-node``: the process beside one target."""
+
+import contextlib
+import logging
+import os
+import random
+import sys
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import cherrypy
+
+from ebonycleat.internal.connection.log_client import create_http_log_service
+from ebonycleat.internal.connection.peer_transport import PeerIdentity
+from ebonycleat.internal.connection.target_client import create_target_client
+from ebonycleat.internal.process.command_line import (
+    EXIT_DONE,
+    EXIT_WRONG_USE,
+    Program,
+    run_program,
+)
+from ebonycleat.internal.process.http_server import (
+    HttpApplication,
+    HttpLimits,
+    serving_http,
+)
+from ebonycleat.internal.process.log_setup import set_up_logging
+from ebonycleat.internal.process.loop_thread import running_loop_thread
+from ebonycleat.internal.process.node_core import (
+    NodeRandom,
+    create_node_core,
+)
+from ebonycleat.internal.process.settings import NodeSettings
+from ebonycleat.internal.process.shell import (
+    NodeShell,
+    ShellThreads,
+    running_shell,
+)
+
+logger = logging.getLogger(__name__)
+
+LOG_THREADS = 16
+SHORTEST_SECRET = 16
+WAKE_INTERVAL_S = 0.1
+NANOSECONDS_PER_MS = 1_000_000
+
+
+@contextlib.contextmanager
+def running_node(settings: NodeSettings, secret: bytes) -> Iterator[NodeShell]:
+    """Run a node while the context is open."""
+    with contextlib.ExitStack() as stack:
+        shell = _create_shell(settings, secret, stack)
+        stack.enter_context(
+            running_shell(shell, settings.peers.address, settings.peers.port),
+        )
+        limits = HttpLimits(
+            settings.target.slots + settings.queue.length,
+            settings.callers.max_body_bytes,
+        )
+        application = HttpApplication(shell, limits)
+        callers = settings.callers
+        stack.enter_context(
+            serving_http(application, callers.address, callers.port),
+        )
+        yield shell
+
+
+def _create_shell(
+    settings: NodeSettings,
+    secret: bytes,
+    stack: contextlib.ExitStack,
+) -> NodeShell:
+    loop = stack.enter_context(running_loop_thread())
+    seed = settings.node.seed or random.SystemRandom().getrandbits(64)
+    incarnation = next_incarnation()
+    core = create_node_core(
+        settings,
+        incarnation,
+        NodeRandom(random.Random(seed), random.SystemRandom()),
+        loop.time(),
+    )
+    target = settings.target
+    threads = ShellThreads(
+        stack.enter_context(ThreadPoolExecutor(LOG_THREADS, 'log')),
+        stack.enter_context(ThreadPoolExecutor(target.slots, 'target')),
+    )
+    return NodeShell(
+        core,
+        PeerIdentity(settings.node.id, incarnation, secret),
+        loop,
+        create_http_log_service(settings.log.base_url, settings.log.timeout_s),
+        stack.enter_context(
+            create_target_client(
+                target.host,
+                target.port,
+                target.slots,
+                target.max_answer_bytes,
+            ),
+        ),
+        threads,
+    )
+
+
+def next_incarnation() -> int:
+    """Return a number that grows with each start of the process.
+
+    Nothing is kept on the VM, so the wall clock in milliseconds serves.
+    """
+    return time.time_ns() // NANOSECONDS_PER_MS
+
+
+def start(settings: NodeSettings) -> int:
+    """Run a node until the process is told to stop."""
+    secret = os.environ.get(settings.peers.secret_env, '').encode()
+    if len(secret) < SHORTEST_SECRET:
+        sys.stderr.write(
+            f'set the environment variable {settings.peers.secret_env} to '
+            f"the fleet's secret of at least {SHORTEST_SECRET} characters\n",
+        )
+        return EXIT_WRONG_USE
+    set_up_logging(settings.logging.level, settings.node.id)
+    with running_node(settings, secret) as shell:
+        logger.info('node started', extra={'zone': settings.node.zone})
+        run_until_signalled(shell)
+    logger.info('node stopped')
+    return EXIT_DONE
+
+
+def run_until_signalled(shell: NodeShell) -> None:
+    """Wait for SIGTERM or SIGINT, then drain before anything closes."""
+    engine = cherrypy.engine
+    cherrypy.server.unsubscribe()
+    engine.autoreload.unsubscribe()
+    engine.signals.subscribe()
+    engine.subscribe('stop', shell.drain_and_wait)
+    engine.start()
+    engine.wait(engine.states.EXITING, interval=WAKE_INTERVAL_S)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; returns its exit code."""
+    return run_program(
+        Program('ebonycleat-node', __doc__ or '', NodeSettings, start),
+        argv,
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/ebonycleat/internal/process/effects.py
+++ b/src/ebonycleat/internal/process/effects.py
@@ -7,7 +7,7 @@
 import dataclasses
 from typing import Any, TypeAlias
 
-from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.connection.log_service import LogPage, Stream
 from ebonycleat.internal.request.call import Call
 from ebonycleat.internal.request.incoming import OutgoingAnswer
 
@@ -51,7 +51,42 @@
     answer: OutgoingAnswer
 
 
-NodeEffect: TypeAlias = Effect | CallTarget | AnswerRequest
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read records from ``offset`` on; waits up to ``wait_s`` seconds."""
+
+    stream: Stream
+    offset: int
+    limit: int
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PageRead:
+    """A page, and when its read began on the loop's clock."""
+
+    wanted: ReadLog
+    started_at: float
+    page: LogPage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """A read got no answer; the log may be down."""
+
+    wanted: ReadLog
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamExpired:
+    """The wanted offset is gone; the stream begins at ``first_offset``."""
+
+    wanted: ReadLog
+    first_offset: int
+
+
+ReadResult: TypeAlias = PageRead | ReadFailed | StreamExpired
+NodeEffect: TypeAlias = Effect | ReadLog | CallTarget | AnswerRequest
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonycleat/internal/process/gate_service.py
+++ b/src/ebonycleat/internal/process/gate_service.py
@@ -29,6 +29,7 @@
     CallResult,
     RefusedCall,
 )
+from ebonycleat.internal.request.context import ContextRegistry
 
 OWN_INGRESS = ''
 
@@ -45,7 +46,22 @@
     load: GateLoad
 
 
-GateOutput: TypeAlias = CallTarget | CallResolved
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelChild:
+    """Cancel a request that the target made and no longer waits for."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A call at the target, since ``started_at`` in seconds."""
+
+    started_at: float
+    context: str
+
+
+GateOutput: TypeAlias = CallTarget | CallResolved | CancelChild
 
 FAILURES_OF_A_DEAD_TARGET = frozenset((
     FailureKind.NOT_CONNECTED,
@@ -56,12 +72,18 @@
 class GateService:
     """Admits calls to the target and routes their results back."""
 
-    def __init__(self, gate: Gate, zone: str) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        contexts: ContextRegistry,
+        zone: str,
+    ) -> None:
         """Serve the target behind ``gate`` in ``zone``."""
         self.gate = gate
+        self.contexts = contexts
         self.zone = zone
         self.origins: dict[str, str] = {}
-        self.dispatched_at: dict[str, float] = {}
+        self.runs: dict[str, Run] = {}
 
     def offer(self, call: Call, origin: str, now: float) -> list[GateOutput]:
         """Queue, dispatch or refuse a call; a repeated id is ignored."""
@@ -77,14 +99,20 @@
         now: float,
     ) -> list[GateOutput]:
         """Send the target's result back and start what waits."""
-        started_at = self.dispatched_at.pop(call_id, None)
-        if started_at is None:
+        run = self.runs.pop(call_id, None)
+        if run is None:
             return []
-        outcome = RunOutcome(classify_run(target_result), now - started_at)
+        outcome = RunOutcome(classify_run(target_result), now - run.started_at)
         events = self.gate.finished(call_id, outcome, now)
-        call_result = self.call_result(call_id, target_result)
+        closed = self.contexts.close(run.context)
+        call_result = self.call_result(
+            call_id,
+            target_result,
+            closed.retries_unused,
+        )
         return [
             self.resolved(call_result, now),
+            *map(CancelChild, closed.children_to_cancel),
             *self.handle_events(events, now),
         ]
 
@@ -115,8 +143,9 @@
         for event in events:
             call_id = event.call.call_id
             if isinstance(event, Dispatch):
-                self.dispatched_at[call_id] = now
-                outputs.append(CallTarget(event.call))
+                context = self.contexts.open(event.call)
+                self.runs[call_id] = Run(now, context)
+                outputs.append(CallTarget(event.call, context))
             else:
                 refused = RefusedCall(
                     call_id,
@@ -135,6 +164,7 @@
         self,
         call_id: str,
         target_result: TargetResult,
+        retries_unused: int,
     ) -> CallResult:
         """Translate the target's result into the result of the call."""
         if isinstance(target_result, TargetAnswer):
@@ -143,8 +173,10 @@
                 target_result.status,
                 target_result.headers,
                 target_result.body,
+                retries_unused,
             )
-        return RefusedCall(call_id, target_result.as_refusal(self.zone))
+        refusal = target_result.as_refusal(self.zone)
+        return RefusedCall(call_id, refusal, retries_unused)
 
 
 def classify_run(target_result: TargetResult) -> RunResult:
--- a/src/ebonycleat/internal/process/ingress.py
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -24,6 +24,7 @@
     CallResult,
     RefusedCall,
 )
+from ebonycleat.internal.request.context import RequestContext
 from ebonycleat.internal.request.ledger import RetryLedger
 from ebonycleat.internal.request.open_request import (
     Attempt,
@@ -64,9 +65,7 @@
     latency_s: float
 
 
-IngressOutput: TypeAlias = (
-    PlaceCall | CancelCall | AnswerRequest | RequestEnded
-)
+IngressOutput: TypeAlias = PlaceCall | CancelCall | AnswerRequest | RequestEnded
 
 # Failures in which the node itself could not be reached.
 UNREACHED = frozenset((Reason.CONNECTION_LOST, Reason.NO_TARGET))
@@ -138,7 +137,7 @@
         refusal = Refusal(
             Reason.CONNECTION_LOST,
             Outcome.UNKNOWN if sent else Outcome.NOT_RUN,
-            'the link to the target\'s node closed',
+            "the link to the target's node closed",
         )
         return self.failed(request, refusal, now)
 
@@ -146,9 +145,9 @@
         """Send due retries; answer requests whose deadline has passed."""
         outputs: list[IngressOutput] = []
         for request in self.take_due(self.retries, now):
-            outputs += self.place(request, now)
+            outputs.extend(self.place(request, now))
         for request in self.take_due(self.deadlines, now):
-            outputs += self.expire(request, now)
+            outputs.extend(self.abandon(request, Reason.DEADLINE, now))
         return outputs
 
     def take_due(
@@ -213,19 +212,31 @@
         refused = RefusedCall(request.request_id, decision.refusal)
         return self.end(request, refused, now)
 
-    def expire(self, request: OpenRequest, now: float) -> list[IngressOutput]:
-        """Answer a request at its deadline and cancel what still runs."""
+    def cancel(self, request_id: str, now: float) -> list[IngressOutput]:
+        """End a request that nobody waits for any more."""
+        request = self.requests.get(request_id)
+        if request is None:
+            return []
+        return self.abandon(request, Reason.CANCELLED, now)
+
+    def abandon(
+        self,
+        request: OpenRequest,
+        reason: Reason,
+        now: float,
+    ) -> list[IngressOutput]:
+        """Answer a request without waiting, and cancel what still runs."""
         attempt = request.attempt
         if attempt is None:
-            refusal = refuse_not_run(Reason.DEADLINE, 'no target in time')
+            refusal = refuse_not_run(reason, 'no target had been called')
             refused = RefusedCall(request.request_id, refusal)
             return self.end(request, refused, now)
         self.router.note_abandoned(attempt.member)
         request.lose_attempt()
         refusal = Refusal(
-            Reason.DEADLINE,
+            reason,
             Outcome.UNKNOWN,
-            'the deadline passed before the answer came',
+            'the request ended before the answer came',
         )
         refused = RefusedCall(request.request_id, refusal)
         return [
@@ -272,7 +283,16 @@
 
 def create_open_request(
     call: Call,
+    parent: RequestContext | None,
     now: float,
 ) -> OpenRequest:
-    """Open a root request with the retry limit of its route."""
-    return OpenRequest(call, RetryLedger(call.retry_allowance), now)
+    """Open a request with the retry limit of its route.
+
+    A request inside a call tree gets its part of the parent's ledger, and
+    no allowance of its own.
+    """
+    if parent is None:
+        return OpenRequest(call, RetryLedger(call.retry_allowance), now)
+    allowance = parent.ledger.hand_down(call.call_id)
+    parent.children.add(call.call_id)
+    return OpenRequest(call, RetryLedger(allowance), now, parent)
--- /dev/null
+++ b/src/ebonycleat/internal/process/log_calls.py
@@ -0,0 +1,58 @@
+"""Blocking calls to the log, with typed results in place of exceptions.
+
+They run on worker threads and touch no state of the node.
+"""
+
+from ebonycleat.internal.connection.errors import (
+    AppendUnknown,
+    LogUnavailable,
+    OffsetExpired,
+)
+from ebonycleat.internal.connection.log_service import LogService
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendFailed,
+    AppendResult,
+    AppendToLog,
+    PageRead,
+    ReadFailed,
+    ReadLog,
+    ReadResult,
+    StreamExpired,
+)
+
+
+def read_once(
+    service: LogService,
+    wanted: ReadLog,
+    started_at: float,
+) -> ReadResult:
+    """Read one page; ``started_at`` is on the loop's clock."""
+    try:
+        page = service.read(
+            wanted.stream,
+            wanted.offset,
+            wanted.limit,
+            wanted.wait_s,
+        )
+    except OffsetExpired as expired:
+        return StreamExpired(wanted, expired.first_offset)
+    except LogUnavailable:
+        return ReadFailed(wanted)
+    return PageRead(wanted, started_at, page)
+
+
+def append_once(
+    service: LogService,
+    effect: AppendToLog,
+    payload: bytes,
+) -> AppendResult:
+    """Append one record."""
+    operation_id = effect.operation_id
+    try:
+        offset = service.append(effect.stream, payload, operation_id)
+    except LogUnavailable:
+        return AppendFailed(operation_id, may_have_taken_effect=False)
+    except AppendUnknown:
+        return AppendFailed(operation_id, may_have_taken_effect=True)
+    return AppendDone(operation_id, offset)
--- a/src/ebonycleat/internal/process/loop_thread.py
+++ b/src/ebonycleat/internal/process/loop_thread.py
@@ -32,6 +32,10 @@
     try:
         yield loop
     finally:
-        loop.call_soon_threadsafe(loop.stop)
-        thread.join()
-        loop.close()
+        _stop(loop, thread)
+
+
+def _stop(loop: asyncio.AbstractEventLoop, thread: threading.Thread) -> None:
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
--- /dev/null
+++ b/src/ebonycleat/internal/process/request_metrics.py
@@ -0,0 +1,62 @@
+"""Counts what happens to requests, by team, route, priority and reason."""
+
+import collections
+import dataclasses
+
+from ebonycleat.internal.process.ingress import RequestEnded
+from ebonycleat.internal.process.metrics import LatencyHistograms, Metrics
+from ebonycleat.internal.request.call import Answer
+from ebonycleat.internal.request.refusal import Refusal
+
+MAX_REFUSAL_KEYS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalKey:
+    """What refusals are grouped by for operators."""
+
+    team: str
+    route: str
+    priority: str
+    zone: str
+    reason: str
+
+
+class RequestMetrics:
+    """Counters and histograms of one node's ingress."""
+
+    def __init__(self, metrics: Metrics, zone: str) -> None:
+        """Count into ``metrics``; ``zone`` is the zone of this node."""
+        self.metrics = metrics
+        self.zone = zone
+        self.histograms = LatencyHistograms()
+        self.refusals: collections.Counter[RefusalKey] = collections.Counter()
+
+    def request_ended(self, ended: RequestEnded) -> None:
+        """Count the end of a request that had been admitted."""
+        call = ended.call
+        if isinstance(ended.result, Answer):
+            self.metrics.count('answered', call.service)
+            self.histograms.record(call.team, call.priority, ended.latency_s)
+            return
+        self.count_refusal(
+            RefusalKey(
+                call.team,
+                call.route,
+                call.priority.name.lower(),
+                ended.result.refusal.zone or self.zone,
+                ended.result.refusal.reason.value,
+            ),
+        )
+
+    def count_early_refusal(self, refusal: Refusal) -> None:
+        """Count a request that was refused before it had a team or route."""
+        key = RefusalKey('', '', '', self.zone, refusal.reason.value)
+        self.count_refusal(key)
+
+    def count_refusal(self, key: RefusalKey) -> None:
+        """Count one refusal; keys are bounded because teams name them."""
+        self.metrics.count('refused', key.reason)
+        known = key in self.refusals
+        if known or len(self.refusals) < MAX_REFUSAL_KEYS:
+            self.refusals[key] += 1
--- a/src/ebonycleat/internal/process/settings.py
+++ b/src/ebonycleat/internal/process/settings.py
@@ -127,11 +127,13 @@
     """Where other nodes reach this one; the address is announced to them.
 
     ``seeds`` are asked for a snapshot when the log cannot be read.
+    ``secret_env`` names the environment variable with the fleet's secret.
     """
 
     address: ReachableAddress
     port: Port
     seeds: tuple[PeerAddress, ...] = ()
+    secret_env: Name = 'EBONYCLEAT_FLEET_SECRET'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import Executor, Future
 from typing import Any
 
-from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.connection.log_service import LogService
 from ebonycleat.internal.connection.peer_transport import (
+    PeerIdentity,
     PeerListener,
     PeerTransport,
 )
@@ -25,13 +27,15 @@
     AppendToLog,
     CallTarget,
     NodeEffect,
+    ReadLog,
+    ReadResult,
     SendToPeer,
 )
 from ebonycleat.internal.process.http_server import (
     CallerPort,
     health_answer,
 )
-from ebonycleat.internal.process.log_reader import LogReader, ReadResult
+from ebonycleat.internal.process.log_calls import append_once, read_once
 from ebonycleat.internal.process.node_core import NodeCore
 from ebonycleat.internal.request.call import Call
 from ebonycleat.internal.request.incoming import (
@@ -43,23 +47,34 @@
 TICK_S = 0.02
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShellThreads:
+    """Threads for blocking calls; log reads wait, so they have their own."""
+
+    log: Executor
+    target: Executor
+
+
 class NodeShell(PeerListener, CallerPort):
     """Carries out what the core decides; all state stays in the core."""
 
     def __init__(
         self,
         core: NodeCore,
+        identity: PeerIdentity,
         loop: asyncio.AbstractEventLoop,
-        log_reader: LogReader,
+        log_service: LogService,
         target: TargetClient,
-        target_threads: Executor,
+        threads: ShellThreads,
     ) -> None:
         """Drive ``core`` on ``loop``."""
         self.core = core
+        self.identity = identity
         self.loop = loop
-        self.log_reader = log_reader
+        self.log_service = log_service
         self.target = target
-        self.target_threads = target_threads
+        self.log_threads = threads.log
+        self.target_threads = threads.target
         self.waiting: dict[str, Future[OutgoingAnswer]] = {}
         self.tasks: set[asyncio.Future[None]] = set()
         self.transport: PeerTransport | None = None
@@ -73,7 +88,22 @@
         request: IncomingRequest,
     ) -> Future[OutgoingAnswer]:
         """Start an operator's request; called on worker threads."""
-        return self.start_on_loop(request, self.core.operator_request)
+        return self.start_on_loop(request, self.core.request_received)
+
+    def drain_and_wait(self) -> None:
+        """Refuse new work and wait until running work has ended."""
+        drained: Future[None] = Future()
+        self.loop.call_soon_threadsafe(
+            lambda: self.spawn(self.drain(drained)),
+        )
+        drained.result()
+
+    async def drain(self, drained: Future[None]) -> None:
+        """Drain the core and report when nothing runs any more."""
+        self.perform(self.core.drain(self.loop.time()))
+        while self.waiting or not self.core.is_drained():
+            await asyncio.sleep(TICK_S)
+        drained.set_result(None)
 
     def start_on_loop(
         self,
@@ -137,6 +167,8 @@
                     self.answer(effect)
                 case AppendToLog():
                     self.spawn(self.append_to_log(effect))
+                case ReadLog():
+                    self.spawn(self.read_log(effect))
 
     def send_to_peer(self, effect: SendToPeer) -> None:
         """Send one message; the address is what membership says now."""
@@ -172,17 +204,24 @@
     async def append_to_log(self, effect: AppendToLog) -> None:
         """Append one record on a worker thread."""
         append_result: AppendResult = await self.loop.run_in_executor(
-            self.log_reader.executor,
-            self.log_reader.append_once,
-            effect.stream,
+            self.log_threads,
+            append_once,
+            self.log_service,
+            effect,
             self.core.log_codec.encode(effect.record),
-            effect.operation_id,
         )
         now = self.loop.time()
         self.perform(self.core.append_finished(append_result, now))
 
-    def log_read(self, read_result: ReadResult) -> None:
-        """Give the result of one read to the core."""
+    async def read_log(self, effect: ReadLog) -> None:
+        """Read one page on a worker thread and give it to the core."""
+        read_result: ReadResult = await self.loop.run_in_executor(
+            self.log_threads,
+            read_once,
+            self.log_service,
+            effect,
+            self.loop.time(),
+        )
         self.perform(self.core.log_read(read_result, self.loop.time()))
 
     async def tick_until_cancelled(self) -> None:
@@ -194,25 +233,14 @@
     async def run(self, host: str, port: int, started: Future[int]) -> None:
         """Listen for peers and follow the log until cancelled."""
         transport = PeerTransport(
-            self.core.identity,
+            self.identity,
             self.core.peer_codec,
             self,
         )
         self.transport = transport
         async with transport.listen(host, port) as bound_port:
             started.set_result(bound_port)
-            await asyncio.gather(
-                self.tick_until_cancelled(),
-                *(self.follow(stream) for stream in self.core.followed),
-            )
-
-    async def follow(self, stream: Stream) -> None:
-        """Follow one stream of the log until cancelled."""
-        await self.log_reader.follow(
-            stream,
-            lambda: self.core.next_offset(stream),
-            self.log_read,
-        )
+            await self.tick_until_cancelled()
 
     def spawn(self, coroutine: Any) -> None:
         """Run a coroutine and keep it alive until it ends."""
--- /dev/null
+++ b/src/ebonycleat/internal/process/stream_cursor.py
@@ -0,0 +1,54 @@
+"""Where a node stands in a stream that it follows by itself."""
+
+import random
+
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.process.effects import (
+    PageRead,
+    ReadFailed,
+    ReadLog,
+    ReadResult,
+    StreamExpired,
+)
+
+# A read is evidence only from the moment it began, so a long poll must be
+# shorter than the hold time of a lease.
+LONG_POLL_S = 0.5
+PAGE_RECORDS = 256
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+class StreamCursor:
+    """At most one read in flight; waits longer after each failure."""
+
+    def __init__(self, stream: Stream, rng: random.Random) -> None:
+        """Start at the first record of the stream."""
+        self.stream = stream
+        self.rng = rng
+        self.next_offset = 1
+        self.in_flight = False
+        self.not_before: float = 0
+        self.pause_s = FIRST_PAUSE_S
+
+    def tick(self, now: float) -> list[ReadLog]:
+        """Start the next read when none is under way."""
+        if self.in_flight or now < self.not_before:
+            return []
+        self.in_flight = True
+        return [
+            ReadLog(self.stream, self.next_offset, PAGE_RECORDS, LONG_POLL_S),
+        ]
+
+    def read_ended(self, read_result: ReadResult, now: float) -> None:
+        """Move on, or wait after a failure."""
+        self.in_flight = False
+        match read_result:
+            case PageRead(page=page):
+                self.next_offset = max(self.next_offset, page.next_offset)
+                self.pause_s = FIRST_PAUSE_S
+            case StreamExpired(first_offset=first_offset):
+                self.next_offset = max(self.next_offset, first_offset)
+            case ReadFailed():
+                self.not_before = now + self.pause_s * self.rng.uniform(0.5, 1)
+                self.pause_s = min(LONGEST_PAUSE_S, self.pause_s * 2)
