--- a/src/ebonycleat_tools/standin_server.py
+++ b/src/ebonycleat_tools/standin_server.py
@@ -6,6 +6,8 @@
 import http
 import json
 import logging
+import select
+import socket
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any, NoReturn, TypeAlias, TypeVar
@@ -30,6 +32,10 @@
 IDLE_CONNECTIONS = 4096
 ACCEPT_QUEUE_LENGTH = 512
 SHUTDOWN_S = 2
+# How long a stopped server may go on waiting for a client.
+LEAVE_STEP_S = 0.25
+MS_PER_S = 1000
+CLIENT_LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 logger = logging.getLogger(__name__)
 
@@ -127,6 +133,32 @@
     raise ConnectionAbortedError(errno.ECONNABORTED, 'closed on purpose')
 
 
+def client_left_within(
+    wait_s: float,
+    connection: socket.socket,
+    stopped: threading.Event,
+    clock: Callable[[], float],
+) -> bool:
+    """Wait as if at work; True at once when the client closes.
+
+    A client that sends the next request early cannot be told from one that
+    stays, so the wait then ends without looking at the connection.
+    """
+    poller = select.poll()
+    poller.register(connection, select.POLLIN | select.POLLRDHUP)
+    deadline = clock() + wait_s
+    while not stopped.is_set():
+        left_s = deadline - clock()
+        if left_s <= 0:
+            return False
+        events = poller.poll(min(left_s, LEAVE_STEP_S) * MS_PER_S)
+        if any(event & CLIENT_LEFT for _, event in events):
+            return True
+        if events:
+            stopped.wait(left_s)
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StandinApplication:
     """A WSGI application that hands whole requests to ``answer``."""
