--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -130,6 +130,7 @@
 def run_until_signalled(shell: NodeShell) -> None:
     """Wait for SIGTERM or SIGINT, then drain before anything closes."""
     engine = cherrypy.engine
+    cherrypy.log.screen = False
     cherrypy.server.unsubscribe()
     engine.autoreload.unsubscribe()
     engine.signals.subscribe()
--- a/src/ebonycleat/internal/process/log_setup.py
+++ b/src/ebonycleat/internal/process/log_setup.py
@@ -15,8 +15,9 @@
 ))
 
 # urllib3 warns about each connection beyond the pool, which is normal in a
-# surge and would write a line per request.
-_NOISY_LOGGERS = ('urllib3', 'cherrypy.access')
+# surge and would write a line per request. The others report each step of
+# their own start.
+_NOISY_LOGGERS = ('urllib3', 'cherrypy.error', 'websockets')
 
 
 class JsonLineFormatter(logging.Formatter):
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -11,6 +11,7 @@
 from concurrent.futures import Executor, Future
 from typing import Any
 
+from ebonycleat.internal.connection.link import cancelling
 from ebonycleat.internal.connection.log_service import LogService
 from ebonycleat.internal.connection.peer_transport import (
     PeerIdentity,
@@ -78,6 +79,7 @@
         self.waiting: dict[str, Future[OutgoingAnswer]] = {}
         self.tasks: set[asyncio.Future[None]] = set()
         self.transport: PeerTransport | None = None
+        self.stopping = asyncio.Event()
 
     def submit(self, request: IncomingRequest) -> Future[OutgoingAnswer]:
         """Start a caller's request; called on worker threads."""
@@ -231,7 +233,7 @@
             await asyncio.sleep(TICK_S)
 
     async def run(self, host: str, port: int, started: Future[int]) -> None:
-        """Listen for peers and follow the log until cancelled."""
+        """Listen for peers and let time advance until told to stop."""
         transport = PeerTransport(
             self.identity,
             self.core.peer_codec,
@@ -240,7 +242,9 @@
         self.transport = transport
         async with transport.listen(host, port) as bound_port:
             started.set_result(bound_port)
-            await self.tick_until_cancelled()
+            ticking = asyncio.create_task(self.tick_until_cancelled())
+            async with cancelling([ticking]):
+                await self.stopping.wait()
 
     def spawn(self, coroutine: Any) -> None:
         """Run a coroutine and keep it alive until it ends."""
@@ -265,9 +269,8 @@
     try:
         yield started.result()
     finally:
-        running.cancel()
-        with contextlib.suppress(BaseException):
-            running.result()
+        shell.loop.call_soon_threadsafe(shell.stopping.set)
+        running.result()
 
 
 def _report_end(ended: Future[None], started: Future[int]) -> None:
