Query and command language for operators

Cause: operators need to change and inspect the configuration, also several things as one, and to see at which word a text went wrong. Change: a lark grammar, typed frozen commands, one error type with line, column, caret and the words expected, a printer whose output parses back, help texts and advice for each refusal reason.

--- /dev/null
+++ b/tests/nocover/test_language_properties.py
@@ -0,0 +1,106 @@
+"""No text breaks the parser, and printed commands read back the same."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonycleat import Reason
+from ebonycleat.internal.version.commands import (
+    ChangeCommand,
+    ExplainRefusal,
+    Help,
+    Listing,
+    RecordStep,
+    RefusalGroup,
+    RouteChange,
+    ShowChange,
+    ShowHistory,
+    ShowListing,
+    ShowRefusals,
+    TeamChange,
+    WaitForChange,
+    WaitForVersion,
+)
+from ebonycleat.internal.version.help_topics import TEXT_BY_TOPIC
+from ebonycleat.internal.version.language import (
+    LanguageError,
+    parse_command,
+    parse_script,
+)
+from ebonycleat.internal.version.printer import print_command
+from ebonycleat.internal.version.records import PutKey, PutRoute, PutTeam
+from tests.configuration_records import digest_of
+from tests.configuration_strategies import changes, names, quantities, routes
+
+WORDS = (
+    'create put change withdraw team teams key keys route routes node for to '
+    'rate burst zones methods path priority retries timeout idempotent not '
+    'open all begin commit dry run show history refusals by explain refusal '
+    f'wait version help fence {digest_of("k")} a 12 5/s 1e999 9ms /p , = ; # \n'
+).split(' ')
+
+texts = st.one_of(
+    st.text(max_size=60),
+    st.lists(st.sampled_from(WORDS), max_size=14).map(' '.join),
+    st.lists(st.sampled_from(WORDS), max_size=14).map(''.join),
+)
+
+
+@given(texts)
+def test_any_text_gives_commands_or_the_language_error(text):
+    """Guards against a traceback instead of an error with a place."""
+    try:
+        parse_script(text)
+    except LanguageError as error:
+        line = text.split('\n')[error.line - 1]
+        assert 1 <= error.column <= len(line) + 1
+
+
+def new_or_not(change, *, flag):
+    can_be_new = isinstance(change, (PutTeam, PutKey, PutRoute))
+    return RecordStep(change, must_be_new=flag and can_be_new)
+
+
+route_changes = st.builds(
+    lambda route, kept: RouteChange(
+        route.route,
+        **{name: getattr(route, name) for name in kept},
+    ),
+    routes,
+    st.sets(
+        st.sampled_from(
+            sorted(set(RouteChange.__dataclass_fields__) - {'route'}),
+        ),
+        min_size=1,
+    ),
+)
+steps = st.one_of(
+    st.builds(
+        lambda change, flag: new_or_not(change, flag=flag),
+        changes,
+        st.booleans(),
+    ),
+    st.builds(TeamChange, names, quantities, st.none() | quantities),
+    route_changes,
+)
+commands = st.one_of(
+    st.builds(
+        ChangeCommand,
+        st.lists(steps, min_size=1, max_size=4).map(tuple),
+        st.booleans(),
+    ),
+    st.builds(ShowListing, st.sampled_from(Listing)),
+    st.builds(ShowListing, st.just(Listing.KEYS), names),
+    st.builds(ShowRefusals, st.sampled_from(RefusalGroup)),
+    st.builds(ShowHistory, st.integers(0, 10**9)),
+    st.builds(ShowChange, names),
+    st.builds(ExplainRefusal, st.sampled_from(Reason)),
+    st.builds(WaitForVersion, st.integers(0, 10**9)),
+    st.builds(WaitForChange, names),
+    st.builds(Help, st.sampled_from(sorted(TEXT_BY_TOPIC))),
+)
+
+
+@given(commands)
+def test_a_printed_command_parses_back_to_the_same_command(command):
+    """Guards against a program that sends another change than was typed."""
+    assert parse_command(print_command(command)) == command
