--- /dev/null
+++ b/src/ebonycleat/internal/process/budget_owner.py
@@ -0,0 +1,169 @@
+"""Gives out the tokens of all teams whose budget slots this node owns."""
+
+import itertools
+from collections.abc import Callable, Iterable
+
+from ebonycleat.internal.connection.grant_messages import (
+    DenialReason,
+    GrantAnswer,
+    GrantAsk,
+    GrantDenied,
+    GrantGiven,
+)
+from ebonycleat.internal.process.lease import CLOCK_DRIFT, LeaseQueries
+from ebonycleat.internal.process.ownership import Basis, SlotId
+from ebonycleat.internal.process.slot_leases import SlotGained
+from ebonycleat.internal.process.token_bucket import TokenBucket
+
+MAX_LIFETIME_S = 1.0
+
+ZonePart = Callable[[str], tuple[float, float]]
+
+
+class OwnedSlot:
+    """Buckets of the teams of one slot since this node gained it."""
+
+    def __init__(self, gained: SlotGained, now: float) -> None:
+        """Credit nothing from before the slot was gained.
+
+        A released slot has no wait, so grants of the previous owner may be
+        alive for their whole lifetime. Until then they may hold the entire
+        burst, which leaves no room for tokens of this owner.
+        """
+        self.epoch = gained.epoch
+        self.starts_full = gained.basis is Basis.FIRST
+        self.credit_from = max(gained.usable_from, now)
+        if gained.basis is Basis.RELEASED:
+            self.credit_from += MAX_LIFETIME_S * (1 + CLOCK_DRIFT)
+        self.buckets: dict[str, TokenBucket] = {}
+        self.changed_at: dict[str, float] = {}
+        self.last_asks: dict[tuple[str, str], str] = {}
+
+    def bucket_of(
+        self,
+        team: str,
+        part: tuple[float, float],
+        now: float,
+    ) -> TokenBucket:
+        """Return the refilled bucket of a team."""
+        bucket = self.buckets.get(team)
+        if bucket is None:
+            bucket = self._create_bucket(team, part)
+            self.buckets[team] = bucket
+        bucket.refill(now, part)
+        return bucket
+
+    def is_repeated(self, ask: GrantAsk) -> bool:
+        """Recognize a copy of the holder's latest ask.
+
+        A second grant would be stranded at a holder that waits for one.
+        """
+        holder = (ask.holder, ask.team)
+        repeated = self.last_asks.get(holder) == ask.ask_id
+        self.last_asks[holder] = ask.ask_id
+        return repeated
+
+    def _create_bucket(
+        self,
+        team: str,
+        part: tuple[float, float],
+    ) -> TokenBucket:
+        changed_at = self.changed_at.get(team)
+        if changed_at is not None:
+            return TokenBucket(part, 0, max(changed_at, self.credit_from))
+        level = part[1] if self.starts_full else 0
+        return TokenBucket(part, level, self.credit_from)
+
+
+class BudgetOwner:
+    """Answers the asks of grant holders."""
+
+    def __init__(
+        self,
+        leases: LeaseQueries,
+        slot_of: Callable[[str], SlotId],
+        zone_part: ZonePart,
+    ) -> None:
+        """Own nothing yet.
+
+        ``slot_of`` maps a team to its slot in this node's zone. ``zone_part``
+        returns the rate and burst of a team in this zone by the configuration
+        in force, zeros for an unknown team.
+        """
+        self.leases = leases
+        self.slot_of = slot_of
+        self.zone_part = zone_part
+        self.owned: dict[SlotId, OwnedSlot] = {}
+        self.grant_numbers = itertools.count(1)
+
+    def slot_gained(self, gained: SlotGained, now: float) -> None:
+        """Start the buckets of a slot anew."""
+        self.owned[gained.slot] = OwnedSlot(gained, now)
+
+    def slot_lost(self, slot: SlotId) -> None:
+        """Drop the buckets of a slot."""
+        self.owned.pop(slot, None)
+
+    def parts_changed(self, teams: Iterable[str], now: float) -> None:
+        """Settle teams whose rate or burst changed in the configuration.
+
+        Without this call a bucket adopts the change when it is next used; a
+        team without a bucket must not be credited at the new rate for the
+        time before the change.
+        """
+        for team in teams:
+            owned = self.owned.get(self.slot_of(team))
+            if owned is None:
+                continue
+            owned.changed_at[team] = now
+            if team in owned.buckets:
+                owned.bucket_of(team, self.zone_part(team), now)
+
+    def receive(self, ask: GrantAsk, now: float) -> GrantAnswer | None:
+        """Apply the reports and answer; None when nothing was wanted."""
+        slot = self.slot_of(ask.team)
+        owned = self.owned.get(slot)
+        if owned is None or owned.epoch != self.leases.gained_epoch(slot):
+            denied = _deny(ask, DenialReason.NOT_OWNER, 0)
+            return denied if ask.wanted > 0 else None
+        bucket = owned.bucket_of(ask.team, self.zone_part(ask.team), now)
+        for report in ask.reports:
+            bucket.report(report)
+        if ask.wanted <= 0 or owned.is_repeated(ask):
+            return None
+        if not self.leases.usable(slot, now):
+            return _deny(ask, DenialReason.NOT_OWNER, 0)
+        return self._give(ask, owned.epoch, bucket, now)
+
+    def _give(
+        self,
+        ask: GrantAsk,
+        epoch: int,
+        bucket: TokenBucket,
+        now: float,
+    ) -> GrantAnswer:
+        lease_until = self.leases.lease_until(self.slot_of(ask.team), now)
+        lifetime_s = min(MAX_LIFETIME_S, lease_until - now)
+        grant_id = f'{epoch}.{next(self.grant_numbers)}'
+        tokens = bucket.grant(
+            grant_id,
+            ask.wanted,
+            now + lifetime_s * (1 + CLOCK_DRIFT),
+        )
+        if tokens > 0:
+            return GrantGiven(
+                ask.ask_id,
+                grant_id,
+                ask.team,
+                tokens,
+                lifetime_s,
+            )
+        return _deny(ask, DenialReason.EMPTY, bucket.next_token_s())
+
+
+def _deny(
+    ask: GrantAsk,
+    reason: DenialReason,
+    retry_after_s: float,
+) -> GrantDenied:
+    return GrantDenied(ask.ask_id, ask.team, reason, retry_after_s)
--- /dev/null
+++ b/src/ebonycleat/internal/process/slot_leases.py
@@ -0,0 +1,127 @@
+"""What one node owns by the log, and whether it may use it now."""
+
+import dataclasses
+from typing import TypeAlias
+
+from ebonycleat.internal.process.held_slots import HeldSlots
+from ebonycleat.internal.process.lease import NEVER, LeaseQueries
+from ebonycleat.internal.process.ownership import (
+    Basis,
+    ClaimAccepted,
+    OwnershipFold,
+    Released,
+    SlotId,
+)
+from ebonycleat.internal.process.slot_claims import OwnershipSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotGained:
+    """This node owns the slot and may use it from ``usable_from`` on.
+
+    ``unlogged`` is explained in 6.4. The basis FIRST says that nobody ever
+    owned the slot.
+    """
+
+    slot: SlotId
+    epoch: int
+    basis: Basis
+    unlogged: bool
+    usable_from: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotLost:
+    """This node no longer owns the slot."""
+
+    slot: SlotId
+
+
+OwnershipChange: TypeAlias = SlotGained | SlotLost
+
+
+class SlotLeases(LeaseQueries):
+    """The fold, the leases of this node and the questions about them."""
+
+    def __init__(
+        self,
+        settings: OwnershipSettings,
+        fold: OwnershipFold,
+    ) -> None:
+        """Start with a fold and no lease."""
+        self.settings = settings
+        self.fold = fold
+        self.held = HeldSlots(settings)
+        self.changes: list[OwnershipChange] = []
+
+    def usable(self, slot: SlotId, now: float) -> bool:
+        """Tell whether this node alone may use the slot at this moment."""
+        lease = self.held.leases.get(slot)
+        return lease is not None and lease.is_usable(now)
+
+    def owner_of(self, slot: SlotId) -> str | None:
+        """Return the owner as far as this node has read the log."""
+        state = self.fold.state_of(slot)
+        return None if state.released else state.owner
+
+    def lease_until(self, slot: SlotId, now: float) -> float:
+        """Return when the lease ends; ``-inf`` when there is none now."""
+        lease = self.held.leases.get(slot)
+        if lease is None or not lease.is_usable(now):
+            return NEVER
+        return lease.until()
+
+    def gained_epoch(self, slot: SlotId) -> int | None:
+        """Return the epoch of the gain that began the present ownership."""
+        lease = self.held.leases.get(slot)
+        return None if lease is None else lease.gained_epoch
+
+    def unlogged_acknowledged(self, slot: SlotId, now: float) -> bool:
+        """Tell whether any successor is sure to learn of unlogged runs."""
+        lease = self.held.leases.get(slot)
+        if lease is None or not lease.is_usable(now):
+            return False
+        return lease.is_unlogged_acknowledged()
+
+    def take_changes(self) -> list[OwnershipChange]:
+        """Return slots gained and lost since the last call, in order."""
+        changes = self.changes
+        self.changes = []
+        return changes
+
+    def apply(self, offset: int, record: object, now: float) -> None:
+        """Apply one record of the ownership stream."""
+        outcome = self.fold.apply(offset, record)
+        if isinstance(outcome, ClaimAccepted):
+            self._claim_accepted(outcome, now)
+        elif isinstance(outcome, Released):
+            self._lost(outcome.slot)
+
+    def _claim_accepted(self, accepted: ClaimAccepted, now: float) -> None:
+        claim = accepted.claim
+        incarnation = self.settings.incarnation
+        if (claim.owner, claim.incarnation) != (
+            self.settings.node,
+            incarnation,
+        ):
+            self._lost(claim.slot)
+            return
+        lease = self.held.leases.get(claim.slot)
+        if lease is not None and accepted.basis is Basis.RENEWED:
+            lease.renewed(accepted.epoch, claim.witnesses)
+            return
+        gained = self.held.gained(accepted, now)
+        self.changes.append(
+            SlotGained(
+                claim.slot,
+                accepted.epoch,
+                accepted.basis,
+                accepted.unlogged,
+                gained.usable_from,
+            ),
+        )
+
+    def _lost(self, slot: SlotId) -> None:
+        if slot in self.held.leases:
+            self.held.lost(slot)
+            self.changes.append(SlotLost(slot))
--- /dev/null
+++ b/src/ebonycleat/internal/process/witness.py
@@ -0,0 +1,111 @@
+"""What a witness promised to owners, and whom it supports instead.
+
+A witness keeps nothing over a restart, so two rules replace its memory. It
+supports nobody until every promise it may have given has lapsed. And it
+acknowledges only epochs that are younger than its first complete read of
+the log: it may have supported a claim against any older one, and that claim
+may still be on its way into the log.
+"""
+
+import dataclasses
+
+from ebonycleat.internal.connection.lease_messages import (
+    AskedSlot,
+    Heartbeat,
+    HeartbeatAck,
+    HeldSlot,
+    SupportAsk,
+    SupportGiven,
+    SupportedSlot,
+)
+from ebonycleat.internal.process.lease import PROMISE_S
+from ebonycleat.internal.process.ownership import OwnershipFold, SlotId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promise:
+    """No claim to the slot is supported before ``until``."""
+
+    epoch: int
+    unlogged: bool
+    until: float
+
+
+class WitnessBook:
+    """Promises and support of one node, for all slots it witnesses."""
+
+    def __init__(self, fold: OwnershipFold, started_at: float) -> None:
+        """Begin without memory at ``started_at``."""
+        self.fold = fold
+        self.supports_from = started_at + PROMISE_S
+        self.acknowledges_after: int | None = None
+        self.promises: dict[SlotId, Promise] = {}
+        self.supported_epochs: dict[SlotId, int] = {}
+        self.last_sequences: dict[str, tuple[int, int]] = {}
+
+    def log_was_read_to_its_end(self) -> None:
+        """Note the end of the log at the first complete read."""
+        if self.acknowledges_after is None:
+            self.acknowledges_after = self.fold.offset
+
+    def hear(
+        self,
+        owner: str,
+        heartbeat: Heartbeat,
+        now: float,
+    ) -> HeartbeatAck | None:
+        """Promise what can be promised, and refuse the other slots.
+
+        Returns None for a heartbeat that was overtaken by a later one of the
+        same owner: its ``unlogged`` flags may be out of date.
+        """
+        sequence = (heartbeat.incarnation, heartbeat.sequence)
+        if sequence <= self.last_sequences.get(owner, (-1, -1)):
+            return None
+        self.last_sequences[owner] = sequence
+        refused = tuple(
+            held.slot
+            for held in heartbeat.held
+            if not self._promise(owner, held, now)
+        )
+        return HeartbeatAck(heartbeat.incarnation, heartbeat.sequence, refused)
+
+    def answer_ask(self, ask: SupportAsk, now: float) -> SupportGiven | None:
+        """Support what may be supported; None when that is nothing."""
+        answers = [self.support(asked, now) for asked in ask.asked]
+        supported = tuple(answer for answer in answers if answer is not None)
+        return SupportGiven(supported) if supported else None
+
+    def support(self, asked: AskedSlot, now: float) -> SupportedSlot | None:
+        """Support a claim against an epoch, unless a promise forbids it.
+
+        The promise covers the slot whatever the epoch, because an owner that
+        renews its witnesses may not know yet under which epoch it holds.
+        """
+        slot, epoch = asked
+        promise = self.promises.get(slot)
+        promised = promise is not None and now < promise.until
+        if promised or now < self.supports_from:
+            return None
+        supported = max(epoch, self.supported_epochs.get(slot, 0))
+        self.supported_epochs[slot] = supported
+        unlogged = not self._could_acknowledge(epoch)
+        if promise is not None:
+            unlogged = unlogged or promise.unlogged
+        return SupportedSlot(slot, epoch, unlogged)
+
+    def _promise(self, owner: str, held: HeldSlot, now: float) -> bool:
+        slot, epoch, unlogged = held
+        state = self.fold.state_of(slot)
+        superseded = state.epoch > epoch and state.owner != owner
+        dropped = epoch <= self.supported_epochs.get(slot, 0)
+        if superseded or dropped or not self._could_acknowledge(epoch):
+            return False
+        self.promises[slot] = Promise(epoch, unlogged, now + PROMISE_S)
+        return True
+
+    def _could_acknowledge(self, epoch: int) -> bool:
+        return (
+            self.acknowledges_after is not None
+            and epoch > self.acknowledges_after
+        )
