At most once: dedupe owner, group commit and adversarial schedules

Cause: non-idempotent calls need one owner per id whose knowledge survives crashes, takeovers and outages of the log. Change: DedupeOwner with group commit of started ids, unlogged mode behind the acknowledgement of witnesses, bounded memory, and IdempotentSend for what an ingress may say; a paused world that checks runs against words. A schedule showed that a restarted node's word cleared copies that its former incarnation had run; copies are now resolved one by one, by incarnation.

--- /dev/null
+++ b/bench/dedupe_node.py
@@ -0,0 +1,306 @@
+"""One node of the paused world: it carries out dedupe decisions."""
+
+import dataclasses
+import functools
+import random
+from collections.abc import Callable, Iterable
+
+from bench.dedupe_ownership import FakeOwnership, Heartbeat
+from bench.dedupe_world import (
+    CLOCK_DRIFT,
+    HEARTBEAT_S,
+    HOLD_S,
+    Action,
+    Clock,
+    FakeLog,
+    Faults,
+    HeldSlot,
+    NodeClock,
+    NodeRights,
+)
+from ebonycleat.internal.process.dedupe import DedupeOwner
+from ebonycleat.internal.process.dedupe_runs import DedupeEvent, RunCall
+from ebonycleat.internal.process.dedupe_slots import Tenure
+from ebonycleat.internal.process.effects import AppendResult, AppendToLog
+from ebonycleat.internal.process.started_log import GroupCommit, StartedGroup
+from ebonycleat.internal.request.call import (
+    Answer,
+    Call,
+    CallResult,
+    RefusedCall,
+)
+from ebonycleat.internal.request.idempotent_send import (
+    AskAnswered,
+    CopyNotTaken,
+    DedupeAsk,
+    SentCopy,
+)
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+
+TICK_S = 0.05
+
+GATE_REFUSES = 0.15
+
+TARGET_FAILS = 0.1
+
+OwnerWord = AskAnswered | CopyNotTaken
+
+RunRecorder = Callable[[Call], bytes]
+
+ReplyToIngress = Callable[[OwnerWord], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """What every node of one world shares."""
+
+    clock: Clock
+    faults: Faults
+    log: FakeLog
+    rng: random.Random
+    record_run: RunRecorder
+    reply: ReplyToIngress
+
+
+class SlotClient:
+    """What one incarnation knows of slots: its own and other owners."""
+
+    def __init__(self, node: 'FleetNode') -> None:
+        """Know nothing."""
+        self.node = node
+        self.rights = NodeRights()
+        self.unflagged: dict[int, int] = {}
+        self.views: dict[int, SentCopy] = {}
+
+    def gain(self, tenure: Tenure) -> None:
+        """Learn that a claim of this node was accepted."""
+        held = self.rights.held.get(tenure.slot)
+        if held is not None and held.epoch > tenure.epoch:
+            return
+        now = self.node.clock.now
+        if held is not None:
+            self.node.carry_out(self.node.owner.slot_lost(tenure.slot, now))
+        wait_s = 0 if tenure.never_owned else HOLD_S * (1 + CLOCK_DRIFT)
+        self.rights.held[tenure.slot] = HeldSlot(tenure.epoch, now + wait_s)
+        self.unflagged.pop(tenure.slot, None)
+        self.node.carry_out(self.node.owner.slot_gained(tenure, now))
+
+    def renewed(self, tenure: Tenure) -> None:
+        """Learn that a renewal was accepted; the slot was never lost."""
+        held = self.rights.held.get(tenure.slot)
+        if held is not None and held.epoch < tenure.epoch:
+            held.epoch = tenure.epoch
+            held.acknowledged_flag = False
+            self.node.carry_out(
+                self.node.owner.slot_gained(tenure, self.node.clock.now)
+            )
+
+    def lose(self, slot: int, epoch: int) -> None:
+        """Learn that another node owns the slot."""
+        held = self.rights.held.get(slot)
+        if held is not None and held.epoch <= epoch:
+            self.rights.held.pop(slot)
+            self.node.carry_out(
+                self.node.owner.slot_lost(slot, self.node.clock.now)
+            )
+
+    def learn(self, slot: int, view: SentCopy) -> None:
+        """Learn as an ingress who owns a slot."""
+        known = self.views.get(slot)
+        if known is None or known.epoch < view.epoch:
+            self.views[slot] = view
+
+    def acknowledged(self, beat: Heartbeat) -> None:
+        """Take the acknowledgement of the witnesses."""
+        held = self.rights.held.get(beat.slot)
+        if held is None or held.epoch != beat.epoch:
+            return
+        held.lease_until = max(held.lease_until, beat.sent_at + HOLD_S)
+        # A later heartbeat without the flag may already have cleared it.
+        if beat.unlogged and beat.number > self.unflagged.get(beat.slot, 0):
+            held.acknowledged_flag = True
+
+    def heartbeat(self) -> None:
+        """Send one heartbeat for each slot, and again."""
+        for slot, held in self.rights.held.items():
+            flag = self.node.owner.needs_unlogged_flag(
+                slot, self.node.clock.now
+            )
+            if not flag:
+                held.acknowledged_flag = False
+            if self.node.ownership is not None:
+                self.node.ownership.heartbeat(
+                    self.node,
+                    slot,
+                    epoch=held.epoch,
+                    unlogged=flag,
+                )
+        self.node.later(HEARTBEAT_S, self.heartbeat)
+
+
+class FakeGate:
+    """The gate and the target of one node."""
+
+    def __init__(self, node: 'FleetNode') -> None:
+        """Admit to the target of the node."""
+        self.node = node
+
+    def offer(self, call: Call) -> None:
+        """Queue the call, or refuse it."""
+        rng = self.node.world.rng
+        if rng.random() < GATE_REFUSES:
+            refusal = refuse_not_run(Reason.QUEUE_FULL)
+            shed = RefusedCall(call.call_id, refusal)
+            self.node.later(0.01, self._finish, shed)
+            return
+        queue_s = rng.choice((0, 0.01, 0.2, 2))
+        self.node.later(queue_s, self._dispatch, call)
+
+    def _dispatch(self, call: Call) -> None:
+        if not self.node.owner.may_dispatch(call.call_id, self.node.clock.now):
+            refusal = refuse_not_run(Reason.DEDUPE_UNAVAILABLE)
+            self._finish(RefusedCall(call.call_id, refusal))
+            return
+        body = self.node.world.record_run(call)
+        rng = self.node.world.rng
+        ran: CallResult = Answer(call.call_id, 200, body=body)
+        if rng.random() < TARGET_FAILS:
+            lost = refuse_outcome_unknown(Reason.TARGET_FAILED)
+            ran = RefusedCall(call.call_id, lost)
+        self.node.later(rng.choice((0.005, 0.05, 1)), self._finish, ran)
+
+    def _finish(self, ran: CallResult) -> None:
+        now = self.node.clock.now
+        self.node.carry_out(self.node.owner.finished(ran.call_id, ran, now))
+
+
+class FleetNode:
+    """A node with its log client, its gate and its target."""
+
+    def __init__(self, name: str, world: Surroundings) -> None:
+        """Create the node; ``start`` makes it run."""
+        self.name = name
+        self.world = world
+        rng = world.rng
+        self.clock = NodeClock(
+            world.clock,
+            rng.uniform(0, 1000),
+            rng.uniform(0.996, 1.004),
+        )
+        self.incarnation = 0
+        self.crashed = True
+        self.heartbeats = 0
+        self.ownership: FakeOwnership | None = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything, as a restart does."""
+        self.incarnation += 1
+        self.slots = SlotClient(self)
+        self.gate = FakeGate(self)
+        self.log_offset = 0
+        commit = GroupCommit(self.name, self.incarnation, 'payment')
+        self.owner = DedupeOwner(commit, self.slots.rights)
+
+    def start(self) -> None:
+        """Run as a new incarnation."""
+        self.crashed = False
+        for routine in (self._tick, self.slots.heartbeat, self._read_log):
+            self.later(self.world.rng.uniform(0, TICK_S), routine)
+
+    def crash(self, down_s: float) -> None:
+        """Lose all memory; come back as a new incarnation."""
+        self.crashed = True
+        self.reset()
+        self.world.clock.after(down_s, self.start)
+
+    def run(
+        self,
+        incarnation: int,
+        action: Action,
+        *arguments: object,
+    ) -> None:
+        """Run an event, after the pause if the VM is paused."""
+        if self.crashed or incarnation != self.incarnation:
+            return
+        clock = self.world.clock
+        wake_at = self.world.faults.end_of('paused', self.name)
+        if wake_at > clock.now:
+            pause_s = wake_at - clock.now
+            clock.after(pause_s, self.run, incarnation, action, *arguments)
+            return
+        action(*arguments)
+
+    def later(
+        self,
+        delay_s: float,
+        action: Action,
+        *arguments: object,
+    ) -> None:
+        """Run an event later, unless the node crashes before."""
+        incarnation = self.incarnation
+        self.world.clock.after(
+            delay_s,
+            self.run,
+            incarnation,
+            action,
+            *arguments,
+        )
+
+    def receive(self, ask: DedupeAsk, time_left_s: float) -> None:
+        """Take one copy from the network, after a pause if there is one."""
+        self.run(self.incarnation, self._begin, ask, time_left_s)
+
+    def carry_out(self, events: Iterable[DedupeEvent]) -> None:
+        """Do what the decisions ask for."""
+        for event in events:
+            if isinstance(event, AppendToLog):
+                self._append(event)
+            elif isinstance(event, RunCall):
+                self.gate.offer(event.call)
+            else:
+                self.world.reply(event)
+
+    def _begin(self, ask: DedupeAsk, time_left_s: float) -> None:
+        now = self.clock.now
+        call = dataclasses.replace(ask.call, deadline=now + time_left_s)
+        here = dataclasses.replace(ask, call=call)
+        self.carry_out(self.owner.begin(here, now))
+
+    def _append(self, effect: AppendToLog) -> None:
+        reply = functools.partial(self.run, self.incarnation, self._confirm)
+        self.world.log.append(effect, reply)
+
+    def _confirm(self, append: AppendResult) -> None:
+        self.carry_out(self.owner.append_result(append, self.clock.now))
+
+    def _tick(self) -> None:
+        self.carry_out(self.owner.tick(self.clock.now))
+        self.later(TICK_S, self._tick)
+
+    def _read_log(self) -> None:
+        take = functools.partial(
+            self.run,
+            self.incarnation,
+            self._take_page,
+            self.clock.now,
+        )
+        self.world.log.read(self.log_offset, take)
+
+    def _take_page(
+        self,
+        began: float,
+        groups: tuple[StartedGroup, ...],
+        following: int,
+        at_end: bool,
+    ) -> None:
+        self.log_offset = following
+        now = self.clock.now
+        self.carry_out(
+            self.owner.started_page(groups, began, now, at_end=at_end),
+        )
+        self.later(TICK_S, self._read_log)
--- /dev/null
+++ b/bench/dedupe_ownership.py
@@ -0,0 +1,147 @@
+"""A fake ownership authority with the lease rules of the design."""
+
+import dataclasses
+import random
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from bench.dedupe_world import Action, Clock, Faults, SlotTruth
+from ebonycleat.internal.process.dedupe_slots import Tenure
+from ebonycleat.internal.request.idempotent_send import SentCopy
+
+if TYPE_CHECKING:
+    from bench.dedupe_node import FleetNode
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """One heartbeat for one slot; ``sent_at`` is on the sender's clock."""
+
+    slot: int
+    epoch: int
+    number: int
+    unlogged: bool
+    sent_at: float
+    incarnation: int
+
+
+class FakeOwnership:
+    """Gives each slot to one node at a time; claims land in the log."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        faults: Faults,
+        rng: random.Random,
+        nodes: Mapping[str, 'FleetNode'],
+    ) -> None:
+        """Start with slots that never had an owner."""
+        self.clock = clock
+        self.faults = faults
+        self.rng = rng
+        self.nodes = nodes
+        self.offset = 0
+        self.slots: dict[int, SlotTruth] = {}
+
+    def claim(self, slot: int, name: str) -> None:
+        """Let a node take the slot over from whoever has it."""
+        node = self.nodes[name]
+        if self.faults.active('log-down') or node.crashed:
+            return
+        former = self.slots.get(slot)
+        if former and former.owner == name:
+            if former.incarnation == node.incarnation:
+                self._renew(slot, node, former)
+                return
+        self.offset += 1
+        truth = SlotTruth(self.offset, name, node.incarnation)
+        truth.unlogged = former is not None and former.unlogged
+        self.slots[slot] = truth
+        tenure = Tenure(
+            slot=slot,
+            first_epoch=truth.epoch,
+            epoch=truth.epoch,
+            unlogged=truth.unlogged,
+            never_owned=former is None,
+        )
+        self._tell(node, self.rng.choice((0.01, 0.5)), node.slots.gain, tenure)
+        if former and former.owner != name:
+            loser = self.nodes[former.owner]
+            late_s = self.rng.choice((0.01, 0.3, 6))
+            self._tell(loser, late_s, loser.slots.lose, slot, former.epoch)
+        self._announce(slot, SentCopy(name, truth.incarnation, truth.epoch))
+
+    def heartbeat(
+        self,
+        node: 'FleetNode',
+        slot: int,
+        *,
+        epoch: int,
+        unlogged: bool,
+    ) -> None:
+        """Carry one heartbeat to the witnesses and its answer back."""
+        node.heartbeats += 1
+        if not unlogged:
+            node.slots.unflagged[slot] = node.heartbeats
+        beat = Heartbeat(
+            slot=slot,
+            epoch=epoch,
+            number=node.heartbeats,
+            unlogged=unlogged,
+            sent_at=node.clock.now,
+            incarnation=node.incarnation,
+        )
+        if not self.faults.active('cut', node.name):
+            self.clock.after(self._delay(), self._arrive, node, beat)
+
+    def _arrive(self, node: 'FleetNode', beat: Heartbeat) -> None:
+        truth = self.slots[beat.slot]
+        if truth.epoch == beat.epoch and beat.number > truth.heartbeat:
+            truth.heartbeat = beat.number
+            truth.unlogged = beat.unlogged
+            self.clock.after(
+                self._delay(),
+                node.run,
+                beat.incarnation,
+                node.slots.acknowledged,
+                beat,
+            )
+
+    def _renew(self, slot: int, node: 'FleetNode', former: SlotTruth) -> None:
+        self.offset += 1
+        truth = dataclasses.replace(former, epoch=self.offset)
+        self.slots[slot] = truth
+        tenure = Tenure(
+            slot=slot,
+            first_epoch=truth.epoch,
+            epoch=truth.epoch,
+            unlogged=truth.unlogged,
+            never_owned=False,
+        )
+        self._tell(node, 0.01, node.slots.renewed, tenure)
+        self._announce(
+            slot, SentCopy(node.name, truth.incarnation, truth.epoch)
+        )
+
+    def _announce(self, slot: int, view: SentCopy) -> None:
+        for node in self.nodes.values():
+            delay_s = self.rng.choice((0.02, 0.1, 1))
+            self._tell(node, delay_s, node.slots.learn, slot, view)
+
+    def _tell(
+        self,
+        node: 'FleetNode',
+        delay_s: float,
+        action: Action,
+        *arguments: object,
+    ) -> None:
+        self.clock.after(
+            delay_s,
+            node.run,
+            node.incarnation,
+            action,
+            *arguments,
+        )
+
+    def _delay(self) -> float:
+        return self.rng.choice((0.001, 0.002, 0.005, 0.4))
--- /dev/null
+++ b/src/ebonycleat/internal/process/dedupe_memory.py
@@ -0,0 +1,170 @@
+"""What a dedupe owner remembers of ids and of refused copies, in bounds."""
+
+import collections
+import dataclasses
+import enum
+
+from ebonycleat.internal.request.call import Answer
+from ebonycleat.internal.request.idempotent_send import DedupeAsk
+
+MEMORY_SPAN_S = 600
+
+CLOCK_DRIFT = 0.01
+
+# A call may be dispatched this long after its append was sent; then its id
+# is appended anew or the call is refused.
+RUN_PERMIT_S = 30
+
+# Readers keep an id for the span from the dispatch, which can be later than
+# the append by the permit, on a clock that may be slower than theirs.
+KEEP_S = MEMORY_SPAN_S * (1 + CLOCK_DRIFT) + RUN_PERMIT_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DedupeLimits:
+    """Bounds of the memory of one node.
+
+    An id takes about 0.5 KB as an entry and 0.1 KB when read from the log.
+    ``max_refused`` bounds the calls that the node promised not to run.
+    """
+
+    max_ids: int = 200_000
+    max_read_ids: int = 500_000
+    max_refused: int = 200_000
+    max_joined: int = 16
+    answer_bytes: int = 32 * 1024 * 1024
+
+
+class Phase(enum.Enum):
+    """What became of an id at its owner."""
+
+    WAITING = 'waiting'
+    PERMITTED = 'permitted'
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+    UNKNOWN = 'unknown'
+    NOT_RUN = 'not-run'
+
+
+SETTLED_PHASES = frozenset((Phase.ANSWERED, Phase.UNKNOWN, Phase.NOT_RUN))
+
+
+@dataclasses.dataclass(slots=True)
+class IdEntry:
+    """One id; ``asks`` holds the latest copy of each call that waits.
+
+    ``vouched`` says that every later owner will take the id for started: it
+    is in the log, or the witnesses know that the slot ran without the log.
+    ``attempt`` is the highest attempt that was refused as not run.
+    """
+
+    id_hash: bytes
+    slot: int
+    tenure_epoch: int = 0
+    phase: Phase = Phase.WAITING
+    asks: dict[str, DedupeAsk] = dataclasses.field(default_factory=dict)
+    runner: str = ''
+    deadline: float = 0
+    vouched: bool = False
+    attempt: int = 0
+    answer: Answer | None = None
+    expires_at: float = 0
+
+
+class DedupeMemory:
+    """Entries by id hash; settled ones expire, kept answers are evicted.
+
+    An evicted answer leaves the id behind as ``UNKNOWN``: an id that
+    started is never forgotten within the memory span.
+    """
+
+    def __init__(self, limits: DedupeLimits) -> None:
+        """Start empty."""
+        self.limits = limits
+        self.entries: dict[bytes, IdEntry] = {}
+        self.expiries: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
+        self.answer_sizes: dict[bytes, int] = {}
+        self.answer_bytes = 0
+
+    @property
+    def full(self) -> bool:
+        """Say if no further id can be remembered."""
+        return len(self.entries) >= self.limits.max_ids
+
+    def drop(self, entry: IdEntry) -> None:
+        """Forget an id that has certainly not started."""
+        self.entries.pop(entry.id_hash, None)
+
+    def settle(self, entry: IdEntry, phase: Phase, now: float) -> None:
+        """Move an entry to a settled phase and start its memory span."""
+        entry.phase = phase
+        entry.asks = {}
+        entry.expires_at = now + KEEP_S
+        self.expiries.append((entry.expires_at, entry.id_hash))
+
+    def keep_answer(self, entry: IdEntry, answer: Answer, now: float) -> None:
+        """Keep a whole answer, at the cost of the oldest ones."""
+        self.settle(entry, Phase.ANSWERED, now)
+        entry.answer = answer
+        size = len(answer.body) + sum(
+            len(name) + len(text) for name, text in answer.headers
+        )
+        self._forget_answer(entry.id_hash)
+        self.answer_sizes[entry.id_hash] = size
+        self.answer_bytes += size
+        while self.answer_bytes > self.limits.answer_bytes:
+            oldest = next(iter(self.answer_sizes))
+            self._forget_answer(oldest)
+            evicted = self.entries[oldest]
+            evicted.phase = Phase.UNKNOWN
+            evicted.answer = None
+
+    def expire(self, now: float) -> None:
+        """Forget settled ids past the memory span."""
+        while self.expiries and self.expiries[0][0] <= now:
+            expires_at, id_hash = self.expiries.popleft()
+            entry = self.entries.get(id_hash)
+            if entry is None or entry.expires_at != expires_at:
+                continue
+            if entry.phase in SETTLED_PHASES:
+                self._forget_answer(id_hash)
+                self.entries.pop(id_hash)
+
+    def _forget_answer(self, id_hash: bytes) -> None:
+        self.answer_bytes -= self.answer_sizes.pop(id_hash, 0)
+
+
+class RefusedCopies:
+    """Copies that this node promised never to run, by call.
+
+    A promise that cannot be remembered must not be made.
+    """
+
+    def __init__(self, max_calls: int) -> None:
+        """Remember the promises of at most ``max_calls`` calls."""
+        self.max_calls = max_calls
+        self.copy_by_call: dict[str, int] = {}
+        self.expiries: collections.deque[tuple[float, str]] = (
+            collections.deque()
+        )
+
+    def promise(self, call_id: str, copy_number: int, now: float) -> bool:
+        """Promise not to run the copy or one before it, if there is room."""
+        known = self.copy_by_call.get(call_id)
+        if known is None and len(self.copy_by_call) >= self.max_calls:
+            return False
+        if known is None:
+            self.expiries.append((now + KEEP_S, call_id))
+        self.copy_by_call[call_id] = max(known or 0, copy_number)
+        return True
+
+    def covers(self, call_id: str, copy_number: int) -> bool:
+        """Say if the copy was refused."""
+        return copy_number <= self.copy_by_call.get(call_id, 0)
+
+    def expire(self, now: float) -> None:
+        """Forget calls whose first promise is past the memory span."""
+        while self.expiries and self.expiries[0][0] <= now:
+            self.copy_by_call.pop(self.expiries.popleft()[1], None)
--- /dev/null
+++ b/src/ebonycleat/internal/process/dedupe_runs.py
@@ -0,0 +1,218 @@
+"""The life of single ids at their owner: wait, run, answer, refuse."""
+
+import dataclasses
+from typing import TypeAlias
+
+from ebonycleat.internal.process.dedupe_memory import (
+    RUN_PERMIT_S,
+    DedupeLimits,
+    DedupeMemory,
+    IdEntry,
+    Phase,
+    RefusedCopies,
+)
+from ebonycleat.internal.process.effects import AppendToLog
+from ebonycleat.internal.request.call import Answer, Call, CallResult
+from ebonycleat.internal.request.call import RefusedCall as Refused
+from ebonycleat.internal.request.idempotent_send import (
+    FIRST_ATTEMPT,
+    AskAnswered,
+    CopyNotTaken,
+    DedupeAsk,
+)
+from ebonycleat.internal.request.refusal import (
+    Outcome,
+    Reason,
+    Refusal,
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+
+# A run whose result the driver never reports becomes outcome unknown.
+LOST_RUN_S = 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunCall:
+    """Offer the call to a gate, and ask ``may_dispatch`` when it leaves."""
+
+    call: Call
+    slot: int
+
+
+DedupeEvent: TypeAlias = RunCall | AskAnswered | CopyNotTaken | AppendToLog
+
+STARTED_UNKNOWN = refuse_outcome_unknown(
+    Reason.OUTCOME_UNKNOWN,
+    'a request with this id has started, its answer is not known',
+)
+
+
+def answer_ask(ask: DedupeAsk, result: CallResult) -> AskAnswered:
+    """Address a result to one of the calls that asked for the id."""
+    return AskAnswered(
+        call_id=ask.call.call_id,
+        copy_number=ask.copy_number,
+        epoch=ask.epoch,
+        result=dataclasses.replace(result, call_id=ask.call.call_id),
+    )
+
+
+class IdRuns:
+    """Entries that wait or run, over the memory of those that settled."""
+
+    def __init__(self, limits: DedupeLimits) -> None:
+        """Start empty."""
+        self.limits = limits
+        self.memory = DedupeMemory(limits)
+        self.refused = RefusedCopies(limits.max_refused)
+        self.waiting: dict[bytes, IdEntry] = {}
+        self.runs: dict[str, IdEntry] = {}
+
+    def start(self, entry: IdEntry, ask: DedupeAsk) -> None:
+        """Let an id that never started wait for its permit."""
+        entry.phase = Phase.WAITING
+        entry.vouched = False
+        entry.asks = {ask.call.call_id: ask}
+        self.memory.entries[entry.id_hash] = entry
+        self.waiting[entry.id_hash] = entry
+
+    def repeat(
+        self,
+        entry: IdEntry,
+        ask: DedupeAsk,
+        now: float,
+    ) -> list[DedupeEvent]:
+        """Treat a call whose id is waiting, running or settled."""
+        if entry.phase is Phase.UNKNOWN:
+            return [_refuse(ask, STARTED_UNKNOWN)]
+        if entry.phase is Phase.NOT_RUN:
+            return [self._refuse_unrun(entry, ask, Reason.CANCELLED, now)]
+        if entry.answer is not None:
+            return [answer_ask(ask, entry.answer)]
+        joined = entry.asks.get(ask.call.call_id)
+        if joined is None and len(entry.asks) >= self.limits.max_joined:
+            return [_refuse(ask, STARTED_UNKNOWN)]
+        if joined is None or joined.copy_number < ask.copy_number:
+            entry.asks[ask.call.call_id] = ask
+        return []
+
+    def permit(
+        self,
+        entry: IdEntry,
+        expires_at: float,
+        now: float,
+    ) -> list[DedupeEvent]:
+        """Let a waiting id run, as a call that still has time."""
+        entry.vouched = True
+        for ask in entry.asks.values():
+            if ask.call.deadline > now:
+                self.waiting.pop(entry.id_hash, None)
+                entry.phase = Phase.PERMITTED
+                entry.runner = ask.call.call_id
+                entry.deadline = ask.call.deadline
+                entry.expires_at = min(expires_at, now + RUN_PERMIT_S)
+                self.runs[entry.runner] = entry
+                return [RunCall(ask.call, entry.slot)]
+        return self.refuse_entry(entry, Reason.DEADLINE, now)
+
+    def dispatch(self, entry: IdEntry, now: float) -> bool:
+        """Mark a permitted id as running, unless its permit is too old."""
+        if entry.phase is not Phase.PERMITTED or now > entry.expires_at:
+            return False
+        entry.phase = Phase.RUNNING
+        return True
+
+    def finished(
+        self,
+        call_id: str,
+        result: CallResult,
+        now: float,
+    ) -> list[DedupeEvent]:
+        """Give every joined call the result of the one run."""
+        entry = self.runs.pop(call_id, None)
+        if entry is None:
+            return []
+        asks = tuple(entry.asks.values())
+        if isinstance(result, Answer):
+            kept = dataclasses.replace(result, retries_unused=0)
+            self.memory.keep_answer(entry, kept, now)
+        elif result.refusal.outcome is Outcome.NOT_RUN:
+            return self.refuse_entry(entry, result.refusal.reason, now)
+        else:
+            self.memory.settle(entry, Phase.UNKNOWN, now)
+        return [
+            answer_ask(ask, _share(result, ask.call.call_id == call_id))
+            for ask in asks
+        ]
+
+    def refuse_entry(
+        self,
+        entry: IdEntry,
+        reason: Reason,
+        now: float,
+    ) -> list[DedupeEvent]:
+        """Refuse all calls of an id that was never dispatched."""
+        self.waiting.pop(entry.id_hash, None)
+        self.runs.pop(entry.runner, None)
+        asks = tuple(entry.asks.values())
+        entry.attempt = max(entry.attempt, *(ask.attempt for ask in asks), 0)
+        self.memory.settle(entry, Phase.NOT_RUN, now)
+        return [self._refuse_unrun(entry, ask, reason, now) for ask in asks]
+
+    def expire(self, now: float) -> list[DedupeEvent]:
+        """Answer calls past their deadline, forget what is too old."""
+        events: list[DedupeEvent] = []
+        for entry in tuple(self.waiting.values()):
+            times = [ask.call.deadline for ask in entry.asks.values()]
+            if max(times, default=now) <= now:
+                events.extend(self.refuse_entry(entry, Reason.DEADLINE, now))
+        for entry in tuple(self.runs.values()):
+            events.extend(self._expire_run(entry, now))
+        self.memory.expire(now)
+        self.refused.expire(now)
+        return events
+
+    def _expire_run(self, entry: IdEntry, now: float) -> list[DedupeEvent]:
+        lost = now > entry.deadline + LOST_RUN_S
+        late = [
+            ask
+            for ask in entry.asks.values()
+            if lost or ask.call.deadline <= now
+        ]
+        for overdue in late:
+            entry.asks.pop(overdue.call.call_id)
+        if lost:
+            self.runs.pop(entry.runner)
+            self.memory.settle(entry, Phase.UNKNOWN, now)
+        refusal = refuse_outcome_unknown(Reason.DEADLINE)
+        return [_refuse(ask, refusal) for ask in late]
+
+    def _refuse_unrun(
+        self,
+        entry: IdEntry,
+        ask: DedupeAsk,
+        reason: Reason,
+        now: float,
+    ) -> AskAnswered:
+        # A later owner may still meet an earlier send, so only ids that it
+        # takes for started, or that had no earlier send, are surely not run.
+        sure = entry.vouched or ask.attempt == FIRST_ATTEMPT
+        if sure and self.refused.promise(
+            ask.call.call_id,
+            ask.copy_number,
+            now,
+        ):
+            return _refuse(ask, refuse_not_run(reason))
+        return _refuse(ask, refuse_outcome_unknown(reason))
+
+
+def _share(result: CallResult, is_runner: bool) -> CallResult:
+    # The unused retries belong to the ledger of the call that ran.
+    if is_runner:
+        return result
+    return dataclasses.replace(result, retries_unused=0)
+
+
+def _refuse(ask: DedupeAsk, refusal: Refusal) -> AskAnswered:
+    return answer_ask(ask, Refused(ask.call.call_id, refusal))
--- /dev/null
+++ b/src/ebonycleat/internal/process/started_log.py
@@ -0,0 +1,205 @@
+"""Started ids on their way to the log (group commit) and back from it.
+
+A call that must run at most once runs only after the hash of its id stands
+in the ``started`` stream, so that the next owner of its slot knows of it.
+The log takes a few hundred appends a second in all, so each node appends in
+groups, at most once in an interval.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendResult,
+    AppendToLog,
+)
+from ebonycleat.internal.request.idempotent_send import HASH_BYTES
+
+# Two thirds of the 300 appends/s that the log takes; the rest stays free for claims, changes and members.
+STARTED_APPENDS_PER_S = 200
+
+NODES_TODAY = 14
+
+# 32 KB of hashes in one record.
+MAX_GROUP_IDS = 2048
+
+# Longer than the slowest append of a healthy log by far (5 ms, and a queue
+# of 14 appends ahead takes 47 ms).
+LOG_PATIENCE_S = 0.25
+
+RETRY_INTERVAL_S = 0.25
+
+# A record can be older than its confirmation by this much; readers keep an
+# id longer than the memory span by at least the same time.
+MAX_APPEND_AGE_S = 10
+
+
+def group_interval_s(
+    appending_nodes: int,
+    appends_per_s: float = STARTED_APPENDS_PER_S,
+) -> float:
+    """Return the interval at which all nodes together stay in the rate."""
+    return appending_nodes / appends_per_s
+
+
+GROUP_INTERVAL_S = group_interval_s(NODES_TODAY)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartedGroup:
+    """Log record: ids that may start; ``id_hashes`` are concatenated."""
+
+    operation_id: str
+    node: str
+    incarnation: int
+    service: str
+    id_hashes: bytes
+
+
+def split_hashes(id_hashes: bytes) -> tuple[bytes, ...]:
+    """Split concatenated hashes; an incomplete last one is dropped."""
+    whole = len(id_hashes) - len(id_hashes) % HASH_BYTES
+    return tuple(
+        id_hashes[start : start + HASH_BYTES]
+        for start in range(0, whole, HASH_BYTES)
+    )
+
+
+class GroupCommit:
+    """Sends one append at a time, and repeats it until it is confirmed."""
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        service: str,
+        interval_s: float = GROUP_INTERVAL_S,
+    ) -> None:
+        """Append groups for one node and its service."""
+        self.node = node
+        self.incarnation = incarnation
+        self.service = service
+        self.interval_s = interval_s
+        self.queue: collections.deque[bytes] = collections.deque()
+        self.group: AppendToLog | None = None
+        self.awaiting = False
+        self.failed = False
+        self.sent_at = -math.inf
+        self.groups_made = 0
+
+    def add(self, id_hash: bytes) -> None:
+        """Queue one id; it leaves only when the log has confirmed it."""
+        self.queue.append(id_hash)
+
+    def next_append(self, now: float) -> list[AppendToLog]:
+        """Return the append that is due, if one is."""
+        if self.awaiting:
+            return []
+        pause_s = RETRY_INTERVAL_S if self.failed else self.interval_s
+        if now < self.sent_at + pause_s:
+            return []
+        if self.group is None:
+            if not self.queue:
+                return []
+            self.group = self._make_group()
+        self.awaiting = True
+        self.sent_at = now
+        return [self.group]
+
+    def append_result(
+        self,
+        append: AppendResult,
+        now: float,
+    ) -> tuple[bytes, ...]:
+        """Return the ids that now stand in the log.
+
+        A confirmation that comes very late does not count: readers count
+        the memory span of an id from when they read it.
+        """
+        group = self.group
+        if group is None or append.operation_id != group.operation_id:
+            return ()
+        self.awaiting = False
+        late = now - self.sent_at > MAX_APPEND_AGE_S
+        if late or not isinstance(append, AppendDone):
+            self.failed = True
+            return ()
+        self.failed = False
+        self.group = None
+        confirmed: bytes = group.record.id_hashes
+        return split_hashes(confirmed)
+
+    def log_is_down(self, now: float) -> bool:
+        """Say if the log fails, or has been silent past the patience."""
+        silent = self.awaiting and now - self.sent_at > LOG_PATIENCE_S
+        return self.failed or silent
+
+    def _make_group(self) -> AppendToLog:
+        self.groups_made += 1
+        count = min(len(self.queue), MAX_GROUP_IDS)
+        operation_id = f'{self.node}/{self.incarnation}/{self.groups_made}'
+        record = StartedGroup(
+            operation_id=operation_id,
+            node=self.node,
+            incarnation=self.incarnation,
+            service=self.service,
+            id_hashes=b''.join(self.queue.popleft() for _ in range(count)),
+        )
+        return AppendToLog(Stream.STARTED, record, operation_id)
+
+
+class StartedIds:
+    """Ids of one service that any other node has written to the log."""
+
+    def __init__(self, own: GroupCommit, span_s: float, max_ids: int) -> None:
+        """Keep each id for ``span_s`` from when it was read."""
+        self.own = own
+        self.span_s = span_s
+        self.max_ids = max_ids
+        self.expiry_by_hash: dict[bytes, float] = {}
+        # Before these times an id that is not known here may have started:
+        # records expired unread, or there were more than ``max_ids``.
+        self.gap_until = -math.inf
+        self.evicted_until = -math.inf
+
+    def read(self, groups: Iterable[StartedGroup], now: float) -> None:
+        """Take records in log order; a second copy of one does no harm.
+
+        The node's own groups are skipped: it knows more of those ids.
+        """
+        expiry = now + self.span_s
+        for group in groups:
+            if group.service == self.own.service and not self._is_own(group):
+                for id_hash in split_hashes(group.id_hashes):
+                    # Removed first, so that the order is that of expiry.
+                    self.expiry_by_hash.pop(id_hash, None)
+                    self.expiry_by_hash[id_hash] = expiry
+        while len(self.expiry_by_hash) > self.max_ids:
+            oldest = next(iter(self.expiry_by_hash))
+            self.evicted_until = self.expiry_by_hash.pop(oldest)
+
+    def gap(self, now: float) -> None:
+        """Note that records expired in the log before they were read."""
+        self.gap_until = now + self.span_s
+
+    def expire(self, now: float) -> None:
+        """Forget ids past the memory span."""
+        while self.expiry_by_hash:
+            oldest = next(iter(self.expiry_by_hash))
+            if self.expiry_by_hash[oldest] > now:
+                return
+            self.expiry_by_hash.pop(oldest)
+
+    def __contains__(self, id_hash: bytes) -> bool:
+        """Say if another owner may have started the id."""
+        return id_hash in self.expiry_by_hash
+
+    def _is_own(self, group: StartedGroup) -> bool:
+        return (
+            group.node == self.own.node
+            and group.incarnation == self.own.incarnation
+        )
