Policy benchmark: paused clock, fakes, sites and demand scenario

Cause: the policy needs figures, next to those without a layer and with a fixed limit and a FIFO queue. Change: discrete events drive the real gate, router, retry and context classes. Replies name failures of further calls as such (new reason dependency-failed), so that sound targets are not ejected for them and overload further down is not retried from above. A failed connect probe holds trial calls back, and a node whose target is down is avoided.

--- /dev/null
+++ b/bench/policy_layer.py
@@ -0,0 +1,394 @@
+"""The layer under test: real decision classes, simulated transport."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import TypeAlias
+
+from bench.policy_targets import CallOn
+from bench.policy_world import Carrier, Place, RootDone, World
+
+from ebonycleat.internal.process.gate import create_gate
+from ebonycleat.internal.process.gate_events import (
+    Dispatch,
+    GateEvent,
+    GateLoad,
+)
+from ebonycleat.internal.process.retry_budget import RetryBudget
+from ebonycleat.internal.process.retry_policy import (
+    FailedAttempt,
+    RetryAt,
+    RetryPolicy,
+)
+from ebonycleat.internal.process.router import RouteRequest, create_router
+from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
+from ebonycleat.internal.process.target_records import Member
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.context import (
+    RequestContext,
+    create_context_registry,
+)
+from ebonycleat.internal.request.ledger import RetryLedger
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_outcome_unknown,
+)
+
+TICK_S = 0.02
+PROBE_S = 0.25
+QUEUE_PER_SLOT = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HopReply:
+    """Answer of one attempt; ``load`` is None when the node is silent."""
+
+    refusal: Refusal | None
+    unused: int
+    load: GateLoad | None
+
+
+Reply: TypeAlias = Callable[[HopReply], None]
+HopDone: TypeAlias = Callable[[Refusal | None], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Received:
+    """A call at the gate of the node that may run it."""
+
+    call: Call
+    chain: tuple[str, ...]
+    reply: Reply
+    context: str = ''
+    started_at: float = 0
+
+
+class LayerNode:
+    """One node: gate, router, contexts and retries around one target."""
+
+    def __init__(
+        self,
+        carrier: 'LayerCarrier',
+        place: Place,
+        rng: random.Random,
+    ) -> None:
+        """Build the decision objects of the node."""
+        self.carrier = carrier
+        self.clock = carrier.world.clock
+        self.place = place
+        slots = place.target.slots
+        self.gate = create_gate(
+            slots,
+            slots * QUEUE_PER_SLOT,
+            place.zone,
+            rng,
+        )
+        self.router = create_router(place.zone, place.node, rng)
+        self.budget = RetryBudget()
+        self.policy = RetryPolicy(self.budget, rng)
+        self.contexts = create_context_registry(slots, rng)
+        self.received: dict[str, Received] = {}
+        self.clock.after(rng.uniform(0, TICK_S), self.tick)
+        self.clock.after(rng.uniform(0, PROBE_S), self.probe)
+
+    def tick(self) -> None:
+        """Drive the gate's timer."""
+        self.apply(self.gate.tick(self.clock.now))
+        self.clock.after(TICK_S, self.tick)
+
+    def probe(self) -> None:
+        """Connect to the target, which shows only whether it listens."""
+        if not self.place.target.alive:
+            self.gate.limit.note_probe_failed(self.clock.now)
+        self.clock.after(PROBE_S, self.probe)
+
+    def receive(self, received: Received) -> None:
+        """Offer a call that came over the network."""
+        self.received[received.call.call_id] = received
+        self.apply(self.gate.offer(received.call, self.clock.now))
+
+    def apply(self, events: list[GateEvent]) -> None:
+        """Carry out what the gate decided."""
+        for event in events:
+            received = self.received[event.call.call_id]
+            if isinstance(event, Dispatch):
+                self.start(received)
+            else:
+                self.received.pop(event.call.call_id)
+                unused = event.call.retry_allowance
+                self.answer(received, event.refusal, unused)
+
+    def start(self, received: Received) -> None:
+        """Run a call at the target."""
+        received.started_at = self.clock.now
+        received.context = self.contexts.open(received.call)
+        rest = received.chain[1:]
+        call_on: CallOn | None = None
+        if rest:
+            call_on = partial(self.call_on, received.context, rest)
+        self.place.target.run(
+            received.call,
+            call_on,
+            partial(self.run_ended, received),
+        )
+
+    def call_on(
+        self,
+        context_text: str,
+        chain: tuple[str, ...],
+        call: Call,
+        done: Callable[[bool], None],
+    ) -> None:
+        """Send the target's further call under its context."""
+        context = self.contexts.resolve(context_text, self.clock.now)
+        if not isinstance(context, RequestContext):
+            done(False)
+            return
+        child = dataclasses.replace(
+            context.call,
+            call_id=f'{call.call_id}.',
+            service=chain[0],
+            route=chain[0],
+            depth=context.child_depth,
+        )
+
+        def child_done(refusal: Refusal | None) -> None:  # noqa: WPS430
+            if refusal:
+                context.note_refused_deeper(refusal)
+            done(refusal is None)
+
+        Hop(self, child, chain, context.ledger, child_done).attempt()
+
+    def run_ended(self, received: Received, how: RunResult) -> None:
+        """Free the slot and answer."""
+        now = self.clock.now
+        call_id = received.call.call_id
+        self.received.pop(call_id)
+        closed = self.contexts.close(received.context)
+        refusal: Refusal | None = None
+        if how is not RunResult.SUCCEEDED:
+            refusal = closed.refused_deeper or refuse_outcome_unknown(
+                Reason.TARGET_FAILED,
+            )
+        outcome = RunOutcome(how, now - received.started_at)
+        events = self.gate.finished(call_id, outcome, now)
+        self.answer(received, refusal, closed.retries_unused)
+        self.apply(events)
+
+    def answer(
+        self,
+        received: Received,
+        refusal: Refusal | None,
+        unused: int,
+    ) -> None:
+        """Send the answer with the load of this node."""
+        load = self.gate.load(self.clock.now)
+        received.reply(HopReply(refusal, unused, load))
+
+
+class Hop:
+    """All attempts of one call from one node to one service."""
+
+    def __init__(
+        self,
+        node: LayerNode,
+        call: Call,
+        chain: tuple[str, ...],
+        ledger: RetryLedger,
+        done: HopDone,
+    ) -> None:
+        """Prepare; a timer answers at the deadline."""
+        self.node = node
+        self.call = call
+        self.chain = chain
+        self.ledger = ledger
+        self.done: HopDone | None = done
+        self.attempts = 0
+        self.refused_zones: frozenset[str] = frozenset()
+        self.failed_nodes: frozenset[str] = frozenset()
+        clock = node.clock
+        clock.after(call.deadline - clock.now, self.time_out)
+
+    def time_out(self) -> None:
+        """Answer at the deadline if nothing else did."""
+        self.finish(refuse_outcome_unknown(Reason.DEADLINE))
+
+    def finish(self, refusal: Refusal | None) -> None:
+        """Answer once."""
+        done = self.done
+        self.done = None
+        if done:
+            done(refusal)
+
+    def attempt(self) -> None:
+        """Place one attempt and send it."""
+        if self.done is None:
+            return
+        node = self.node
+        self.attempts += 1
+        members = node.carrier.members[self.call.service]
+        choice = node.router.choose(
+            RouteRequest(
+                self.call,
+                members,
+                self.refused_zones,
+                self.failed_nodes,
+            ),
+            node.clock.now,
+        )
+        if isinstance(choice, Refusal):
+            self.retry_or_give_up(choice)
+            return
+        call_id = f'{self.call.call_id}{self.attempts}'
+        part = self.ledger.hand_down(call_id)
+        sent = dataclasses.replace(
+            self.call,
+            call_id=call_id,
+            retry_allowance=part,
+        )
+        node.router.note_sent(choice)
+        take_reply = partial(self.take_reply, choice, sent, node.clock.now)
+        node.carrier.send(node.place.zone, choice, sent, self, take_reply)
+
+    def take_reply(
+        self,
+        member: Member,
+        sent: Call,
+        sent_at: float,
+        reply: HopReply,
+    ) -> None:
+        """Learn from the end of an attempt, then finish or try again."""
+        now = self.node.clock.now
+        router = self.node.router
+        refusal = reply.refusal
+        if reply.load is None:
+            router.note_failure(member, reached=False, now=now)
+            self.ledger.forget(sent.call_id)
+        else:
+            self.ledger.refund(sent.call_id, reply.unused)
+            if refusal is None:
+                router.note_answer(member, reply.load, now - sent_at, now)
+                self.node.budget.note_success(self.call.service, now)
+            elif refusal.reason is Reason.TARGET_FAILED:
+                router.note_failure(member, reached=True, now=now)
+            else:
+                router.note_refused(member, reply.load, now)
+        if refusal is None:
+            self.finish(None)
+            return
+        if refusal.reason in {Reason.TARGET_FAILED, Reason.CONNECTION_LOST}:
+            self.failed_nodes |= {member.node}
+        self.retry_or_give_up(refusal)
+
+    def retry_or_give_up(self, refusal: Refusal) -> None:
+        """Ask the policy."""
+        if self.done is None:
+            return
+        node = self.node
+        members = node.carrier.members[self.call.service]
+        failed = FailedAttempt(
+            self.call,
+            refusal,
+            self.attempts,
+            self.refused_zones,
+            frozenset(member.zone for member in members),
+        )
+        decision = node.policy.decide(failed, self.ledger, node.clock.now)
+        if isinstance(decision, RetryAt):
+            self.refused_zones = decision.avoid_zones
+            node.clock.after(decision.delay_s, self.attempt)
+        else:
+            self.finish(decision.refusal)
+
+
+class LayerCarrier(Carrier):
+    """All nodes of a site."""
+
+    def __init__(
+        self,
+        world: World,
+        retry_limit: int,
+        weights: Mapping[str, float],
+    ) -> None:
+        """Build one node beside each target."""
+        super().__init__(world)
+        self.retry_limit = retry_limit
+        self.members: dict[str, list[Member]] = {}
+        self.nodes: dict[str, LayerNode] = {}
+        for place in world.places.values():
+            member = Member(place.node, place.zone)
+            self.members.setdefault(place.service, []).append(member)
+            node_rng = random.Random(world.rng.getrandbits(64))
+            node = LayerNode(self, place, node_rng)
+            node.gate.set_team_weights(weights)
+            self.nodes[place.node] = node
+
+    def send_root(
+        self,
+        call: Call,
+        chain: tuple[str, ...],
+        zone: str,
+        done: RootDone,
+    ) -> None:
+        """Enter at a reachable node of the service, in the zone if any."""
+        reachable = [
+            place
+            for place in self.world.of_service(chain[0])
+            if place.node not in self.world.unreachable_since
+        ]
+        near = [place for place in reachable if place.zone == zone]
+        entry = self.world.rng.choice(near or reachable)
+        ledger = RetryLedger(self.retry_limit)
+
+        def answer(refusal: Refusal | None) -> None:  # noqa: WPS430
+            done(refusal is None)
+
+        hop = Hop(self.nodes[entry.node], call, chain, ledger, answer)
+        hop.attempt()
+
+    def send(
+        self,
+        zone: str,
+        member: Member,
+        call: Call,
+        hop: Hop,
+        take_reply: Reply,
+    ) -> None:
+        """Carry an attempt to a node, and its reply back."""
+        clock = self.world.clock
+        failing_s = self.world.failure_delay_s(zone, member.node)
+        if failing_s is not None:
+            lost = refuse_outcome_unknown(Reason.CONNECTION_LOST)
+            clock.after(
+                failing_s,
+                partial(take_reply, HopReply(lost, 0, None)),
+            )
+            return
+        delay_s = self.world.delay_s(zone, member.zone)
+        back = partial(self.send_back, zone, member, take_reply)
+        received = Received(call, hop.chain, back)
+        node = self.nodes[member.node]
+        clock.after(delay_s, partial(node.receive, received))
+
+    def send_back(
+        self,
+        zone: str,
+        member: Member,
+        take_reply: Reply,
+        reply: HopReply,
+    ) -> None:
+        """Carry a reply; it is lost when the link was cut meanwhile."""
+        delay_s = self.world.delay_s(zone, member.zone)
+        failing_s = self.world.failure_delay_s(zone, member.node)
+        if failing_s is not None:
+            lost = refuse_outcome_unknown(Reason.CONNECTION_LOST)
+            reply = HopReply(lost, 0, None)
+            delay_s = failing_s
+        self.world.clock.after(delay_s, partial(take_reply, reply))
+
+    def drain(self, node: str) -> None:
+        """Begin a planned stop of a target."""
+        layer_node = self.nodes[node]
+        layer_node.apply(layer_node.gate.drain(self.world.clock.now))
--- /dev/null
+++ b/bench/policy_sites.py
@@ -0,0 +1,131 @@
+"""Sizes and mixes of the two sites, and of a deep chain.
+
+Slots and connections are those of design section 2. Service times are
+chosen so that one run stays small; only their ratio to timeouts matters.
+"""
+
+import enum
+import types
+from collections.abc import Mapping
+from typing import TypeAlias
+
+from bench.policy_baselines import BaselineCarrier
+from bench.policy_clients import Clients, Flow
+from bench.policy_layer import LayerCarrier
+from bench.policy_world import Carrier, ServiceSize, World
+
+from ebonycleat.internal.request.call import Priority
+
+Chains: TypeAlias = tuple[tuple[str, ...], ...]
+
+TEAM_SHARES: Mapping[str, float] = types.MappingProxyType({
+    't1': 0.28,
+    't2': 0.22,
+    't3': 0.15,
+    't4': 0.1,
+    't5': 0.08,
+    't6': 0.07,
+    't7': 0.05,
+    't8': 0.05,
+})
+PRIORITY_SHARES: Mapping[Priority, float] = types.MappingProxyType({
+    Priority.CRITICAL: 0.2,
+    Priority.HIGH: 0.15,
+    Priority.NORMAL: 0.4,
+    Priority.LOW: 0.25,
+})
+LANKADEEP: Mapping[str, ServiceSize] = types.MappingProxyType({
+    'map': ServiceSize(4, 35, 300, 0.12),
+    'tile': ServiceSize(3, 45, 400, 0.12),
+    'billing': ServiceSize(3, 45, 400, 0.1),
+    'registry': ServiceSize(3, 10, 150, 0.2),
+})
+CORDA_VIVA: Mapping[str, ServiceSize] = types.MappingProxyType({
+    'readiness': ServiceSize(3, 300, 1900, 0.5),
+    'payment': ServiceSize(3, 300, 1900, 0.5),
+    'workbench': ServiceSize(3, 35, 300, 0.15),
+    'catalogue': ServiceSize(5, 180, 1200, 0.15),
+})
+LANKADEEP_ZONE_DELAY_S = 0.0005
+CORDA_VIVA_ZONE_DELAY_S = 0.001
+CHAINS: Mapping[str, Chains] = types.MappingProxyType({
+    'lankadeep': (('map', 'tile'), ('billing', 'registry')),
+    'corda-viva': (('readiness', 'payment'), ('workbench', 'catalogue')),
+})
+TIMEOUT_S = 2
+RETRY_LIMIT = 2
+
+
+class Variant(enum.Enum):
+    """What is measured: the layer, or one of the two baselines."""
+
+    LAYER = 'layer'
+    NO_LAYER = 'no layer'
+    FIXED_FIFO = 'fixed limit, FIFO'
+
+
+def create_site(name: str, seed: int) -> World:
+    """Build the targets of a site."""
+    if name == 'lankadeep':
+        return World(LANKADEEP, LANKADEEP_ZONE_DELAY_S, seed)
+    return World(CORDA_VIVA, CORDA_VIVA_ZONE_DELAY_S, seed)
+
+
+def create_deep_site(depth: int, seed: int) -> World:
+    """Build a chain of services of 3 targets, the deepest of 10 slots."""
+    sizes = {
+        f'hop{number}': ServiceSize(3, 45, 400, 0.012)
+        for number in range(1, depth)
+    }
+    sizes[f'hop{depth}'] = ServiceSize(3, 10, 150, 0.1)
+    return World(sizes, LANKADEEP_ZONE_DELAY_S, seed)
+
+
+def deep_chain(depth: int) -> tuple[str, ...]:
+    """Names of the services of a deep chain, the entry first."""
+    return tuple(f'hop{number}' for number in range(1, depth + 1))
+
+
+def create_clients(variant: Variant, world: World) -> Clients:
+    """Build the carrier and the clients of one run."""
+    carrier: Carrier
+    if variant is Variant.LAYER:
+        carrier = LayerCarrier(world, RETRY_LIMIT, TEAM_SHARES)
+    else:
+        with_limit = variant is Variant.FIXED_FIFO
+        carrier = BaselineCarrier(world, TIMEOUT_S, with_limit)
+    return Clients(carrier)
+
+
+def capacity_per_s(world: World, chain: tuple[str, ...]) -> float:
+    """Requests per second at which the first service of a chain is full.
+
+    A target holds its slot while it waits for the services after it.
+    """
+    capacities = []
+    for number, service in enumerate(chain):
+        size = world.sizes[service]
+        held_s = sum(world.sizes[later].service_s for later in chain[number:])
+        capacities.append(size.targets * size.slots / held_s)
+    return min(capacities)
+
+
+def flows_of_mix(
+    chain: tuple[str, ...],
+    rate_per_s: float,
+    factors: Mapping[str, float],
+    attempts: int = 1,
+) -> list[Flow]:
+    """Split a rate over teams and priorities; factors multiply a team's."""
+    return [
+        Flow(
+            team=team,
+            chain=chain,
+            priority=priority,
+            rate_per_s=rate_per_s * team_share * share * factors.get(team, 1),
+            timeout_s=TIMEOUT_S,
+            attempts=attempts,
+        )
+        for team, team_share in TEAM_SHARES.items()
+        for priority, share in PRIORITY_SHARES.items()
+    ]
--- /dev/null
+++ b/bench/policy_targets.py
@@ -0,0 +1,109 @@
+"""Small fake of a target: slots, service time, cold start and faults."""
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import TypeAlias
+
+from bench.policy_clock import PausedClock
+
+from ebonycleat.internal.process.run_outcome import RunResult
+from ebonycleat.internal.request.call import Call
+
+RunEnd: TypeAlias = Callable[[RunResult], None]
+CallOn: TypeAlias = Callable[[Call, Callable[[bool], None]], None]
+
+COLD_S = 3
+COLD_FACTOR = 3
+FAST_FAILURE_S = 0.002
+
+
+class FakeTarget:
+    """Works for half its time, calls on if the chain goes on, and ends.
+
+    ``broken`` answers every request at once with an error.
+    """
+
+    def __init__(
+        self,
+        clock: PausedClock,
+        rng: random.Random,
+        slots: int,
+        service_s: float,
+    ) -> None:
+        """Start warm and idle."""
+        self.clock = clock
+        self.rng = rng
+        self.slots = slots
+        self.service_s = service_s
+        self.factor: float = 1
+        self.alive = True
+        self.broken = False
+        self.cold_until: float = 0
+        self.running: dict[int, RunEnd] = {}
+        self.started_at: list[float] = []
+        self.most_running = 0
+
+    def run(self, call: Call, call_on: CallOn | None, on_end: RunEnd) -> None:
+        """Run one call; ``call_on`` makes the next call of the chain."""
+        self.started_at.append(self.clock.now)
+        if not self.alive:
+            on_end(RunResult.TARGET_DIED)
+            return
+        run_id = len(self.started_at)
+        self.running[run_id] = on_end
+        self.most_running = max(self.most_running, len(self.running))
+        if self.broken:
+            fail = partial(self.end, run_id, RunResult.FAILED)
+            self.clock.after(FAST_FAILURE_S, fail)
+            return
+        half_s = self.own_time_s() / 2
+        self.clock.after(
+            half_s,
+            partial(self.continue_run, run_id, call, call_on, half_s),
+        )
+
+    def continue_run(
+        self,
+        run_id: int,
+        call: Call,
+        call_on: CallOn | None,
+        half_s: float,
+    ) -> None:
+        """Call the next service, then work for the second half."""
+        finish = partial(self.end, run_id, RunResult.SUCCEEDED)
+        if call_on is None:
+            self.clock.after(half_s, finish)
+            return
+        fail = partial(self.end, run_id, RunResult.FAILED)
+
+        def after_child(succeeded: bool) -> None:  # noqa: WPS430 - callback
+            self.clock.after(
+                half_s if succeeded else 0,
+                finish if succeeded else fail,
+            )
+
+        call_on(call, after_child)
+
+    def own_time_s(self) -> float:
+        """Draw the seconds of own work."""
+        cold = COLD_FACTOR if self.clock.now < self.cold_until else 1
+        spread = self.rng.uniform(0.5, 1.5)
+        return self.service_s * self.factor * cold * spread
+
+    def end(self, run_id: int, how: RunResult) -> None:
+        """Report the end once; runs that died have been reported."""
+        on_end = self.running.pop(run_id, None)
+        if on_end:
+            on_end(how)
+
+    def kill(self) -> None:
+        """Die with everything that runs."""
+        self.alive = False
+        for run_id in tuple(self.running):
+            self.end(run_id, RunResult.TARGET_DIED)
+
+    def restart(self) -> None:
+        """Come back cold."""
+        self.alive = True
+        self.cold_until = self.clock.now + COLD_S
--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -29,6 +29,7 @@
 """Slots gained per success: the limit grows by half per service time."""
 
 HEALTH_VALID_S = 2
+PROBE_VALID_S = 0.5
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 2
 """A restarted target is noticed at most this long after it is back."""
@@ -57,6 +58,10 @@
     def note_health(self, usable_slots: int, now: float) -> None:
         """Learn what the health endpoint claims; it can only lower."""
 
+    @abc.abstractmethod
+    def note_probe_failed(self, now: float) -> None:
+        """Learn that the target refuses connections; no trial call then."""
+
 
 class FixedLimit(ConcurrencyLimit):
     """Always the declared slots; the baseline in benchmarks."""
@@ -71,6 +76,9 @@
     def note_health(self, usable_slots: int, now: float) -> None:
         """Ignore the claim."""
 
+    def note_probe_failed(self, now: float) -> None:
+        """Ignore the probe."""
+
 
 class ServiceTimeWindow:
     """Mean service time of the successes in the current window."""
@@ -121,6 +129,11 @@
             LONGEST_PAUSE_S,
         )
 
+    def note_probe_failed(self, now: float) -> None:
+        """Put the trial call off; probes alone never end a pause."""
+        self.is_down = True
+        self.until = max(self.until, now + PROBE_VALID_S)
+
     def note_success(self) -> None:
         """End the caution: the target answered."""
         self.is_down = False
@@ -193,6 +206,10 @@
         self.health_slots = usable_slots
         self.health_until = now + HEALTH_VALID_S
 
+    def note_probe_failed(self, now: float) -> None:
+        """Send no call to a target that refuses connections."""
+        self.pause.note_probe_failed(now)
+
     def note_success(self, service_s: float, now: float) -> None:
         """Grow during slow start, and judge each complete window."""
         self.pause.note_success()
--- a/src/ebonycleat/internal/process/retry_policy.py
+++ b/src/ebonycleat/internal/process/retry_policy.py
@@ -18,11 +18,16 @@
     Reason.NO_CONFIGURATION,
     Reason.DEDUPE_UNAVAILABLE,
     Reason.TARGET_FAILED,
+    Reason.DEPENDENCY_FAILED,
     Reason.TRUNCATED_ANSWER,
     Reason.CONNECTION_LOST,
 ))
 """All other reasons would be the same at any other target."""
 
+OVERLOAD = frozenset((Reason.SHED, Reason.QUEUE_FULL, Reason.DEADLINE))
+"""With an unknown outcome these come from a call further down: repeating
+from here would repeat all work done before it, for the same refusal."""
+
 FIRST_BACKOFF_S = 0.01
 LONGEST_BACKOFF_S = 0.25
 SHORTEST_RETRY_AFTER_S = 0.2
@@ -107,5 +112,6 @@
 def _may_run_again(failed: FailedAttempt) -> bool:
     if failed.refusal.reason not in RETRYABLE:
         return False
-    not_run = failed.refusal.outcome is Outcome.NOT_RUN
-    return not_run or failed.call.idempotent
+    if failed.refusal.outcome is Outcome.NOT_RUN:
+        return True
+    return failed.call.idempotent and failed.refusal.reason not in OVERLOAD
--- a/src/ebonycleat/internal/process/target_record.py
+++ b/src/ebonycleat/internal/process/target_record.py
@@ -14,6 +14,9 @@
 DRAINING_VALID_S = 5
 """A restarted target is used again at most this long after its last word."""
 
+DOWN_VALID_S = 0.5
+"""A node whose target is down is asked again this often."""
+
 FIRST_LATENCY_S = 0.01
 LATENCY_GAIN = 0.125
 IDLE_SCORE = 0.1
@@ -69,7 +72,7 @@
         self.failures_in_row = 0
         self.unreached_in_row = 0
         self.latency_s: float = FIRST_LATENCY_S
-        self.draining_until: float = 0
+        self.closed_until: float = 0
         self.ejection = Ejection(FIRST_EJECTION_S, LONGEST_EJECTION_S)
 
     def note_sent(self) -> None:
@@ -87,7 +90,9 @@
         self.unreached_in_row = 0
         self.heard = Heard(load, now)
         if load.draining:
-            self.draining_until = now + DRAINING_VALID_S
+            self.closed_until = now + DRAINING_VALID_S
+        elif not load.limit:
+            self.closed_until = now + DOWN_VALID_S
 
     def note_success(self, latency_s: float) -> None:
         """Note a whole answer of the target."""
@@ -104,9 +109,9 @@
         if on_trial or self.failures_in_row >= FAILURES_TO_EJECT:
             self.ejection.eject(now)
 
-    def is_draining(self, now: float) -> bool:
-        """Whether the target said lately that it stops."""
-        return now < self.draining_until
+    def is_closed(self, now: float) -> bool:
+        """Whether its node said lately that it is stopping or down."""
+        return now < self.closed_until
 
     def occupancy(self, announced: GateLoad | None, now: float) -> float:
         """Calls at the target relative to its limit, as far as known."""
--- a/src/ebonycleat/internal/process/target_records.py
+++ b/src/ebonycleat/internal/process/target_records.py
@@ -73,7 +73,7 @@
             for member in members
             if member.zone not in cut_zones
             and member.state is MemberState.UP
-            and not self.of(member.node).is_draining(now)
+            and not self.of(member.node).is_closed(now)
         ]
         ejected = self.find_ejected(reachable, len(members) // 2, now)
         return [
--- a/src/ebonycleat/internal/request/context.py
+++ b/src/ebonycleat/internal/request/context.py
@@ -11,6 +11,11 @@
 
 from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.request.ledger import RetryLedger
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_outcome_unknown,
+)
 
 CONTEXT_BITS = 128
 LINGER_S = 1
@@ -35,22 +40,38 @@
         return 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+OVERLOAD = frozenset((Reason.SHED, Reason.QUEUE_FULL, Reason.DEADLINE))
+
+
+@dataclasses.dataclass(slots=True)
 class RequestContext:
     """What a target's further calls inherit from the call that it runs.
 
-    ``children`` holds the ids of calls still running on its behalf.
+    ``children`` holds the ids of calls still running on its behalf;
+    ``refused_deeper`` is the last refusal that one of them ended with.
     """
 
     call: Call
     ledger: RetryLedger
     children: set[str]
+    refused_deeper: Refusal | None = None
 
     @property
     def child_depth(self) -> int:
         """Depth of calls made under this context."""
         return self.call.depth + 1
 
+    def note_refused_deeper(self, refusal: Refusal) -> None:
+        """Note that a further call was refused for good.
+
+        If the target then fails, this is the reason to give: the target
+        itself is sound. The outcome is unknown, since the target has run.
+        """
+        reason = refusal.reason
+        if reason not in OVERLOAD:
+            reason = Reason.DEPENDENCY_FAILED
+        self.refused_deeper = refuse_outcome_unknown(reason, refusal.detail)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClosedContext:
@@ -58,6 +79,7 @@
 
     retries_unused: int
     children_to_cancel: tuple[str, ...]
+    refused_deeper: Refusal | None = None
 
 
 NOTHING_TO_DO = ClosedContext(0, ())
@@ -104,6 +126,7 @@
         return ClosedContext(
             context.ledger.close(),
             tuple(sorted(context.children)),
+            context.refused_deeper,
         )
 
     def close_expired(self, now: float) -> list[ClosedContext]:
--- a/src/ebonycleat/internal/request/refusal.py
+++ b/src/ebonycleat/internal/request/refusal.py
@@ -41,6 +41,7 @@
     DEDUPE_UNAVAILABLE = 'dedupe-unavailable'
     OUTCOME_UNKNOWN = 'outcome-unknown'
     TARGET_FAILED = 'target-failed'
+    DEPENDENCY_FAILED = 'dependency-failed'
     TRUNCATED_ANSWER = 'truncated-answer'
     CONNECTION_LOST = 'connection-lost'
     CRASH_SUSPECT = 'crash-suspect'
@@ -66,6 +67,7 @@
     Reason.DEDUPE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.OUTCOME_UNKNOWN: HTTPStatus.CONFLICT,
     Reason.TARGET_FAILED: HTTPStatus.BAD_GATEWAY,
+    Reason.DEPENDENCY_FAILED: HTTPStatus.BAD_GATEWAY,
     Reason.TRUNCATED_ANSWER: HTTPStatus.BAD_GATEWAY,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
     Reason.CRASH_SUSPECT: HTTPStatus.SERVICE_UNAVAILABLE,
