--- /dev/null
+++ b/src/ebonycleat_tools/load.py
@@ -0,0 +1,51 @@
+"""Entry point of the load generator."""
+
+import pathlib
+import sys
+import uuid
+from collections.abc import Sequence
+
+from ebonycleat.internal.process.command_line import (
+    EXIT_DONE,
+    EXIT_WRONG_USE,
+    Program,
+    run_program,
+)
+from ebonycleat.internal.process.log_setup import set_up_logging
+from ebonycleat_tools.load_plan import LoadPlan, MissingKey, read_key
+from ebonycleat_tools.load_report import create_report
+from ebonycleat_tools.load_runner import run_load
+
+REPORT_TITLE = 'ebonycleat load run'
+
+
+def _start(plan: LoadPlan) -> int:
+    set_up_logging('WARNING', 'load')
+    try:
+        key_by_team = {team.name: read_key(team) for team in plan.teams}
+    except MissingKey as missing:
+        sys.stderr.write(f'{missing}\n')
+        return EXIT_WRONG_USE
+    results = run_load(plan, key_by_team, uuid.uuid4().hex)
+    _write(plan.report.json_file, results.to_json())
+    _write(plan.report.html_file, create_report(results, REPORT_TITLE))
+    sys.stdout.write(results.to_table())
+    return EXIT_DONE
+
+
+def _write(file_name: str, text: str) -> None:
+    if file_name:
+        path = pathlib.Path(file_name)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text, encoding='utf-8')
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Entry point of ``ebonycleat-load``."""
+    program = Program(
+        'ebonycleat-load',
+        'Sends an open load and reports what came back.',
+        LoadPlan,
+        _start,
+    )
+    return run_program(program, argv)
--- /dev/null
+++ b/tests/cover/test_programs.py
@@ -0,0 +1,67 @@
+"""Every program tells its version and refuses a wrong settings file."""
+
+import importlib
+import pathlib
+import tomllib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[2]
+SCRIPTS = tomllib.loads((ROOT / 'pyproject.toml').read_text())['project'][
+    'scripts'
+]
+
+
+def _load_main(entry_point):
+    module_name, function_name = entry_point.split(':')
+    module = importlib.import_module(module_name)
+    return getattr(module, function_name)
+
+
+@pytest.fixture(params=sorted(SCRIPTS))
+def program(request):
+    """Name and entry point of one program, if its module has landed."""
+    entry_point = SCRIPTS[request.param]
+    path = ROOT / 'src' / f'{entry_point.split(":")[0].replace(".", "/")}.py'
+    if not path.exists():
+        pytest.skip(f'{request.param} is not written yet')
+    return request.param, _load_main(entry_point)
+
+
+def test_the_version_names_the_program(program, capsys):
+    """Guards against an operator who cannot tell what runs on a VM."""
+    name, main = program
+    assert main(['--version']) == 0
+    assert name in capsys.readouterr().out
+
+
+@pytest.mark.parametrize('text', ['not toml', 'unknown_key = 1', '\0'])
+def test_a_wrong_file_ends_with_code_two_and_no_traceback(
+    program,
+    text,
+    tmp_path,
+    capsys,
+):
+    """Guards against a start with settings that nobody meant."""
+    _, main = program
+    path = tmp_path / 'wrong.toml'
+    path.write_text(text)
+    assert main(['--settings', str(path)]) == 2
+    error = capsys.readouterr().err
+    assert str(path) in error
+    assert 'Traceback' not in error
+
+
+def test_a_missing_file_ends_with_code_two(program, tmp_path, capsys):
+    """Guards against a traceback for a mistyped file name."""
+    _, main = program
+    assert main(['--settings', str(tmp_path / 'absent.toml')]) == 2
+    assert 'absent.toml' in capsys.readouterr().err
+
+
+def test_help_and_wrong_options_have_their_exit_codes(program, capsys):
+    """Guards against scripts that take a usage error for success."""
+    _, main = program
+    assert main(['--help']) == 0
+    assert '--check-settings' in capsys.readouterr().out
+    assert main(['--no-such-option']) == 2
