--- a/src/ebonycleat/internal/process/effects.py
+++ b/src/ebonycleat/internal/process/effects.py
@@ -7,7 +7,9 @@
 import dataclasses
 from typing import Any, TypeAlias
 
-from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.connection.log_service import LogPage, Stream
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.incoming import OutgoingAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +32,63 @@
 Effect: TypeAlias = SendToPeer | AppendToLog
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallTarget:
+    """Send this call to the target beside the node.
+
+    ``context`` is the opaque context that the target may pass on.
+    """
+
+    call: Call
+    context: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRequest:
+    """Answer the caller or operator that waits under ``request_id``."""
+
+    request_id: str
+    answer: OutgoingAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read records from ``offset`` on; waits up to ``wait_s`` seconds."""
+
+    stream: Stream
+    offset: int
+    limit: int
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PageRead:
+    """A page, and when its read began on the loop's clock."""
+
+    wanted: ReadLog
+    started_at: float
+    page: LogPage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """A read got no answer; the log may be down."""
+
+    wanted: ReadLog
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamExpired:
+    """The wanted offset is gone; the stream begins at ``first_offset``."""
+
+    wanted: ReadLog
+    first_offset: int
+
+
+ReadResult: TypeAlias = PageRead | ReadFailed | StreamExpired
+NodeEffect: TypeAlias = Effect | ReadLog | CallTarget | AnswerRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendDone:
     """The log confirmed the append; the record stands at ``offset``."""
