Budgets and at-most-once on the path of a call (not wired yet)

Cause: tokens and dedupe slots had owners but no request used them. Change: requests reserve a token before they are placed; non-idempotent calls go to the dedupe owner, whose right is checked again at dispatch; copies that were sent are resolved when a link closes. Conclusion: every refusal of a non-idempotent call now goes through the state of its send.

--- a/src/ebonycleat/internal/connection/link.py
+++ b/src/ebonycleat/internal/connection/link.py
@@ -16,11 +16,10 @@
 from ebonycleat.internal.connection.codec import MessageCodec
 from ebonycleat.internal.connection.errors import MalformedMessage
 from ebonycleat.internal.connection.messages import (
-    PeerAnswer,
-    PeerCall,
-    PeerRefusal,
     Ping,
     Pong,
+    answered_id,
+    tracked_id,
 )
 
 PING_INTERVAL_S = 0.3
@@ -58,11 +57,7 @@
 
     def unsent_calls(self) -> set[str]:
         """Call ids that were queued but never left."""
-        return {
-            message.call.call_id
-            for message in self.outbox
-            if isinstance(message, PeerCall)
-        }
+        return {tracked_id(message) for message in self.outbox} - {''}
 
     async def run(self, on_message: MessageHandler) -> None:
         """Exchange messages until the link closes or falls silent."""
@@ -97,8 +92,9 @@
             self.outbox_filled.clear()
             return
         message = self.outbox.popleft()
-        if isinstance(message, PeerCall):
-            self.sent_calls.add(message.call.call_id)
+        call_id = tracked_id(message)
+        if call_id:
+            self.sent_calls.add(call_id)
         await self.connection.send(self.codec.encode(message))
 
     async def ping_until_silent(self) -> None:
@@ -115,16 +111,9 @@
             if isinstance(message, Ping):
                 self.send(Pong(message.number))
             elif not isinstance(message, Pong):
-                self.forget_answered_call(message)
+                self.sent_calls.discard(answered_id(message))
                 on_message(self, message)
 
-    def forget_answered_call(self, message: Any) -> None:
-        """Stop tracking a call whose result arrived."""
-        if isinstance(message, PeerAnswer):
-            self.sent_calls.discard(message.answer.call_id)
-        elif isinstance(message, PeerRefusal):
-            self.sent_calls.discard(message.refused.call_id)
-
 
 async def received_messages(
     connection: Connection,
--- a/src/ebonycleat/internal/connection/messages.py
+++ b/src/ebonycleat/internal/connection/messages.py
@@ -8,6 +8,12 @@
 
 from ebonycleat.internal.process.gate_events import GateLoad
 from ebonycleat.internal.request.call import Answer, Call, RefusedCall
+from ebonycleat.internal.request.idempotent_send import (
+    CopyNotTaken,
+    DedupeAsk,
+)
+
+COPY_MARK = '#'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,5 +84,70 @@
     call_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAsk:
+    """Asks the dedupe owner for the result of a non-idempotent call.
+
+    ``ask.call.deadline`` holds no meaning on the wire; ``time_left_s`` does.
+    """
+
+    ask: DedupeAsk
+    time_left_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAskAnswer:
+    """The owner's word: the whole answer of the one run."""
+
+    call_id: str
+    copy_number: int
+    epoch: int
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAskRefusal:
+    """The owner's word: a refusal."""
+
+    call_id: str
+    copy_number: int
+    epoch: int
+    refused: RefusedCall
+
+
 LINK_MESSAGES = (Challenge, Hello, Ping, Pong)
 CALL_MESSAGES = (PeerCall, PeerAnswer, PeerRefusal, PeerCancel)
+ASK_MESSAGES = (PeerAsk, PeerAskAnswer, PeerAskRefusal, CopyNotTaken)
+
+
+def tracked_id(message: object) -> str:
+    """Name what is lost if the link closes before an answer; else ''."""
+    match message:
+        case PeerCall(call=call):
+            return call.call_id
+        case PeerAsk(ask=ask):
+            return copy_id(ask.call.call_id, ask.copy_number)
+    return ''
+
+
+def answered_id(message: object) -> str:
+    """Name what this message resolves; empty when it resolves nothing."""
+    match message:
+        case PeerAnswer(answer=answer):
+            return answer.call_id
+        case PeerRefusal(refused=refused):
+            return refused.call_id
+        case PeerAskAnswer() | PeerAskRefusal() | CopyNotTaken():
+            return copy_id(message.call_id, message.copy_number)
+    return ''
+
+
+def copy_id(call_id: str, copy_number: int) -> str:
+    """Name one copy of a call to a dedupe owner."""
+    return f'{call_id}{COPY_MARK}{copy_number}'
+
+
+def split_copy_id(tracked: str) -> tuple[str, int]:
+    """Return the call id and the copy number; 0 for a plain call."""
+    call_id, _, number = tracked.partition(COPY_MARK)
+    return call_id, int(number or 0)
--- a/src/ebonycleat/internal/connection/peer_transport.py
+++ b/src/ebonycleat/internal/connection/peer_transport.py
@@ -32,7 +32,7 @@
 from ebonycleat.internal.connection.messages import (
     Challenge,
     Hello,
-    PeerCall,
+    tracked_id,
 )
 
 OPEN_TIMEOUT_S = 1.0
@@ -203,11 +203,7 @@
 
     def report_lost(self, node: str, unsent: Iterable[Any]) -> None:
         """Tell the listener which calls among unsent messages are lost."""
-        call_ids = [
-            message.call.call_id
-            for message in unsent
-            if isinstance(message, PeerCall)
-        ]
+        call_ids = {tracked_id(message) for message in unsent} - {''}
         if call_ids:
             self.listener.calls_lost(node, call_ids, sent=False)
 
--- a/src/ebonycleat/internal/process/call_flow.py
+++ b/src/ebonycleat/internal/process/call_flow.py
@@ -6,30 +6,58 @@
 
 import collections
 import dataclasses
+import functools
 from collections.abc import Iterable
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
+from ebonycleat.internal.connection.grant_messages import (
+    GrantAsk,
+    GrantDenied,
+    GrantGiven,
+)
 from ebonycleat.internal.connection.messages import (
     PeerAnswer,
+    PeerAsk,
+    PeerAskAnswer,
+    PeerAskRefusal,
     PeerCall,
     PeerCancel,
     PeerRefusal,
+    split_copy_id,
 )
 from ebonycleat.internal.connection.target_client import TargetResult
+from ebonycleat.internal.process.dedupe_host import (
+    DedupeHost,
+    HostOutput,
+    WordForIngress,
+    message_of_word,
+    word_of_message,
+)
+from ebonycleat.internal.process.dedupe_runs import RunCall
 from ebonycleat.internal.process.effects import (
     AnswerRequest,
+    AppendToLog,
     CallTarget,
     NodeEffect,
     SendToPeer,
 )
 from ebonycleat.internal.process.gate_service import (
+    DEDUPE_OWNER,
     OWN_INGRESS,
     CallResolved,
     CancelChild,
     GateOutput,
     GateService,
 )
+from ebonycleat.internal.process.idempotent_ingress import (
+    AskOwner,
+    IdempotentIngress,
+    SendEnded,
+    SendOutput,
+    create_send,
+)
 from ebonycleat.internal.process.ingress import (
+    TOKEN_EXPIRED,
     CancelCall,
     Ingress,
     IngressOutput,
@@ -38,33 +66,53 @@
     create_open_request,
 )
 from ebonycleat.internal.process.request_metrics import RequestMetrics
+from ebonycleat.internal.process.token_desk import (
+    Admitted,
+    DeskOutput,
+    NotAdmitted,
+    TokenDesk,
+)
 from ebonycleat.internal.request.call import Answer
 from ebonycleat.internal.request.call_builder import build_call
 from ebonycleat.internal.request.context import RequestContext
+from ebonycleat.internal.request.idempotent_send import (
+    AskAnswered,
+    CopyNotTaken,
+)
 from ebonycleat.internal.request.incoming import IncomingRequest
 from ebonycleat.internal.request.outgoing import render_refusal
 from ebonycleat.internal.request.refusal import Refusal
 from ebonycleat.internal.version.view import ConfigurationView
 
-FlowStep: TypeAlias = IngressOutput | GateOutput
-CallMessage: TypeAlias = PeerCall | PeerAnswer | PeerRefusal | PeerCancel
+FlowStep: TypeAlias = (
+    IngressOutput | GateOutput | SendOutput | DeskOutput | HostOutput
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlowParts:
+    """The parts of a node that calls pass through."""
+
+    ingress: Ingress
+    sends: IdempotentIngress
+    tokens: TokenDesk
+    dedupe: DedupeHost
+    gate_service: GateService
+    metrics: RequestMetrics
 
 
 class CallFlow:
     """The path of calls through one node."""
 
-    def __init__(
-        self,
-        node: str,
-        ingress: Ingress,
-        gate_service: GateService,
-        metrics: RequestMetrics,
-    ) -> None:
+    def __init__(self, node: str, parts: FlowParts) -> None:
         """Connect the parts of ``node``."""
         self.node = node
-        self.ingress = ingress
-        self.gate_service = gate_service
-        self.metrics = metrics
+        self.ingress = parts.ingress
+        self.sends = parts.sends
+        self.tokens = parts.tokens
+        self.dedupe = parts.dedupe
+        self.gate_service = parts.gate_service
+        self.metrics = parts.metrics
 
     def request_received(
         self,
@@ -82,51 +130,82 @@
             return [AnswerRequest(request.request_id, answer)]
         parent = context if isinstance(context, RequestContext) else None
         opened = create_open_request(built.call, parent, now)
-        return self.settle(self.ingress.start(opened, now), now)
+        if not built.call.idempotent:
+            opened.send = create_send(opened, request.attempt)
+        self.ingress.open(opened)
+        if not built.spends_token:
+            return self.settle([Admitted(opened)], now)
+        return self.settle(self.tokens.reserve(opened, now), now)
 
     def peer_message(
         self,
         sender: str,
-        message: CallMessage,
+        message: Any,
         now: float,
     ) -> list[NodeEffect]:
-        """Take a message about a call from a peer."""
+        """Take a message about a call or about tokens from a peer."""
+        return self.settle(self.take_message(sender, message, now), now)
+
+    def take_message(
+        self,
+        sender: str,
+        message: Any,
+        now: float,
+    ) -> Iterable[FlowStep]:
+        """Hand a message to the part that it is for."""
+        match message:
+            case GrantAsk() | GrantGiven() | GrantDenied():
+                return self.tokens.receive(sender, message, now)
+            case PeerAsk():
+                deadline = now + message.time_left_s
+                call = dataclasses.replace(message.ask.call, deadline=deadline)
+                ask = dataclasses.replace(message.ask, call=call)
+                return self.dedupe.ask(ask, sender, now)
+            case PeerAskAnswer() | PeerAskRefusal():
+                return self.sends.answered(word_of_message(message), now)
+            case CopyNotTaken():
+                return self.sends.not_taken(message, now)
+        return self.take_call_message(sender, message, now)
+
+    def take_call_message(
+        self,
+        sender: str,
+        message: Any,
+        now: float,
+    ) -> Iterable[FlowStep]:
+        """Hand a message about an idempotent call to its part."""
+        arrived = self.ingress.result_arrived
         match message:
             case PeerCall():
-                call = dataclasses.replace(
-                    message.call,
-                    deadline=now + message.time_left_s,
-                )
-                steps = self.gate_service.offer(call, sender, now)
-                return self.settle(steps, now)
+                deadline = now + message.time_left_s
+                call = dataclasses.replace(message.call, deadline=deadline)
+                return self.gate_service.offer(call, sender, now)
             case PeerAnswer():
-                outputs = self.ingress.result_arrived(
-                    message.answer,
-                    message.load,
-                    now,
-                )
-                return self.settle(outputs, now)
+                return arrived(message.answer, message.load, now)
             case PeerRefusal():
-                outputs = self.ingress.result_arrived(
-                    message.refused,
-                    message.load,
-                    now,
-                )
-                return self.settle(outputs, now)
+                return arrived(message.refused, message.load, now)
             case PeerCancel():
-                steps = self.gate_service.cancel(message.call_id, now)
-                return self.settle(steps, now)
+                return self.gate_service.cancel(message.call_id, now)
+        return ()
 
     def call_lost(
         self,
-        call_id: str,
+        tracked: str,
         now: float,
         *,
         sent: bool,
     ) -> list[NodeEffect]:
-        """Resolve a call whose link closed."""
-        outputs = self.ingress.call_lost(call_id, now, sent=sent)
-        return self.settle(outputs, now)
+        """Resolve a call, or a copy of one, whose link closed."""
+        call_id, copy_number = split_copy_id(tracked)
+        if copy_number:
+            return self.settle(
+                self.sends.copy_lost(call_id, copy_number, now, sent=sent),
+                now,
+            )
+        return self.settle(
+            self.ingress.call_lost(call_id, now, sent=sent),
+            now,
+        )
 
     def target_finished(
         self,
@@ -157,8 +236,14 @@
         return effects
 
     def tick(self, now: float) -> list[NodeEffect]:
-        """Let retries, deadlines and the queue advance."""
-        steps = (*self.ingress.tick(now), *self.gate_service.tick(now))
+        """Let retries, deadlines, tokens and the queue advance."""
+        steps: list[FlowStep] = [
+            *self.ingress.tick(now),
+            *self.sends.tick(now),
+            *self.tokens.tick(now),
+            *self.dedupe.tick(now),
+            *self.gate_service.tick(now),
+        ]
         return self.settle(steps, now)
 
     def drain(self, now: float) -> list[NodeEffect]:
@@ -179,42 +264,116 @@
         waiting = collections.deque(steps)
         while waiting:
             step = waiting.popleft()
-            if isinstance(step, (CallTarget, AnswerRequest)):
+            if isinstance(step, SendToPeer) and step.node == self.node:
+                waiting += self.take_message(self.node, step.message, now)
+            elif isinstance(step, EFFECTS):
                 effects.append(step)
-            elif isinstance(step, RequestEnded):
-                self.metrics.request_ended(step)
             else:
-                self.pass_on(step, waiting, effects, now)
+                waiting += self.next_steps(step, now)
         return effects
 
-    def pass_on(
+    @functools.singledispatchmethod
+    def next_steps(self, step: Any, now: float) -> Iterable[FlowStep]:
+        """Hand one output to the part that it is for."""
+        raise TypeError(f'no part takes {type(step).__name__}')
+
+    @next_steps.register
+    def place_call(self, step: PlaceCall, now: float) -> Iterable[FlowStep]:
+        """Hand a call to the chosen gate."""
+        if step.node == self.node:
+            return self.gate_service.offer(step.call, OWN_INGRESS, now)
+        message = PeerCall(step.call, step.call.deadline - now)
+        return (SendToPeer(step.node, message),)
+
+    @next_steps.register
+    def cancel_call(self, step: CancelCall, now: float) -> Iterable[FlowStep]:
+        """Tell the gate that nobody waits for a call."""
+        if step.node == self.node:
+            return self.gate_service.cancel(step.call_id, now)
+        return (SendToPeer(step.node, PeerCancel(step.call_id)),)
+
+    @next_steps.register
+    def cancel_child(self, step: CancelChild, now: float) -> Iterable[FlowStep]:
+        """End a request that a target made and no longer waits for."""
+        return self.ingress.cancel(step.request_id, now)
+
+    @next_steps.register
+    def call_resolved(
+        self,
+        step: CallResolved,
+        now: float,
+    ) -> Iterable[FlowStep]:
+        """Send a result back to where the call came from."""
+        if step.origin == OWN_INGRESS:
+            return self.ingress.result_arrived(step.result, step.load, now)
+        if step.origin == DEDUPE_OWNER:
+            return self.dedupe.finished(step.result, now)
+        return (SendToPeer(step.origin, _message_of(step)),)
+
+    @next_steps.register
+    def run_call(self, step: RunCall, now: float) -> Iterable[FlowStep]:
+        """Offer a non-idempotent call to the gate beside its owner."""
+        return self.gate_service.offer(step.call, DEDUPE_OWNER, now)
+
+    @next_steps.register
+    def word_for_ingress(
         self,
-        step: PlaceCall | CancelCall | CallResolved | CancelChild,
-        waiting: collections.deque[FlowStep],
-        effects: list[NodeEffect],
+        step: WordForIngress,
         now: float,
-    ) -> None:
-        """Hand one output to its receiver, here or at a peer."""
-        match step:
-            case PlaceCall(node=node, call=call) if node == self.node:
-                waiting += self.gate_service.offer(call, OWN_INGRESS, now)
-            case PlaceCall(node=node, call=call):
-                time_left_s = call.deadline - now
-                effects.append(SendToPeer(node, PeerCall(call, time_left_s)))
-            case CancelCall(node=node, call_id=call_id) if node == self.node:
-                waiting += self.gate_service.cancel(call_id, now)
-            case CancelCall(node=node, call_id=call_id):
-                effects.append(SendToPeer(node, PeerCancel(call_id)))
-            case CancelChild(request_id=request_id):
-                waiting += self.ingress.cancel(request_id, now)
-            case CallResolved(origin=origin) if origin == OWN_INGRESS:
-                waiting += self.ingress.result_arrived(
-                    step.result,
-                    step.load,
-                    now,
-                )
-            case CallResolved(origin=origin):
-                effects.append(SendToPeer(origin, _message_of(step)))
+    ) -> Iterable[FlowStep]:
+        """Bring the owner's word to the ingress of the call."""
+        if step.node != self.node:
+            return (SendToPeer(step.node, message_of_word(step.word)),)
+        if isinstance(step.word, AskAnswered):
+            return self.sends.answered(step.word, now)
+        return self.sends.not_taken(step.word, now)
+
+    @next_steps.register
+    def ask_owner(self, step: AskOwner, now: float) -> Iterable[FlowStep]:
+        """Hand a copy of a call to its dedupe owner."""
+        if step.node == self.node:
+            return self.dedupe.ask(step.ask, self.node, now)
+        time_left_s = step.ask.call.deadline - now
+        return (SendToPeer(step.node, PeerAsk(step.ask, time_left_s)),)
+
+    @next_steps.register
+    def send_ended(self, step: SendEnded, now: float) -> Iterable[FlowStep]:
+        """Answer a non-idempotent request."""
+        return self.ingress.end(step.request, step.result, now)
+
+    @next_steps.register
+    def admitted(self, step: Admitted, now: float) -> Iterable[FlowStep]:
+        """Place a request that has its token."""
+        request = step.request
+        if request.send is None:
+            return self.ingress.place(request, now)
+        if not self.tokens.spend(request, now):
+            return self.ingress.refuse(request, TOKEN_EXPIRED, now)
+        return self.sends.start(request, now)
+
+    @next_steps.register
+    def not_admitted(
+        self,
+        step: NotAdmitted,
+        now: float,
+    ) -> Iterable[FlowStep]:
+        """Refuse a request whose team has no token for it."""
+        return self.ingress.refuse(step.request, step.refusal, now)
+
+    @next_steps.register
+    def request_ended(
+        self,
+        step: RequestEnded,
+        now: float,
+    ) -> Iterable[FlowStep]:
+        """Count a request and free what was held for it."""
+        self.sends.forget(step.request)
+        self.tokens.give_back(step.request, now)
+        self.metrics.request_ended(step)
+        return ()
+
+
+EFFECTS = (AnswerRequest, CallTarget, SendToPeer, AppendToLog)
 
 
 def _message_of(step: CallResolved) -> PeerAnswer | PeerRefusal:
--- /dev/null
+++ b/src/ebonycleat/internal/process/dedupe_host.py
@@ -0,0 +1,173 @@
+"""The dedupe owner of a node, and whom its words are for."""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import TypeAlias
+
+from ebonycleat.internal.connection.messages import (
+    PeerAskAnswer,
+    PeerAskRefusal,
+)
+from ebonycleat.internal.process.dedupe import DedupeOwner
+from ebonycleat.internal.process.dedupe_runs import DedupeEvent, RunCall
+from ebonycleat.internal.process.dedupe_slots import SlotRights, Tenure
+from ebonycleat.internal.process.effects import (
+    AppendResult,
+    AppendToLog,
+)
+from ebonycleat.internal.process.lease import LeaseQueries
+from ebonycleat.internal.process.ownership import DEDUPE, Basis, SlotId
+from ebonycleat.internal.process.slot_leases import SlotGained, SlotLeases
+from ebonycleat.internal.request.call import Answer, CallResult
+from ebonycleat.internal.request.idempotent_send import (
+    AskAnswered,
+    CopyNotTaken,
+    DedupeAsk,
+)
+
+# An owner's word that comes this long after the deadline finds nobody.
+ORIGIN_KEPT_S = 5.0
+
+OwnerWord: TypeAlias = AskAnswered | CopyNotTaken
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WordForIngress:
+    """What the owner says of a call, for the ingress at ``node``."""
+
+    node: str
+    word: OwnerWord
+
+
+HostOutput: TypeAlias = RunCall | AppendToLog | WordForIngress
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where an ask came from; forgotten at ``expires_at`` in seconds."""
+
+    node: str
+    expires_at: float
+
+
+class LeasedSlots(SlotRights):
+    """The rights that the node's leases give to dedupe slots."""
+
+    def __init__(self, leases: SlotLeases, service: str) -> None:
+        """Look up the slots of ``service``."""
+        self.leases = leases
+        self.service = service
+
+    def usable(self, slot: int, now: float) -> bool:
+        """Say if the node holds the slot under a valid lease."""
+        queries: LeaseQueries = self.leases
+        return queries.usable(SlotId(DEDUPE, self.service, slot), now)
+
+    def unlogged_acknowledged(self, slot: int, now: float) -> bool:
+        """Say if a majority of witnesses holds the flag ``unlogged``."""
+        slot_id = SlotId(DEDUPE, self.service, slot)
+        return self.leases.unlogged_acknowledged(slot_id, now)
+
+
+class DedupeHost:
+    """Connects a dedupe owner to the gate, the log and the ingresses."""
+
+    def __init__(self, owner: DedupeOwner) -> None:
+        """Serve asks through ``owner``."""
+        self.owner = owner
+        self.origins: dict[str, Origin] = {}
+
+    def ask(
+        self,
+        ask: DedupeAsk,
+        sender: str,
+        now: float,
+    ) -> list[HostOutput]:
+        """Take one copy of a call from the ingress at ``sender``."""
+        expires_at = ask.call.deadline + ORIGIN_KEPT_S
+        self.origins[ask.call.call_id] = Origin(sender, expires_at)
+        return self.address(self.owner.begin(ask, now))
+
+    def finished(self, call_result: CallResult, now: float) -> list[HostOutput]:
+        """Take the result of a run from the gate."""
+        call_id = call_result.call_id
+        return self.address(self.owner.finished(call_id, call_result, now))
+
+    def slot_gained(self, gained: SlotGained, now: float) -> list[HostOutput]:
+        """Begin to decide for a slot."""
+        tenure = Tenure(
+            slot=gained.slot.number,
+            first_epoch=gained.epoch,
+            epoch=gained.epoch,
+            unlogged=gained.unlogged,
+            never_owned=gained.basis is Basis.FIRST,
+        )
+        return self.address(self.owner.slot_gained(tenure, now))
+
+    def slot_lost(self, slot: SlotId, now: float) -> list[HostOutput]:
+        """Stop deciding for a slot."""
+        return self.address(self.owner.slot_lost(slot.number, now))
+
+    def append_result(
+        self,
+        append_result: AppendResult,
+        now: float,
+    ) -> list[HostOutput]:
+        """Take the result of an append of started ids."""
+        return self.address(self.owner.append_result(append_result, now))
+
+    def tick(self, now: float) -> list[HostOutput]:
+        """Let waits and groups advance, and forget old origins."""
+        late = [
+            call_id
+            for call_id, origin in self.origins.items()
+            if origin.expires_at <= now
+        ]
+        for call_id in late:
+            self.origins.pop(call_id)
+        return self.address(self.owner.tick(now))
+
+    def needs_unlogged_flag(self, now: float) -> bool:
+        """Say if heartbeats must tell that ids may run without the log."""
+        return any(
+            self.owner.needs_unlogged_flag(slot, now)
+            for slot in self.owner.tenures
+        )
+
+    def address(self, events: Iterable[DedupeEvent]) -> list[HostOutput]:
+        """Add to each word the ingress that it is for."""
+        outputs: list[HostOutput] = []
+        for event in events:
+            if isinstance(event, (RunCall, AppendToLog)):
+                outputs.append(event)
+                continue
+            origin = self.origins.get(event.call_id)
+            if origin is not None:
+                outputs.append(WordForIngress(origin.node, event))
+        return outputs
+
+
+def message_of_word(
+    word: OwnerWord,
+) -> PeerAskAnswer | PeerAskRefusal | CopyNotTaken:
+    """Put an owner's word into the form that peers exchange."""
+    if isinstance(word, CopyNotTaken):
+        return word
+    head = (word.call_id, word.copy_number, word.epoch)
+    if isinstance(word.result, Answer):
+        return PeerAskAnswer(*head, word.result)
+    return PeerAskRefusal(*head, word.result)
+
+
+def word_of_message(message: PeerAskAnswer | PeerAskRefusal) -> AskAnswered:
+    """Read an owner's word from the form that peers exchange."""
+    if isinstance(message, PeerAskAnswer):
+        word_result: CallResult = message.answer
+    else:
+        word_result = message.refused
+    return AskAnswered(
+        message.call_id,
+        message.copy_number,
+        message.epoch,
+        word_result,
+    )
--- a/src/ebonycleat/internal/process/gate_service.py
+++ b/src/ebonycleat/internal/process/gate_service.py
@@ -4,8 +4,9 @@
 there and nowhere else.
 """
 
+import collections
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import TypeAlias
 
@@ -18,9 +19,9 @@
 from ebonycleat.internal.process.effects import CallTarget
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_events import (
-    Dispatch,
     GateEvent,
     GateLoad,
+    Refuse,
 )
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import (
@@ -30,8 +31,15 @@
     RefusedCall,
 )
 from ebonycleat.internal.request.context import ContextRegistry
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_not_run,
+)
 
 OWN_INGRESS = ''
+# Origin of the calls that this node runs as their dedupe owner.
+DEDUPE_OWNER = '#dedupe-owner'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,11 +85,17 @@
         gate: Gate,
         contexts: ContextRegistry,
         zone: str,
+        may_dispatch: Callable[[str, float], bool],
     ) -> None:
-        """Serve the target behind ``gate`` in ``zone``."""
+        """Serve the target behind ``gate`` in ``zone``.
+
+        ``may_dispatch`` checks a call of the dedupe owner once more, because
+        its right to run may have lapsed in the queue.
+        """
         self.gate = gate
         self.contexts = contexts
         self.zone = zone
+        self.may_dispatch = may_dispatch
         self.origins: dict[str, str] = {}
         self.runs: dict[str, Run] = {}
 
@@ -140,21 +154,46 @@
     ) -> list[GateOutput]:
         """Turn the gate's events into target calls and results."""
         outputs: list[GateOutput] = []
-        for event in events:
-            call_id = event.call.call_id
-            if isinstance(event, Dispatch):
-                context = self.contexts.open(event.call)
-                self.runs[call_id] = Run(now, context)
-                outputs.append(CallTarget(event.call, context))
-            else:
-                refused = RefusedCall(
-                    call_id,
-                    event.refusal,
-                    event.call.retry_allowance,
-                )
+        pending = collections.deque(events)
+        while pending:
+            event = pending.popleft()
+            if isinstance(event, Refuse):
+                refused = refuse_call(event.call, event.refusal)
                 outputs.append(self.resolved(refused, now))
+            elif self.has_right_to_run(event.call, now):
+                outputs.append(self.start_run(event.call, now))
+            else:
+                pending.extend(self.give_up_run(event.call, outputs, now))
         return outputs
 
+    def has_right_to_run(self, call: Call, now: float) -> bool:
+        """Check a dedupe owner's call at the moment of its dispatch."""
+        if self.origins[call.call_id] != DEDUPE_OWNER:
+            return True
+        return self.may_dispatch(call.call_id, now)
+
+    def start_run(self, call: Call, now: float) -> CallTarget:
+        """Hand a call to the target."""
+        context = self.contexts.open(call)
+        self.runs[call.call_id] = Run(now, context)
+        return CallTarget(call, context)
+
+    def give_up_run(
+        self,
+        call: Call,
+        outputs: list[GateOutput],
+        now: float,
+    ) -> list[GateEvent]:
+        """Free the slot of a call that may no longer run."""
+        refusal = refuse_not_run(
+            Reason.DEDUPE_UNAVAILABLE,
+            'the right to run this id was lost while it was queued',
+            zone=self.zone,
+        )
+        outputs.append(self.resolved(refuse_call(call, refusal), now))
+        not_started = RunOutcome(RunResult.FAILED)
+        return self.gate.finished(call.call_id, not_started, now)
+
     def resolved(self, call_result: CallResult, now: float) -> CallResolved:
         """Address a result to the node that sent the call."""
         origin = self.origins.pop(call_result.call_id)
@@ -179,6 +218,11 @@
         return RefusedCall(call_id, refusal, retries_unused)
 
 
+def refuse_call(call: Call, refusal: Refusal) -> RefusedCall:
+    """Refuse a call that did not run; its whole allowance goes back."""
+    return RefusedCall(call.call_id, refusal, call.retry_allowance)
+
+
 def classify_run(target_result: TargetResult) -> RunResult:
     """Tell the gate how a run ended."""
     if isinstance(target_result, TargetFailure):
--- /dev/null
+++ b/src/ebonycleat/internal/process/idempotent_ingress.py
@@ -0,0 +1,158 @@
+"""Sends non-idempotent calls to the owners of their ids.
+
+The owner decides whether a call runs. This side only follows the copies it
+has sent, and says "not run" only when no copy can run any more.
+"""
+
+import dataclasses
+import heapq
+from collections.abc import Callable
+from typing import TypeAlias
+
+from ebonycleat.internal.process.ownership import DEDUPE, SlotId, SlotState
+from ebonycleat.internal.process.retry_policy import LONGEST_BACKOFF_S
+from ebonycleat.internal.request.call import CallResult
+from ebonycleat.internal.request.idempotent_send import (
+    ATTEMPT_NOT_DECLARED,
+    AskAnswered,
+    CopyNotTaken,
+    DedupeAsk,
+    IdempotentSend,
+    NextStep,
+    SendStep,
+    SentCopy,
+    slot_index,
+)
+from ebonycleat.internal.request.open_request import OpenRequest
+
+FIRST_PAUSE_S = 0.02
+LONGEST_ATTEMPT = 9
+# With the pauses between them, enough to outlast a change of owner.
+MAX_COPIES = 32
+
+StateOf: TypeAlias = Callable[[SlotId], SlotState]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskOwner:
+    """Hand one copy of the call to the dedupe owner at ``node``."""
+
+    node: str
+    ask: DedupeAsk
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendEnded:
+    """The request has its final result."""
+
+    request: OpenRequest
+    result: CallResult
+
+
+SendOutput: TypeAlias = AskOwner | SendEnded
+
+
+class IdempotentIngress:
+    """Requests that wait for the word of a dedupe owner."""
+
+    def __init__(self, state_of: StateOf) -> None:
+        """Find owners by the ownership stream as this node has read it."""
+        self.state_of = state_of
+        self.requests: dict[str, OpenRequest] = {}
+        self.retries: list[tuple[float, str]] = []
+
+    def start(self, request: OpenRequest, now: float) -> list[SendOutput]:
+        """Send the first copy of an admitted request."""
+        self.requests[request.request_id] = request
+        return self.send_copy(request, now)
+
+    def forget(self, request: OpenRequest) -> None:
+        """Stop following a request that has been answered."""
+        self.requests.pop(request.request_id, None)
+
+    def answered(self, answer: AskAnswered, now: float) -> list[SendOutput]:
+        """Take the owner's word."""
+        request = self.requests.get(answer.call_id)
+        if request is None or request.send is None:
+            return []
+        step = request.send.answered(answer)
+        return self.go_on(request, step, now)
+
+    def not_taken(
+        self,
+        word: CopyNotTaken,
+        now: float,
+    ) -> list[SendOutput]:
+        """Go on after a node promised not to run a copy."""
+        request = self.requests.get(word.call_id)
+        if request is None or request.send is None:
+            return []
+        step = request.send.not_taken(word)
+        return self.go_on(request, step, now)
+
+    def copy_lost(
+        self,
+        call_id: str,
+        copy_number: int,
+        now: float,
+        *,
+        sent: bool,
+    ) -> list[SendOutput]:
+        """Go on after the link of a copy closed."""
+        request = self.requests.get(call_id)
+        if request is None or request.send is None:
+            return []
+        step = request.send.link_closed(copy_number, sent=sent)
+        return self.go_on(request, step, now)
+
+    def tick(self, now: float) -> list[SendOutput]:
+        """Send the copies that are due."""
+        outputs: list[SendOutput] = []
+        while self.retries and self.retries[0][0] <= now:
+            _, request_id = heapq.heappop(self.retries)
+            request = self.requests.get(request_id)
+            if request is not None:
+                outputs.extend(self.send_copy(request, now))
+        return outputs
+
+    def go_on(
+        self,
+        request: OpenRequest,
+        step: SendStep,
+        now: float,
+    ) -> list[SendOutput]:
+        """Carry out what the send decided."""
+        if step is NextStep.WAIT:
+            return []
+        if step is NextStep.SEND_AGAIN:
+            self.pause(request, now)
+            return []
+        self.forget(request)
+        return [SendEnded(request, step)]
+
+    def send_copy(self, request: OpenRequest, now: float) -> list[SendOutput]:
+        """Send a copy to the owner, or wait until there is one."""
+        send = request.send
+        if send is None:
+            return []
+        call = request.call
+        number = slot_index(call.team, call.idempotency_key)
+        state = self.state_of(SlotId(DEDUPE, call.service, number))
+        if state.released:
+            self.pause(request, now)
+            return []
+        owner = SentCopy(state.owner, state.incarnation, state.epoch)
+        return [AskOwner(state.owner, send.next_copy(owner))]
+
+    def pause(self, request: OpenRequest, now: float) -> None:
+        """Try again a little later; the deadline ends the request."""
+        copies = request.send.copies_sent if request.send else 0
+        pause_s = min(LONGEST_BACKOFF_S, FIRST_PAUSE_S * 2**copies)
+        heapq.heappush(self.retries, (now + pause_s, request.request_id))
+
+
+def create_send(request: OpenRequest, attempt: str) -> IdempotentSend:
+    """Follow a send; ``attempt`` is the caller's count, or empty."""
+    is_number = attempt.isdecimal() and len(attempt) <= LONGEST_ATTEMPT
+    number = int(attempt) if is_number else ATTEMPT_NOT_DECLARED
+    return IdempotentSend(request.call, number, MAX_COPIES)
--- a/src/ebonycleat/internal/process/ingress.py
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import heapq
+from collections.abc import Callable
 from typing import TypeAlias
 
 from ebonycleat.internal.process.directory import Directory
@@ -60,15 +61,18 @@
 class RequestEnded:
     """A request was answered; for counters and latency histograms."""
 
-    call: Call
+    request: OpenRequest
     result: CallResult
     latency_s: float
 
 
 IngressOutput: TypeAlias = PlaceCall | CancelCall | AnswerRequest | RequestEnded
 
-# Failures in which the node itself could not be reached.
-UNREACHED = frozenset((Reason.CONNECTION_LOST, Reason.NO_TARGET))
+TOKEN_EXPIRED = refuse_not_run(
+    Reason.BUDGET_UNAVAILABLE,
+    'the token expired before the call could be sent',
+    retry_after_s=1,
+)
 FAILED_AT_TARGET = frozenset((
     Reason.TARGET_FAILED,
     Reason.TRUNCATED_ANSWER,
@@ -83,21 +87,25 @@
         directory: Directory,
         router: Router,
         retry_policy: RetryPolicy,
+        spend_token: Callable[[OpenRequest, float], bool],
     ) -> None:
-        """Place calls at the members that ``directory`` knows."""
+        """Place calls at the members that ``directory`` knows.
+
+        ``spend_token`` checks the request's token just before it is sent.
+        """
         self.directory = directory
         self.router = router
         self.retry_policy = retry_policy
+        self.spend_token = spend_token
         self.requests: dict[str, OpenRequest] = {}
         self.deadlines: list[tuple[float, str]] = []
         self.retries: list[tuple[float, str]] = []
 
-    def start(self, request: OpenRequest, now: float) -> list[IngressOutput]:
-        """Place the first attempt of an admitted request."""
+    def open(self, request: OpenRequest) -> None:
+        """Accept a request; from here on it is answered exactly once."""
         self.requests[request.request_id] = request
         deadline = (request.call.deadline, request.request_id)
         heapq.heappush(self.deadlines, deadline)
-        return self.place(request, now)
 
     def result_arrived(
         self,
@@ -175,6 +183,8 @@
 
     def place(self, request: OpenRequest, now: float) -> list[IngressOutput]:
         """Choose a member and send the next attempt there."""
+        if request.request_id not in self.requests:
+            return []
         members = self.directory.members_of(request.call.service, now)
         choice = self.router.choose(
             RouteRequest(request.call, members, request.refused_zones),
@@ -182,6 +192,8 @@
         )
         if isinstance(choice, Refusal):
             return self.failed(request, choice, now)
+        if not self.spend_token(request, now):
+            return self.refuse(request, TOKEN_EXPIRED, now)
         self.router.note_sent(choice)
         return [PlaceCall(choice.node, request.next_attempt(choice, now))]
 
@@ -209,7 +221,27 @@
             retry = (now + decision.delay_s, request.request_id)
             heapq.heappush(self.retries, retry)
             return []
-        refused = RefusedCall(request.request_id, decision.refusal)
+        return self.refuse(request, decision.refusal, now)
+
+    def refuse(
+        self,
+        request: OpenRequest,
+        refusal: Refusal,
+        now: float,
+    ) -> list[IngressOutput]:
+        """End a request that did not get a target's answer.
+
+        A non-idempotent call may have run under an earlier send, so only
+        the state of its send tells what may be said.
+        """
+        if request.send is None:
+            refused = RefusedCall(request.request_id, refusal)
+        else:
+            refused = request.send.give_up(
+                refusal.reason,
+                refusal.detail,
+                refusal.retry_after_s,
+            )
         return self.end(request, refused, now)
 
     def cancel(self, request_id: str, now: float) -> list[IngressOutput]:
@@ -229,8 +261,7 @@
         attempt = request.attempt
         if attempt is None:
             refusal = refuse_not_run(reason, 'no target had been called')
-            refused = RefusedCall(request.request_id, refusal)
-            return self.end(request, refused, now)
+            return self.refuse(request, refusal, now)
         self.router.note_abandoned(attempt.member)
         request.lose_attempt()
         refusal = Refusal(
@@ -251,7 +282,8 @@
         now: float,
     ) -> list[IngressOutput]:
         """Answer the caller and refund the parent's ledger."""
-        self.requests.pop(request.request_id, None)
+        if self.requests.pop(request.request_id, None) is None:
+            return []
         unused = request.ledger.close()
         if request.parent is not None:
             request.parent.ledger.refund(request.request_id, unused)
@@ -260,7 +292,7 @@
         latency_s = now - request.arrived_at
         return [
             AnswerRequest(request.request_id, answer),
-            RequestEnded(request.call, call_result, latency_s),
+            RequestEnded(request, call_result, latency_s),
         ]
 
     def learn(
--- a/src/ebonycleat/internal/process/request_metrics.py
+++ b/src/ebonycleat/internal/process/request_metrics.py
@@ -34,7 +34,7 @@
 
     def request_ended(self, ended: RequestEnded) -> None:
         """Count the end of a request that had been admitted."""
-        call = ended.call
+        call = ended.request.call
         if isinstance(ended.result, Answer):
             self.metrics.count('answered', call.service)
             self.histograms.record(call.team, call.priority, ended.latency_s)
--- a/src/ebonycleat/internal/request/incoming.py
+++ b/src/ebonycleat/internal/request/incoming.py
@@ -13,6 +13,7 @@
 KEY_HEADER = 'authorization'
 KEY_SCHEME = 'Bearer '
 IDEMPOTENCY_KEY_HEADER = 'idempotency-key'
+ATTEMPT_HEADER = 'ebonycleat-attempt'
 TIMEOUT_MS_HEADER = 'ebonycleat-timeout-ms'
 CONTEXT_HEADER = 'ebonycleat-context'
 
@@ -39,7 +40,8 @@
 class IncomingRequest:
     """One HTTP request of a caller.
 
-    ``path`` includes the query string. ``key_digest`` is empty when the
+    ``path`` includes the query string. ``attempt`` is the caller's own count
+    of its sends of one Idempotency-Key, from 1. ``key_digest`` is empty when the
     request came without a key; ``context`` is what a target passed on.
     """
 
@@ -50,6 +52,7 @@
     body: bytes = b''
     key_digest: str = ''
     idempotency_key: str = ''
+    attempt: str = ''
     timeout_ms: str = ''
     context: str = ''
 
@@ -93,6 +96,7 @@
         body=body,
         key_digest=_digest_of_bearer(headers.get(KEY_HEADER, '')),
         idempotency_key=headers.get(IDEMPOTENCY_KEY_HEADER, ''),
+        attempt=headers.get(ATTEMPT_HEADER, ''),
         timeout_ms=headers.get(TIMEOUT_MS_HEADER, ''),
         context=headers.get(CONTEXT_HEADER, ''),
     )
--- a/src/ebonycleat/internal/request/open_request.py
+++ b/src/ebonycleat/internal/request/open_request.py
@@ -3,8 +3,10 @@
 import dataclasses
 
 from ebonycleat.internal.process.target_records import Member
+from ebonycleat.internal.process.team_tokens import Token
 from ebonycleat.internal.request.call import Call
 from ebonycleat.internal.request.context import RequestContext
+from ebonycleat.internal.request.idempotent_send import IdempotentSend
 from ebonycleat.internal.request.ledger import RetryLedger
 
 
@@ -22,13 +24,16 @@
     """Everything that lives as long as the request.
 
     ``parent`` is set for calls that a target made under its context.
-    ``attempt`` is None while no attempt is under way.
+    ``attempt`` is None while no attempt is under way. ``send`` follows the
+    copies of a non-idempotent call. ``token`` is reserved, not yet spent.
     """
 
     call: Call
     ledger: RetryLedger
     arrived_at: float
     parent: RequestContext | None = None
+    token: Token | None = None
+    send: IdempotentSend | None = None
     attempts_made: int = 0
     refused_zones: frozenset[str] = frozenset()
     attempt: Attempt | None = None
