Operators' requests in the node

Cause: an operator must learn the true outcome of a change, also when the log loses the answer to an append or the request is sent again elsewhere. Change: OperatorService plans one change set per command with the versions it is based on, appends it, repeats lost appends, answers when the fold has decided, and answers queries as typed data; a rejection names the winner. Conclusion: a node says rejected only where no copy can still be accepted.

--- /dev/null
+++ b/src/ebonycleat/internal/process/operator_answers.py
@@ -0,0 +1,260 @@
+"""Answers to operators' queries, as typed data."""
+
+import abc
+import heapq
+from collections import Counter
+from typing import Final
+
+from ebonycleat.internal.connection.operator_messages import (
+    AnswerStatus,
+    ChangeRow,
+    CountRow,
+    NodeRow,
+    OperatorAnswer,
+    RefusalRow,
+)
+from ebonycleat.internal.version.commands import (
+    ExplainRefusal,
+    Help,
+    Listing,
+    Query,
+    RefusalGroup,
+    ShowChange,
+    ShowHistory,
+    ShowListing,
+    ShowRefusals,
+    WaitForChange,
+    WaitForVersion,
+)
+from ebonycleat.internal.version.help_topics import (
+    ADVICE_BY_REASON,
+    TEXT_BY_TOPIC,
+)
+from ebonycleat.internal.version.printer import print_change
+from ebonycleat.internal.version.records import Rejected
+from ebonycleat.internal.version.view import (
+    OPERATIONS_KEPT,
+    ConfigurationView,
+    KeyInForce,
+    Operation,
+)
+
+# A longer answer would hold up the calls of the node.
+ROWS_SHOWN: Final = 1000
+
+
+class NodeFacts(abc.ABC):
+    """What the node knows besides its configuration."""
+
+    @abc.abstractmethod
+    def nodes(self) -> tuple[NodeRow, ...]:
+        """List the nodes that this node knows, itself included."""
+
+    @abc.abstractmethod
+    def refusals(self) -> tuple[RefusalRow, ...]:
+        """List the refusals that this node counted since its start."""
+
+
+def answer_query(
+    view: ConfigurationView,
+    facts: NodeFacts,
+    query: Query,
+) -> OperatorAnswer:
+    """Answer a query that needs no waiting."""
+    match query:
+        case ShowListing():
+            return _answer_listing(view, facts, query)
+        case ShowRefusals():
+            return OperatorAnswer(
+                AnswerStatus.DONE,
+                'refusals of the answering node since its start',
+                version=view.version,
+                refusals=count_refusals(facts.refusals(), query.group),
+            )
+        case ShowHistory():
+            shown = view.operations.newest(min(query.limit, ROWS_SHOWN))
+            return OperatorAnswer(
+                AnswerStatus.DONE,
+                version=view.version,
+                history=tuple(map(describe_operation, shown)),
+            )
+        case ShowChange():
+            return answer_change(view, query.operation_id)
+        case ExplainRefusal():
+            return _say(view, ADVICE_BY_REASON[query.reason])
+        case Help():
+            return _say(view, TEXT_BY_TOPIC[query.topic])
+    raise TypeError(f'{type(query).__name__} cannot be answered at once')
+
+
+def answer_change(
+    view: ConfigurationView,
+    operation_id: str,
+) -> OperatorAnswer:
+    """Show a change set by its operation id."""
+    operation = view.operations.get(operation_id)
+    if operation is None:
+        return OperatorAnswer(
+            AnswerStatus.UNKNOWN,
+            f'no change {operation_id} up to version {view.version}; it may '
+            'still be on its way, or be older than the history',
+            operation_id,
+            view.version,
+        )
+    return OperatorAnswer(
+        AnswerStatus.DONE,
+        operation_id=operation_id,
+        version=view.version,
+        history=(describe_operation(operation),),
+    )
+
+
+def answer_wait(
+    view: ConfigurationView,
+    command: WaitForVersion | WaitForChange,
+) -> OperatorAnswer | None:
+    """Answer what is waited for, or None while it is not there."""
+    if isinstance(command, WaitForChange):
+        operation = view.operations.get(command.operation_id)
+        return None if operation is None else answer_decided(view, operation)
+    if view.version < command.version:
+        return None
+    return OperatorAnswer(
+        AnswerStatus.DONE,
+        f'version {view.version} is in force at this node',
+        version=view.version,
+    )
+
+
+def answer_decided(
+    view: ConfigurationView,
+    operation: Operation,
+) -> OperatorAnswer:
+    """Answer a change command whose change set the fold has decided."""
+    if operation.rejected is not None:
+        return answer_rejected(
+            view,
+            operation.rejected,
+            operation.operation_id,
+        )
+    return OperatorAnswer(
+        AnswerStatus.ACCEPTED,
+        f'accepted as version {operation.offset}',
+        operation.operation_id,
+        operation.offset,
+    )
+
+
+def answer_rejected(
+    view: ConfigurationView,
+    rejected: Rejected,
+    operation_id: str,
+) -> OperatorAnswer:
+    """Say why nothing changed, and which change came first."""
+    winner = _find_operation_at(view, rejected.lost_to)
+    message = f'rejected, {rejected.reason.value}: {rejected.detail}'
+    if winner is not None:
+        message = (
+            f'{message}; the change that came first is '
+            f'{winner.operation_id} of {winner.operator}, '
+            f'version {winner.version}'
+        )
+    return OperatorAnswer(
+        AnswerStatus.REJECTED,
+        message,
+        operation_id,
+        view.version,
+        rejected,
+        winner,
+    )
+
+
+def count_refusals(
+    rows: tuple[RefusalRow, ...],
+    group: RefusalGroup,
+) -> tuple[CountRow, ...]:
+    """Add up refusals under one label, the most frequent first."""
+    counts: Counter[str] = Counter()
+    for row in rows:
+        counts[str(getattr(row, group.value))] += row.count
+    ranked = sorted(counts.items(), key=lambda pair: (-pair[1], pair[0]))
+    return tuple(CountRow(*pair) for pair in ranked[:ROWS_SHOWN])
+
+
+def describe_operation(operation: Operation) -> ChangeRow:
+    """Write a decided change set as a row of the history."""
+    rejected = operation.rejected
+    return ChangeRow(
+        operation.offset,
+        operation.operation_id,
+        operation.operator,
+        operation.issued_at,
+        'accepted' if rejected is None else rejected.reason.value,
+        operation.change_count,
+        tuple(map(print_change, operation.changes)),
+        '' if rejected is None else rejected.detail,
+    )
+
+
+def _say(view: ConfigurationView, text: str) -> OperatorAnswer:
+    return OperatorAnswer(AnswerStatus.DONE, text, version=view.version)
+
+
+def _find_operation_at(
+    view: ConfigurationView,
+    offset: int,
+) -> ChangeRow | None:
+    for operation in view.operations.newest(OPERATIONS_KEPT):
+        if operation.offset == offset:
+            return describe_operation(operation)
+    return None
+
+
+def _answer_listing(
+    view: ConfigurationView,
+    facts: NodeFacts,
+    query: ShowListing,
+) -> OperatorAnswer:
+    version = view.version
+    match query.listing:
+        case Listing.TEAMS:
+            teams = tuple(team for _, team in sorted(view.teams.pairs()))
+            return OperatorAnswer(
+                AnswerStatus.DONE,
+                version=version,
+                teams=teams,
+            )
+        case Listing.KEYS:
+            return _answer_keys(view, query.team)
+        case Listing.ROUTES:
+            routes = tuple(route for _, route in sorted(view.routes.pairs()))
+            return OperatorAnswer(
+                AnswerStatus.DONE,
+                version=version,
+                routes=routes[:ROWS_SHOWN],
+            )
+        case Listing.NODES:
+            return OperatorAnswer(
+                AnswerStatus.DONE,
+                version=version,
+                nodes=facts.nodes(),
+            )
+    return _say(view, f'version {version}, log offset {view.offset}')
+
+
+def _answer_keys(view: ConfigurationView, team: str) -> OperatorAnswer:
+    found = [key for _, key in view.keys.pairs() if team in {'', key.team}]
+    shown = heapq.nsmallest(ROWS_SHOWN, found, key=_key_order)
+    message = ''
+    if len(found) > len(shown):
+        message = f'the first {len(shown)} of {len(found)} keys'
+    return OperatorAnswer(
+        AnswerStatus.DONE,
+        message,
+        version=view.version,
+        keys=tuple(shown),
+    )
+
+
+def _key_order(key: KeyInForce) -> tuple[str, str]:
+    return key.team, key.digest
--- /dev/null
+++ b/src/ebonycleat/internal/process/operator_plan.py
@@ -0,0 +1,113 @@
+"""Turns a change command into one change set against the view in force."""
+
+import dataclasses
+from typing import Any, TypeAlias
+
+from ebonycleat.internal.version.change_checks import check_change
+from ebonycleat.internal.version.commands import (
+    ChangeCommand,
+    RecordStep,
+    RouteChange,
+    Step,
+    TeamChange,
+)
+from ebonycleat.internal.version.fold import ConfigurationFold, apply_change
+from ebonycleat.internal.version.records import (
+    Change,
+    ChangeSet,
+    PutRoute,
+    PutTeam,
+    Rejected,
+    RejectionReason,
+)
+from ebonycleat.internal.version.view import ConfigurationView
+
+Versions: TypeAlias = tuple[tuple[str, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeOrigin:
+    """Who asked for a change set, and when (seconds since the epoch)."""
+
+    operation_id: str
+    operator: str
+    issued_at: float
+
+
+def plan_change_set(
+    view: ConfigurationView,
+    command: ChangeCommand,
+    origin: ChangeOrigin,
+    expected: Versions,
+) -> ChangeSet | Rejected:
+    """Complete the steps and name the versions that they are based on.
+
+    Versions in ``expected`` replace those of the view. A step sees the steps
+    before it. The result would be accepted if no other change came first.
+    """
+    trial = view
+    versions: dict[str, int] = {}
+    changes: list[Change] = []
+    for step in command.steps:
+        change = _complete(trial, step)
+        if isinstance(change, Rejected):
+            return change
+        rejected = _check_new(trial, step) or check_change(trial, change)
+        if rejected is not None:
+            return rejected
+        versions.setdefault(change.subject, view.last_change(change.subject))
+        trial = apply_change(trial, view.offset + 1, change)
+        changes.append(change)
+    record = ChangeSet(
+        origin.operation_id,
+        origin.operator,
+        origin.issued_at,
+        tuple(sorted((versions | dict(expected)).items())),
+        tuple(changes),
+    )
+    return ConfigurationFold(view).preview(record) or record
+
+
+def _check_new(view: ConfigurationView, step: Step) -> Rejected | None:
+    if not isinstance(step, RecordStep) or not step.must_be_new:
+        return None
+    changed_at = view.last_change(step.change.subject)
+    if not changed_at:
+        return None
+    return Rejected(
+        RejectionReason.CONFLICT,
+        step.change.subject,
+        changed_at,
+        f'{step.change.subject} exists already; use "put" or "change"',
+    )
+
+
+def _complete(view: ConfigurationView, step: Step) -> Change | Rejected:
+    match step:
+        case RecordStep():
+            return step.change
+        case TeamChange():
+            team = view.teams.get(step.team)
+            if team is not None:
+                return PutTeam(**_merge(team, step))
+            subject = f'team:{step.team}'
+        case RouteChange():
+            route = view.routes.get(step.route)
+            if route is not None:
+                return PutRoute(**_merge(route, step))
+            subject = f'route:{step.route}'
+    return Rejected(
+        RejectionReason.NOT_FOUND,
+        subject,
+        view.last_touch(subject),
+        f'there is no {subject}',
+    )
+
+
+def _merge(known: Any, step: TeamChange | RouteChange) -> dict[str, Any]:
+    merged = dataclasses.asdict(known)
+    merged.pop('changed_at')
+    for name, setting in dataclasses.asdict(step).items():
+        if setting is not None:
+            merged[name] = setting
+    return merged
--- /dev/null
+++ b/src/ebonycleat/internal/process/operator_service.py
@@ -0,0 +1,329 @@
+"""Decides for one node what operators' requests lead to.
+
+A change is appended to the log and answered only when the fold has decided
+it. The log may lose answers, so the same record may be appended again; the
+fold ignores a second copy. What is not known is answered as unknown.
+"""
+
+import dataclasses
+import hmac
+import math
+from collections.abc import Iterator, Mapping
+from typing import Final, TypeAlias
+
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.connection.operator_messages import (
+    AnswerStatus,
+    OperatorAnswer,
+    OperatorRequest,
+)
+from ebonycleat.internal.process.config_follower import (
+    SNAPSHOT_OPERATION,
+    ConfigurationFollower,
+)
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendResult,
+    AppendToLog,
+)
+from ebonycleat.internal.process.operator_answers import (
+    NodeFacts,
+    answer_decided,
+    answer_query,
+    answer_rejected,
+    answer_wait,
+)
+from ebonycleat.internal.process.operator_plan import (
+    ChangeOrigin,
+    plan_change_set,
+)
+from ebonycleat.internal.version.commands import (
+    ChangeCommand,
+    Command,
+    WaitForChange,
+    WaitForVersion,
+)
+from ebonycleat.internal.version.language import parse_command
+from ebonycleat.internal.version.language_error import LanguageError
+from ebonycleat.internal.version.records import (
+    NAME_PATTERN,
+    ChangeSet,
+    Rejected,
+    RejectionReason,
+)
+
+MAX_WAIT_S: Final = 60.0
+MAX_OPEN_REQUESTS: Final = 100
+# After a refused append, and after one whose answer was lost; the second is
+# longer, because the record usually shows up by reading.
+APPEND_RETRY_S: Final = 0.5
+APPEND_REPEAT_S: Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorReply:
+    """Give this answer to the request with the ticket."""
+
+    ticket: str
+    answer: OperatorAnswer
+
+
+OperatorEffect: TypeAlias = OperatorReply | AppendToLog
+Effects: TypeAlias = list[OperatorEffect]
+
+
+@dataclasses.dataclass(slots=True)
+class OpenRequest:
+    """A request that waits; ``deadline`` is on the clock of the node."""
+
+    operator: str
+    request: OperatorRequest
+    command: Command
+    issued_at: float
+    deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class OpenAppend:
+    """A change set on its way to the log."""
+
+    record: ChangeSet
+    in_flight: bool = True
+    may_have_taken_effect: bool = False
+    repeat_at: float = 0
+
+
+class OperatorService:
+    """Answers operators' requests; the driver carries its effects out."""
+
+    def __init__(
+        self,
+        operator_by_digest: Mapping[str, str],
+        follower: ConfigurationFollower,
+        facts: NodeFacts,
+    ) -> None:
+        """Know the operators by the SHA-256 digests (hex) of their keys."""
+        self.operator_by_digest = dict(operator_by_digest)
+        self.follower = follower
+        self.facts = facts
+        self.open_requests: dict[str, OpenRequest] = {}
+        self.open_appends: dict[str, OpenAppend] = {}
+
+    def authorise(self, key_digest: str) -> str:
+        """Name the operator with this key digest; '' if there is none.
+
+        The time taken does not depend on which digest is nearly right.
+        """
+        operator = ''
+        presented = key_digest.encode()
+        for digest, name in self.operator_by_digest.items():
+            if hmac.compare_digest(digest.encode(), presented):
+                operator = name
+        return operator
+
+    def submit(
+        self,
+        ticket: str,
+        key_digest: str,
+        request: OperatorRequest,
+        now: float,
+        issued_at: float,
+    ) -> Effects:
+        """Take a request; its reply may come now or out of a later call.
+
+        ``ticket`` names the request in the reply; ``issued_at`` is in
+        seconds since the Unix epoch and is only shown in the history.
+        """
+        operator = self.authorise(key_digest)
+        if not operator:
+            return [_reply(ticket, AnswerStatus.UNAUTHORISED, 'unknown key')]
+        try:
+            command = parse_command(request.text)
+        except LanguageError as error:
+            return [_reply(ticket, AnswerStatus.INVALID, str(error))]
+        is_change = isinstance(command, ChangeCommand) and not command.dry_run
+        if is_change and not _is_operation_id(request.operation_id):
+            detail = 'a change needs an operation id of letters and digits'
+            return [_reply(ticket, AnswerStatus.INVALID, detail)]
+        if len(self.open_requests) >= MAX_OPEN_REQUESTS:
+            detail = 'too many open requests at this node, use another one'
+            return [_reply(ticket, AnswerStatus.NOT_READY, detail)]
+        wait_s = min(max(request.wait_s, 0), MAX_WAIT_S)
+        self.open_requests[ticket] = OpenRequest(
+            operator,
+            request,
+            command,
+            issued_at,
+            now + wait_s,
+        )
+        return self.tick(now)
+
+    def append_finished(self, result: AppendResult, now: float) -> Effects:
+        """Take the result of an append that this service asked for."""
+        append = self.open_appends.get(result.operation_id)
+        if append is None:
+            return []
+        append.in_flight = False
+        if isinstance(result, AppendDone):
+            append.may_have_taken_effect = True
+            append.repeat_at = math.inf
+        elif result.may_have_taken_effect:
+            append.may_have_taken_effect = True
+            append.repeat_at = now + APPEND_REPEAT_S
+        else:
+            append.repeat_at = now + APPEND_RETRY_S
+        return self.tick(now)
+
+    def tick(self, now: float) -> Effects:
+        """Answer what is decided or overdue, and repeat lost appends.
+
+        Call it after the follower has applied records, and each 0.1 s or so.
+        """
+        effects: Effects = []
+        for ticket, opened in tuple(self.open_requests.items()):
+            decided = self._decide(opened)
+            if isinstance(decided, AppendToLog):
+                effects.append(decided)
+                continue
+            if decided is None and now >= opened.deadline:
+                decided = self._answer_overdue(opened)
+            if decided is not None:
+                self.open_requests.pop(ticket)
+                effects.append(OperatorReply(ticket, decided))
+        return [*effects, *self._repeat_appends(now)]
+
+    def _decide(
+        self, opened: OpenRequest
+    ) -> OperatorAnswer | AppendToLog | None:
+        view = self.follower.view
+        command = opened.command
+        if not self.follower.ready:
+            return None
+        if view.version < opened.request.at_least_version:
+            return None
+        match command:
+            case ChangeCommand():
+                return self._decide_change(opened, command)
+            case WaitForVersion() | WaitForChange():
+                return answer_wait(view, command)
+        return answer_query(view, self.facts, command)
+
+    def _decide_change(
+        self,
+        opened: OpenRequest,
+        command: ChangeCommand,
+    ) -> OperatorAnswer | AppendToLog | None:
+        operation_id = opened.request.operation_id
+        if not command.dry_run:
+            decided = self.follower.view.operations.get(operation_id)
+            if decided is not None:
+                return answer_decided(self.follower.view, decided)
+            if operation_id in self.open_appends:
+                return None
+        return self._plan(opened, command)
+
+    def _plan(
+        self,
+        opened: OpenRequest,
+        command: ChangeCommand,
+    ) -> OperatorAnswer | AppendToLog | None:
+        view = self.follower.view
+        request = opened.request
+        operation_id = request.operation_id
+        origin = ChangeOrigin(operation_id, opened.operator, opened.issued_at)
+        planned = plan_change_set(view, command, origin, request.expected)
+        if isinstance(planned, Rejected):
+            if request.attempt and not command.dry_run:
+                # A copy from an earlier attempt may still be accepted.
+                return None
+            return answer_rejected(view, planned, operation_id)
+        if command.dry_run:
+            return OperatorAnswer(
+                AnswerStatus.DONE,
+                'would be accepted; nothing changed',
+                operation_id,
+                view.version,
+            )
+        self.open_appends[operation_id] = OpenAppend(planned)
+        return AppendToLog(Stream.CONFIGURATION, planned, operation_id)
+
+    def _answer_overdue(self, opened: OpenRequest) -> OperatorAnswer:
+        view = self.follower.view
+        request = opened.request
+        if isinstance(opened.command, ChangeCommand):
+            return self._answer_overdue_change(request)
+        if not self.follower.ready:
+            return _not_ready(request, 'the node has no configuration yet')
+        if view.version < request.at_least_version:
+            return _not_ready(
+                request,
+                f'the node is at version {view.version} and not yet at '
+                f'{request.at_least_version}',
+            )
+        return OperatorAnswer(
+            AnswerStatus.UNKNOWN,
+            f'not decided yet; this node is at version {view.version}',
+            request.operation_id,
+            view.version,
+        )
+
+    def _answer_overdue_change(
+        self,
+        request: OperatorRequest,
+    ) -> OperatorAnswer:
+        view = self.follower.view
+        append = self.open_appends.get(request.operation_id)
+        if request.attempt == 0:
+            if append is None:
+                return _not_ready(
+                    request,
+                    'the node is behind the log; nothing was appended',
+                )
+            if not append.in_flight and not append.may_have_taken_effect:
+                rejected = Rejected(
+                    RejectionReason.LOG_UNAVAILABLE,
+                    '',
+                    detail='the log service cannot be reached and nothing '
+                    'changed; try again later',
+                )
+                return answer_rejected(view, rejected, request.operation_id)
+        return OperatorAnswer(
+            AnswerStatus.UNKNOWN,
+            'the outcome is unknown; look it up with '
+            f'"wait for change {request.operation_id}"',
+            request.operation_id,
+            view.version,
+        )
+
+    def _repeat_appends(self, now: float) -> Iterator[AppendToLog]:
+        wanted = {
+            opened.request.operation_id
+            for opened in self.open_requests.values()
+        }
+        for operation_id, append in tuple(self.open_appends.items()):
+            if operation_id not in wanted:
+                self.open_appends.pop(operation_id)
+            elif not append.in_flight and now >= append.repeat_at:
+                append.in_flight = True
+                yield AppendToLog(
+                    Stream.CONFIGURATION,
+                    append.record,
+                    operation_id,
+                )
+
+
+def _is_operation_id(text: str) -> bool:
+    is_reserved = text.startswith(f'{SNAPSHOT_OPERATION}-')
+    return not is_reserved and NAME_PATTERN.fullmatch(text) is not None
+
+
+def _reply(ticket: str, status: AnswerStatus, detail: str) -> OperatorReply:
+    return OperatorReply(ticket, OperatorAnswer(status, detail))
+
+
+def _not_ready(request: OperatorRequest, detail: str) -> OperatorAnswer:
+    return OperatorAnswer(
+        AnswerStatus.NOT_READY,
+        detail,
+        request.operation_id,
+    )
--- a/src/ebonycleat/internal/version/fold.py
+++ b/src/ebonycleat/internal/version/fold.py
@@ -46,7 +46,7 @@
 
 
 class ConfigurationFold:
-    """Keeps the view in force; a copy shares the view and costs nothing."""
+    """Keeps the view in force and applies records to it."""
 
     def __init__(self, view: ConfigurationView) -> None:
         """Start from a view: the empty one, or one out of a snapshot."""
@@ -65,7 +65,7 @@
         if known is not None:
             self.skip(offset)
             return AlreadyApplied(known.offset)
-        verdict = self._apply_all(offset, record)
+        verdict = self.apply_all(offset, record)
         self._remember(offset, record, verdict)
         return Accepted(offset) if verdict is None else verdict
 
@@ -73,11 +73,8 @@
         """Pass over a record that is no readable change set."""
         self.view = dataclasses.replace(self.view, offset=offset)
 
-    def copy(self) -> 'ConfigurationFold':
-        """Return a fold that can go its own way, for a dry run."""
-        return ConfigurationFold(self.view)
-
-    def _apply_all(self, offset: int, record: ChangeSet) -> Verdict:
+    def apply_all(self, offset: int, record: ChangeSet) -> Verdict:
+        """Put all changes in force, or none and tell why."""
         view = self.view
         verdict = check_change_set(view, record)
         withdrawn: set[str] = set()
@@ -93,6 +90,11 @@
             self.view = dataclasses.replace(view, version=offset)
         return verdict
 
+    def preview(self, record: ChangeSet) -> Verdict:
+        """Tell how the next record would be rejected; None if accepted."""
+        trial = ConfigurationFold(self.view)
+        return trial.apply_all(self.view.offset + 1, record)
+
     def _remember(
         self,
         offset: int,
--- a/tests/nocover/test_language_properties.py
+++ b/tests/nocover/test_language_properties.py
@@ -22,10 +22,10 @@
 )
 from ebonycleat.internal.version.help_topics import TEXT_BY_TOPIC
 from ebonycleat.internal.version.language import (
-    LanguageError,
     parse_command,
     parse_script,
 )
+from ebonycleat.internal.version.language_error import LanguageError
 from ebonycleat.internal.version.printer import print_command
 from ebonycleat.internal.version.records import PutKey, PutRoute, PutTeam
 from tests.configuration_records import digest_of
