Node core with budgets, at most once, operators and drain

Cause: the parts stood alone. Also, a node whose log was gone never ended on SIGTERM, because it waited for the release of its slots. Change: a factory builds all decisions from the settings; the core hands log pages, messages and ticks to the part that owns the state; a planned stop waits for calls without limit and for the log 3 s at most. Conclusion: the whole path enforces budgets and runs ids at most once.

--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -27,7 +27,7 @@
 )
 from ebonycleat.internal.process.log_setup import set_up_logging
 from ebonycleat.internal.process.loop_thread import running_loop_thread
-from ebonycleat.internal.process.node_core import (
+from ebonycleat.internal.process.node_factory import (
     NodeRandom,
     create_node_core,
 )
--- a/src/ebonycleat/internal/process/call_flow.py
+++ b/src/ebonycleat/internal/process/call_flow.py
@@ -39,6 +39,7 @@
     AppendToLog,
     CallTarget,
     NodeEffect,
+    ReadLog,
     SendToPeer,
 )
 from ebonycleat.internal.process.gate_service import (
@@ -373,7 +374,7 @@
         return ()
 
 
-EFFECTS = (AnswerRequest, CallTarget, SendToPeer, AppendToLog)
+EFFECTS = (AnswerRequest, CallTarget, SendToPeer, AppendToLog, ReadLog)
 
 
 def _message_of(step: CallResolved) -> PeerAnswer | PeerRefusal:
--- a/src/ebonycleat/internal/process/dedupe_host.py
+++ b/src/ebonycleat/internal/process/dedupe_host.py
@@ -18,6 +18,7 @@
 from ebonycleat.internal.process.lease import LeaseQueries
 from ebonycleat.internal.process.ownership import DEDUPE, Basis, SlotId
 from ebonycleat.internal.process.slot_leases import SlotGained, SlotLeases
+from ebonycleat.internal.process.started_log import StartedGroup
 from ebonycleat.internal.request.call import Answer, CallResult
 from ebonycleat.internal.request.idempotent_send import (
     AskAnswered,
@@ -116,6 +117,33 @@
         """Take the result of an append of started ids."""
         return self.address(self.owner.append_result(append_result, now))
 
+    def started_page(
+        self,
+        records: Iterable[object],
+        read_started_at: float,
+        now: float,
+        *,
+        at_end: bool,
+    ) -> list[HostOutput]:
+        """Take a page of the ``started`` stream that this node has read."""
+        service = self.owner.commit.service
+        groups = [
+            record
+            for record in records
+            if isinstance(record, StartedGroup) and record.service == service
+        ]
+        events = self.owner.started_page(
+            groups,
+            read_started_at,
+            now,
+            at_end=at_end,
+        )
+        return self.address(events)
+
+    def started_records_lost(self, now: float) -> None:
+        """Note that the log forgot started ids which were not read here."""
+        self.owner.started.gap(now)
+
     def tick(self, now: float) -> list[HostOutput]:
         """Let waits and groups advance, and forget old origins."""
         late = [
--- a/src/ebonycleat/internal/process/node_core.py
+++ b/src/ebonycleat/internal/process/node_core.py
@@ -5,28 +5,24 @@
 """
 
 import dataclasses
-import random
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, TypeAlias
 
 from ebonycleat.internal.connection.codec import create_codec
 from ebonycleat.internal.connection.errors import MalformedMessage
+from ebonycleat.internal.connection.grant_messages import GRANT_MESSAGES
+from ebonycleat.internal.connection.lease_messages import LEASE_MESSAGES
 from ebonycleat.internal.connection.log_service import Stream
 from ebonycleat.internal.connection.messages import (
+    ASK_MESSAGES,
     CALL_MESSAGES,
     LINK_MESSAGES,
 )
 from ebonycleat.internal.connection.target_client import TargetResult
-from ebonycleat.internal.process.announced_members import (
-    AnnouncedMembers,
-    Announcement,
-)
-from ebonycleat.internal.process.call_flow import CallFlow
-from ebonycleat.internal.process.config_follower import (
-    ConfigurationFollower,
-    FollowerEffect,
-    ReadConfiguration,
-)
+from ebonycleat.internal.process.call_flow import CallFlow, FlowStep
+from ebonycleat.internal.process.config_follower import ReadConfiguration
 from ebonycleat.internal.process.config_relay import CONFIGURATION_MESSAGES
+from ebonycleat.internal.process.configuration_part import ConfigurationPart
 from ebonycleat.internal.process.effects import (
     AnswerRequest,
     AppendResult,
@@ -37,63 +33,70 @@
     ReadResult,
     StreamExpired,
 )
-from ebonycleat.internal.process.gate import create_gate
-from ebonycleat.internal.process.gate_service import GateService
-from ebonycleat.internal.process.ingress import Ingress
-from ebonycleat.internal.process.metrics import create_metrics
-from ebonycleat.internal.process.request_metrics import RequestMetrics
-from ebonycleat.internal.process.retry_budget import RetryBudget
-from ebonycleat.internal.process.retry_policy import RetryPolicy
-from ebonycleat.internal.process.router import create_router
-from ebonycleat.internal.process.settings import NodeSettings
+from ebonycleat.internal.process.members_part import (
+    MEMBER_RECORDS,
+    MembersPart,
+)
+from ebonycleat.internal.process.operator_service import OperatorReply
+from ebonycleat.internal.process.ownership import OWNERSHIP_RECORDS
+from ebonycleat.internal.process.ownership_host import OwnershipHost
+from ebonycleat.internal.process.started_log import StartedGroup
 from ebonycleat.internal.process.stream_cursor import StreamCursor
-from ebonycleat.internal.request.context import create_context_registry
 from ebonycleat.internal.request.incoming import IncomingRequest
+from ebonycleat.internal.request.operator_http import render_operator_answer
 from ebonycleat.internal.request.outgoing import render_refusal
 from ebonycleat.internal.request.refusal import Reason, refuse_not_run
 from ebonycleat.internal.version.snapshot import CONFIGURATION_RECORDS
 
-CONTEXTS_PER_SLOT = 4
+# Ownership, membership and configuration advance in steps of this length;
+# calls and tokens at every tick.
+SLOW_TICK_S = 0.1
+# A planned stop must end although the log is down.
+RELEASE_TIME_S = 3.0
 
+CoreStep: TypeAlias = FlowStep | ReadLog | ReadConfiguration | OperatorReply
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeRandom:
-    """Random numbers of a node.
 
-    ``secrets`` makes contexts that nobody may guess, so a running node
-    passes ``random.SystemRandom``; tests pass seeded generators for both.
-    """
+@dataclasses.dataclass(frozen=True, slots=True)
+class CoreParts:
+    """The parts of a node, each the one owner of its state."""
 
-    choices: random.Random
-    secrets: random.Random
+    configuration: ConfigurationPart
+    members: MembersPart
+    ownership: OwnershipHost
+    call_flow: CallFlow
+    cursors: dict[Stream, StreamCursor]
 
 
 class NodeCore:
     """Decisions of one node; holds no socket, thread or clock."""
 
-    def __init__(
-        self,
-        announcement: Announcement,
-        follower: ConfigurationFollower,
-        members: AnnouncedMembers,
-        call_flow: CallFlow,
-        rng: random.Random,
-    ) -> None:
-        """Put the parts together; they share the node's random numbers."""
-        self.announcement = announcement
-        self.node = announcement.node
-        self.follower = follower
-        self.members = members
-        self.call_flow = call_flow
-        self.members_cursor = StreamCursor(Stream.MEMBERS, rng)
+    def __init__(self, node: str, parts: CoreParts) -> None:
+        """Connect the parts of ``node``."""
+        self.node = node
+        self.configuration = parts.configuration
+        self.members = parts.members
+        self.ownership = parts.ownership
+        self.call_flow = parts.call_flow
+        self.cursors = parts.cursors
+        self.append_streams: dict[str, Stream] = {}
+        self.slow_tick_at: float = 0
+        self.draining = False
+        self.release_until: float = 0
         self.peer_codec = create_codec(
             *LINK_MESSAGES,
             *CALL_MESSAGES,
+            *ASK_MESSAGES,
+            *GRANT_MESSAGES,
+            *LEASE_MESSAGES,
             *CONFIGURATION_MESSAGES,
         )
-        self.log_codec = create_codec(*CONFIGURATION_RECORDS, Announcement)
-        self.applied_version = 0
-        self.announced = False
+        self.log_codec = create_codec(
+            *CONFIGURATION_RECORDS,
+            *MEMBER_RECORDS,
+            *OWNERSHIP_RECORDS,
+            StartedGroup,
+        )
 
     def request_received(
         self,
@@ -101,17 +104,38 @@
         now: float,
     ) -> list[NodeEffect]:
         """Start a caller's request."""
-        if self.follower.ready:
-            view = self.follower.view
-            return self.call_flow.request_received(request, view, now)
-        refusal = refuse_not_run(
-            Reason.NO_CONFIGURATION,
-            'this node has not read its configuration yet',
-            retry_after_s=1,
-        )
+        if self.draining:
+            refusal = refuse_not_run(
+                Reason.DRAINING,
+                'this node is about to stop; send to another one',
+                retry_after_s=1,
+            )
+        elif self.configuration.ready:
+            view = self.configuration.view
+            effects = self.call_flow.request_received(request, view, now)
+            return self.perform(effects, now)
+        else:
+            refusal = refuse_not_run(
+                Reason.NO_CONFIGURATION,
+                'this node has not read its configuration yet',
+                retry_after_s=1,
+            )
         answer = render_refusal(request.request_id, refusal)
         return [AnswerRequest(request.request_id, answer)]
 
+    def operator_request(
+        self,
+        request: IncomingRequest,
+        now: float,
+        issued_at: float,
+    ) -> list[NodeEffect]:
+        """Start an operator's request.
+
+        ``issued_at`` is in seconds since the Unix epoch, for the history.
+        """
+        steps = self.configuration.operator_request(request, now, issued_at)
+        return self.perform(steps, now)
+
     def message_received(
         self,
         sender: str,
@@ -119,10 +143,7 @@
         now: float,
     ) -> list[NodeEffect]:
         """Take one message from a peer."""
-        if isinstance(message, CALL_MESSAGES):
-            return self.call_flow.peer_message(sender, message, now)
-        effects = self.follower.peer_message(sender, message, now)
-        return self.configuration_effects(effects, now)
+        return self.perform(self.take_message(sender, message, now), now)
 
     def call_lost(
         self,
@@ -133,7 +154,8 @@
         sent: bool,
     ) -> list[NodeEffect]:
         """Resolve a call to ``node`` whose link closed."""
-        return self.call_flow.call_lost(call_id, now, sent=sent)
+        effects = self.call_flow.call_lost(call_id, now, sent=sent)
+        return self.perform(effects, now)
 
     def target_finished(
         self,
@@ -142,7 +164,8 @@
         now: float,
     ) -> list[NodeEffect]:
         """Take the result of a call that the target ran."""
-        return self.call_flow.target_finished(call_id, target_result, now)
+        effects = self.call_flow.target_finished(call_id, target_result, now)
+        return self.perform(effects, now)
 
     def log_read(
         self,
@@ -150,14 +173,16 @@
         now: float,
     ) -> list[NodeEffect]:
         """Take the result of a read."""
-        if read_result.wanted.stream is Stream.CONFIGURATION:
-            effects = self.configuration_read(read_result, now)
-            return self.configuration_effects(effects, now)
-        self.members_cursor.read_ended(read_result, now)
-        if isinstance(read_result, PageRead):
-            for record in read_result.page.records:
-                self.apply_announcement(record.payload)
-        return list(self.members_cursor.tick(now))
+        stream = read_result.wanted.stream
+        if stream is Stream.CONFIGURATION:
+            return self.perform(
+                self.configuration.log_read(read_result, now),
+                now,
+            )
+        cursor = self.cursors[stream]
+        cursor.read_ended(read_result, now)
+        steps = self.apply_page(stream, read_result, now)
+        return self.perform([*steps, *cursor.tick(now)], now)
 
     def append_finished(
         self,
@@ -165,155 +190,167 @@
         now: float,
     ) -> list[NodeEffect]:
         """Take the result of an append."""
-        self.follower.append_finished(append_result, now)
-        return []
+        operation_id = append_result.operation_id
+        match self.append_streams.pop(operation_id, None):
+            case Stream.CONFIGURATION:
+                steps: Iterable[CoreStep] = self.configuration.append_finished(
+                    append_result,
+                    now,
+                )
+            case Stream.OWNERSHIP:
+                steps = self.ownership.append_result(append_result, now)
+            case Stream.STARTED:
+                steps = self.call_flow.dedupe.append_result(append_result, now)
+            case _:
+                self.members.append_finished(append_result, now)
+                return []
+        return self.perform(steps, now)
 
     def tick(self, now: float) -> list[NodeEffect]:
-        """Let everything that waits for time advance."""
-        effects = self.call_flow.tick(now)
-        effects += self.members_cursor.tick(now)
-        effects += self.announce_once()
-        return [
-            *effects,
-            *self.configuration_effects(self.follower.tick(now), now),
-        ]
+        """Let everything that waits for time advance; call it each 10 ms."""
+        steps: list[CoreStep] = list(self.call_flow.tick(now))
+        if now >= self.slow_tick_at:
+            self.slow_tick_at = now + SLOW_TICK_S
+            steps.extend(self.slow_tick(now))
+        return self.perform(steps, now)
 
     def drain(self, now: float) -> list[NodeEffect]:
-        """Take no new work; what runs goes on to its end."""
-        leaving = dataclasses.replace(self.announcement, leaving=True)
-        operation_id = f'leave-{self.node}-{leaving.incarnation}'
-        return [
+        """Take no new work and release all slots; running work goes on."""
+        self.draining = True
+        self.release_until = now + RELEASE_TIME_S
+        steps = [
+            *self.members.leave(now),
             *self.call_flow.drain(now),
-            AppendToLog(Stream.MEMBERS, leaving, operation_id),
+            *self.ownership.stop(now),
         ]
+        return self.perform(steps, now)
 
-    def is_drained(self) -> bool:
-        """Tell whether no call runs or waits here any more."""
-        return self.call_flow.is_idle()
+    def is_drained(self, now: float) -> bool:
+        """Tell whether the process may end.
+
+        Calls are always waited for. Slots are released through the log; when
+        that takes too long, others take them over once the leases have ended.
+        """
+        released = self.ownership.is_stopped() or now >= self.release_until
+        return self.call_flow.is_idle() and released
 
     def address_of(self, node: str) -> tuple[str, int] | None:
         """Where the peer listens, if that is known."""
-        known = self.members.by_node.get(node)
-        return None if known is None else (known.host, known.port)
+        return self.members.address_of(node)
 
     def is_serving(self) -> bool:
         """Tell whether requests are taken."""
-        return self.follower.ready
+        return self.configuration.ready and not self.draining
 
     def configuration_version(self) -> int:
         """Return the version in force at this node."""
-        return self.follower.view.version
-
-    def announce_once(self) -> list[NodeEffect]:
-        """Announce this node when it starts."""
-        if self.announced:
-            return []
-        self.announced = True
-        operation_id = f'announce-{self.node}-{self.announcement.incarnation}'
-        return [AppendToLog(Stream.MEMBERS, self.announcement, operation_id)]
-
-    def apply_announcement(self, payload: bytes) -> None:
-        """Take one record of the members stream; unreadable ones are skipped."""
+        return self.configuration.view.version
+
+    def slow_tick(self, now: float) -> list[CoreStep]:
+        """Let control advance."""
+        steps: list[CoreStep] = []
+        for cursor in self.cursors.values():
+            steps.extend(cursor.tick(now))
+        steps.extend(self.members.tick(now))
+        live = self.members.take_changes(now)
+        if live is not None:
+            self.configuration.members_changed(live, now)
+            steps.extend(self.ownership.members_changed(live, now))
+        steps.extend(self.ownership.tick(now))
+        steps.extend(self.configuration.tick(now))
+        return steps
+
+    def apply_page(
+        self,
+        stream: Stream,
+        read_result: ReadResult,
+        now: float,
+    ) -> Iterable[CoreStep]:
+        """Hand the records of one page to the part that follows them."""
+        if isinstance(read_result, StreamExpired):
+            return self.records_lost(stream, now)
+        if not isinstance(read_result, PageRead):
+            return ()
+        page = read_result.page
+        records = [
+            (record.offset, self.decode_record(record.payload))
+            for record in page.records
+        ]
+        match stream:
+            case Stream.MEMBERS:
+                return self.members.take_records(records, now)
+            case Stream.OWNERSHIP:
+                return self.ownership.log_page(
+                    read_result.started_at,
+                    records,
+                    now,
+                    at_end=page.at_end,
+                )
+            case Stream.STARTED:
+                return self.call_flow.dedupe.started_page(
+                    (record for _, record in records),
+                    read_result.started_at,
+                    now,
+                    at_end=page.at_end,
+                )
+        return ()
+
+    def records_lost(self, stream: Stream, now: float) -> Iterable[CoreStep]:
+        """Go on after the log has forgotten records not read here."""
+        if stream is Stream.STARTED:
+            self.call_flow.dedupe.started_records_lost(now)
+        return ()
+
+    def decode_record(self, payload: bytes) -> object:
+        """Decode a record; an unreadable one is None and changes nothing."""
         try:
-            record = self.log_codec.decode(payload)
+            decoded: object = self.log_codec.decode(payload)
         except MalformedMessage:
-            return
-        if isinstance(record, Announcement):
-            self.members.apply(record)
+            return None
+        return decoded
 
-    def configuration_read(
+    def take_message(
         self,
-        read_result: ReadResult,
+        sender: str,
+        message: Any,
         now: float,
-    ) -> list[FollowerEffect]:
-        """Hand the result of a read to the follower."""
-        offset = read_result.wanted.offset
-        match read_result:
-            case PageRead(page=page):
-                return self.follower.log_answered(offset, page, now)
-            case StreamExpired(first_offset=first_offset):
-                return self.follower.log_expired(first_offset, now)
-        return self.follower.log_failed(now)
-
-    def configuration_effects(
+    ) -> Iterable[CoreStep]:
+        """Hand a message to the part that it is for."""
+        if isinstance(message, LEASE_MESSAGES):
+            return self.ownership.receive(sender, message, now)
+        if isinstance(message, CONFIGURATION_MESSAGES):
+            return self.configuration.peer_message(sender, message, now)
+        return self.call_flow.take_message(sender, message, now)
+
+    def perform(
         self,
-        effects: list[FollowerEffect],
+        steps: Iterable[CoreStep],
         now: float,
     ) -> list[NodeEffect]:
-        """Translate the follower's effects and apply a new version."""
-        translated: list[NodeEffect] = [
-            _as_log_read(effect)
-            if isinstance(effect, ReadConfiguration)
-            else effect
-            for effect in effects
-        ]
-        view = self.follower.view
-        if view.version == self.applied_version:
-            return translated
-        self.applied_version = view.version
-        return translated + self.call_flow.configuration_changed(view, now)
-
-
-def create_node_core(
-    settings: NodeSettings,
-    incarnation: int,
-    randomness: NodeRandom,
-    now: float,
-) -> NodeCore:
-    """Build all decisions of a node from its settings.
-
-    ``now`` is in seconds on the clock that the driver passes in later.
-    """
-    identity = settings.node
-    members = AnnouncedMembers()
-    announcement = Announcement(
-        node=identity.id,
-        incarnation=incarnation,
-        zone=identity.zone,
-        service=identity.service,
-        host=settings.peers.address,
-        port=settings.peers.port,
-        slots=settings.target.slots,
-    )
-    members.apply(announcement)
-    return NodeCore(
-        announcement,
-        ConfigurationFollower(identity.id, randomness.choices, now),
-        members,
-        _create_call_flow(settings, members, randomness),
-        randomness.choices,
-    )
-
-
-def _create_call_flow(
-    settings: NodeSettings,
-    members: AnnouncedMembers,
-    randomness: NodeRandom,
-) -> CallFlow:
-    identity = settings.node
-    rng = randomness.choices
-    slots = settings.target.slots
-    gate = create_gate(slots, settings.queue.length, identity.zone, rng)
-    contexts = create_context_registry(
-        slots * CONTEXTS_PER_SLOT, randomness.secrets
-    )
-    metrics = create_metrics(settings.statsd)
-    return CallFlow(
-        identity.id,
-        Ingress(
-            members,
-            create_router(identity.zone, identity.id, rng),
-            RetryPolicy(RetryBudget(), rng),
-        ),
-        GateService(gate, contexts, identity.zone),
-        RequestMetrics(metrics, identity.zone),
-    )
-
-
-def _as_log_read(effect: ReadConfiguration) -> ReadLog:
-    return ReadLog(
-        Stream.CONFIGURATION,
-        effect.offset,
-        effect.limit,
-        effect.wait_s,
-    )
+        """Turn steps into effects; note which stream each append is for."""
+        effects: list[NodeEffect] = []
+        for effect in self.call_flow.settle(self.translate(steps), now):
+            if isinstance(effect, AppendToLog):
+                self.append_streams[effect.operation_id] = effect.stream
+            effects.append(effect)
+        view = self.configuration.take_new_view()
+        if view is not None:
+            changed = self.call_flow.configuration_changed(view, now)
+            effects.extend(changed)
+        return effects
+
+    def translate(self, steps: Iterable[CoreStep]) -> Iterable[Any]:
+        """Put the steps of single parts into the common form."""
+        for step in steps:
+            if isinstance(step, ReadConfiguration):
+                yield ReadLog(
+                    Stream.CONFIGURATION,
+                    step.offset,
+                    step.limit,
+                    step.wait_s,
+                )
+            elif isinstance(step, OperatorReply):
+                answer = render_operator_answer(step.answer)
+                yield AnswerRequest(step.ticket, answer)
+            else:
+                yield step
--- /dev/null
+++ b/src/ebonycleat/internal/process/node_factory.py
@@ -0,0 +1,276 @@
+"""Builds all decisions of a node from its settings.
+
+A shell, a test and a benchmark build nodes in the same way and differ only
+in the clock, the random numbers and the transport they bring.
+"""
+
+import dataclasses
+import random
+
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.connection.operator_messages import (
+    NodeRow,
+    RefusalRow,
+)
+from ebonycleat.internal.process.announced_members import (
+    AnnouncedMembers,
+    Announcement,
+)
+from ebonycleat.internal.process.budget_owner import BudgetOwner
+from ebonycleat.internal.process.call_flow import CallFlow, FlowParts
+from ebonycleat.internal.process.config_follower import ConfigurationFollower
+from ebonycleat.internal.process.configuration_part import ConfigurationPart
+from ebonycleat.internal.process.dedupe import DedupeOwner
+from ebonycleat.internal.process.dedupe_host import DedupeHost, LeasedSlots
+from ebonycleat.internal.process.gate import create_gate
+from ebonycleat.internal.process.gate_service import GateService
+from ebonycleat.internal.process.grant_holder import GrantHolder
+from ebonycleat.internal.process.idempotent_ingress import IdempotentIngress
+from ebonycleat.internal.process.ingress import Ingress
+from ebonycleat.internal.process.members_part import MembersPart
+from ebonycleat.internal.process.metrics import create_metrics
+from ebonycleat.internal.process.node_core import CoreParts, NodeCore
+from ebonycleat.internal.process.operator_answers import NodeFacts
+from ebonycleat.internal.process.operator_service import OperatorService
+from ebonycleat.internal.process.ownership_engine import (
+    OwnershipEngine,
+    create_ownership_engine,
+)
+from ebonycleat.internal.process.ownership_host import OwnershipHost
+from ebonycleat.internal.process.rendezvous import slot_of_team
+from ebonycleat.internal.process.request_metrics import RequestMetrics
+from ebonycleat.internal.process.retry_budget import RetryBudget
+from ebonycleat.internal.process.retry_policy import RetryPolicy
+from ebonycleat.internal.process.router import create_router
+from ebonycleat.internal.process.settings import NodeSettings
+from ebonycleat.internal.process.slot_claims import OwnershipSettings
+from ebonycleat.internal.process.started_log import GroupCommit
+from ebonycleat.internal.process.stream_cursor import StreamCursor
+from ebonycleat.internal.process.token_desk import TokenDesk
+from ebonycleat.internal.request.context import create_context_registry
+
+CONTEXTS_PER_SLOT = 4
+FOLLOWED_STREAMS = (Stream.MEMBERS, Stream.OWNERSHIP, Stream.STARTED)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeRandom:
+    """Random numbers of a node.
+
+    ``secrets`` makes contexts that nobody may guess, so a running node
+    passes ``random.SystemRandom``; tests pass seeded generators for both.
+    """
+
+    choices: random.Random
+    secrets: random.Random
+
+
+class KnownFacts(NodeFacts):
+    """Members and refusals, as operators ask for them."""
+
+    def __init__(
+        self,
+        members: AnnouncedMembers,
+        metrics: RequestMetrics,
+    ) -> None:
+        """Read from the parts that hold the facts."""
+        self.members = members
+        self.metrics = metrics
+
+    def nodes(self) -> tuple[NodeRow, ...]:
+        """List the nodes that this node knows, itself included."""
+        return tuple(
+            NodeRow(
+                known.node,
+                known.zone,
+                known.service,
+                'leaving' if known.leaving else 'up',
+            )
+            for known in self.members.by_node.values()
+        )
+
+    def refusals(self) -> tuple[RefusalRow, ...]:
+        """List the refusals that this node counted since its start."""
+        return tuple(
+            RefusalRow(
+                key.team,
+                key.route,
+                key.priority,
+                key.zone,
+                key.reason,
+                count,
+            )
+            for key, count in self.metrics.refusals.items()
+        )
+
+
+class NodeBuilder:
+    """Builds the parts of one node in the order of their dependencies."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        incarnation: int,
+        randomness: NodeRandom,
+        now: float,
+    ) -> None:
+        """Build what the other parts share."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.randomness = randomness
+        self.rng = randomness.choices
+        self.identity = settings.node
+        self.announcement = _announcement_of(settings, incarnation)
+        self.members = AnnouncedMembers()
+        self.members.apply(self.announcement)
+        self.metrics = RequestMetrics(
+            create_metrics(settings.statsd),
+            self.identity.zone,
+        )
+        self.follower = ConfigurationFollower(self.identity.id, self.rng, now)
+        self.engine = self.build_engine(now)
+        self.budgets = self.build_budgets()
+        self.dedupe = self.build_dedupe()
+
+    def build(self) -> NodeCore:
+        """Put the node together."""
+        identity = self.identity
+        parts = CoreParts(
+            ConfigurationPart(
+                identity.zone,
+                self.follower,
+                self.build_operators(),
+            ),
+            MembersPart(self.announcement, self.members),
+            OwnershipHost(
+                self.engine,
+                self.budgets,
+                self.dedupe,
+                identity.service,
+            ),
+            self.build_call_flow(),
+            {
+                stream: StreamCursor(stream, self.rng)
+                for stream in FOLLOWED_STREAMS
+            },
+        )
+        return NodeCore(identity.id, parts)
+
+    def build_engine(self, now: float) -> OwnershipEngine:
+        """Build the ownership engine."""
+        identity = self.identity
+        return create_ownership_engine(
+            OwnershipSettings(
+                identity.id,
+                identity.zone,
+                self.incarnation,
+                (identity.service,),
+            ),
+            now,
+        )
+
+    def build_budgets(self) -> BudgetOwner:
+        """Build the owner of the zone's token buckets."""
+        zone = self.identity.zone
+        return BudgetOwner(
+            self.engine,
+            lambda team: slot_of_team(zone, team),
+            self.part_of_zone,
+        )
+
+    def part_of_zone(self, team: str) -> tuple[float, float]:
+        """Rate and burst of a team in this zone, as they are in force."""
+        part = self.follower.view.zone_part(team, self.identity.zone)
+        return part.rate_per_s, part.burst
+
+    def build_dedupe(self) -> DedupeHost:
+        """Build the dedupe owner."""
+        identity = self.identity
+        commit = GroupCommit(identity.id, self.incarnation, identity.service)
+        rights = LeasedSlots(self.engine, identity.service)
+        return DedupeHost(DedupeOwner(commit, rights))
+
+    def build_operators(self) -> OperatorService:
+        """Build the service for operators."""
+        return OperatorService(
+            {
+                operator.key_digest: operator.name
+                for operator in self.settings.operators
+            },
+            self.follower,
+            KnownFacts(self.members, self.metrics),
+        )
+
+    def build_call_flow(self) -> CallFlow:
+        """Build the path of calls."""
+        identity = self.identity
+        tokens = TokenDesk(self.build_holder(), self.budgets)
+        ingress = Ingress(
+            self.members,
+            create_router(identity.zone, identity.id, self.rng),
+            RetryPolicy(RetryBudget(), self.rng),
+            tokens.spend,
+        )
+        parts = FlowParts(
+            ingress,
+            IdempotentIngress(self.engine.fold.state_of),
+            tokens,
+            self.dedupe,
+            self.build_gate_service(),
+            self.metrics,
+        )
+        return CallFlow(identity.id, parts)
+
+    def build_holder(self) -> GrantHolder:
+        """Build the holder of the ingress's tokens."""
+        return GrantHolder(
+            self.identity.id,
+            self.incarnation,
+            self.zones,
+            lambda zone, team: self.engine.owner_of(slot_of_team(zone, team)),
+        )
+
+    def zones(self) -> list[str]:
+        """List the known zones, this node's own first."""
+        known = {member.zone for member in self.members.by_node.values()}
+        return [self.identity.zone, *sorted(known - {self.identity.zone})]
+
+    def build_gate_service(self) -> GateService:
+        """Build the gate of the target."""
+        zone = self.identity.zone
+        slots = self.settings.target.slots
+        return GateService(
+            create_gate(slots, self.settings.queue.length, zone, self.rng),
+            create_context_registry(
+                slots * CONTEXTS_PER_SLOT,
+                self.randomness.secrets,
+            ),
+            zone,
+            self.dedupe.owner.may_dispatch,
+        )
+
+
+def create_node_core(
+    settings: NodeSettings,
+    incarnation: int,
+    randomness: NodeRandom,
+    now: float,
+) -> NodeCore:
+    """Build all decisions of a node from its settings.
+
+    ``now`` is in seconds on the clock that the driver passes in later.
+    """
+    return NodeBuilder(settings, incarnation, randomness, now).build()
+
+
+def _announcement_of(settings: NodeSettings, incarnation: int) -> Announcement:
+    identity = settings.node
+    return Announcement(
+        node=identity.id,
+        incarnation=incarnation,
+        zone=identity.zone,
+        service=identity.service,
+        host=settings.peers.address,
+        port=settings.peers.port,
+        slots=settings.target.slots,
+    )
--- a/src/ebonycleat/internal/process/ownership.py
+++ b/src/ebonycleat/internal/process/ownership.py
@@ -69,6 +69,9 @@
     operation_id: str
 
 
+OWNERSHIP_RECORDS = (Claim, Release, Fence)
+
+
 class Basis(enum.Enum):
     """Why the fold accepted a claim."""
 
--- a/src/ebonycleat/internal/process/ownership_host.py
+++ b/src/ebonycleat/internal/process/ownership_host.py
@@ -104,7 +104,7 @@
         now: float,
     ) -> list[OwnershipStep]:
         """Tell budgets and dedupe what the engine gained and lost."""
-        steps: list[OwnershipStep] = [*effects]
+        steps: list[OwnershipStep] = list(effects)
         for change in self.engine.take_changes():
             steps.extend(self.apply_change(change, now))
         return steps
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import Executor, Future
 from typing import Any
@@ -72,6 +73,7 @@
         self.core = core
         self.identity = identity
         self.loop = loop
+        self.wall_clock = time.time
         self.log_service = log_service
         self.target = target
         self.log_threads = threads.log
@@ -90,7 +92,15 @@
         request: IncomingRequest,
     ) -> Future[OutgoingAnswer]:
         """Start an operator's request; called on worker threads."""
-        return self.start_on_loop(request, self.core.request_received)
+        issued_at = self.wall_clock()
+        return self.start_on_loop(
+            request,
+            lambda wanted, now: self.core.operator_request(
+                wanted,
+                now,
+                issued_at,
+            ),
+        )
 
     def drain_and_wait(self) -> None:
         """Refuse new work and wait until running work has ended."""
@@ -103,7 +113,9 @@
     async def drain(self, drained: Future[None]) -> None:
         """Drain the core and report when nothing runs any more."""
         self.perform(self.core.drain(self.loop.time()))
-        while self.waiting or not self.core.is_drained():
+        while self.waiting or not self.core.is_drained(
+            self.loop.time(),
+        ):
             await asyncio.sleep(TICK_S)
         drained.set_result(None)
 
--- /dev/null
+++ b/src/ebonycleat/internal/request/operator_http.py
@@ -0,0 +1,41 @@
+"""Operators' requests and answers as JSON over HTTP."""
+
+import types
+from collections.abc import Mapping
+from http import HTTPStatus
+
+import msgspec
+
+from ebonycleat.internal.connection.operator_messages import (
+    AnswerStatus,
+    OperatorAnswer,
+    OperatorRequest,
+)
+from ebonycleat.internal.request.incoming import OutgoingAnswer
+
+STATUS_BY_ANSWER: Mapping[AnswerStatus, HTTPStatus] = types.MappingProxyType({
+    AnswerStatus.DONE: HTTPStatus.OK,
+    AnswerStatus.ACCEPTED: HTTPStatus.OK,
+    AnswerStatus.REJECTED: HTTPStatus.CONFLICT,
+    AnswerStatus.UNKNOWN: HTTPStatus.ACCEPTED,
+    AnswerStatus.INVALID: HTTPStatus.BAD_REQUEST,
+    AnswerStatus.UNAUTHORISED: HTTPStatus.UNAUTHORIZED,
+    AnswerStatus.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
+})
+
+
+def read_operator_request(body: bytes) -> OperatorRequest | OperatorAnswer:
+    """Decode a request, or return the answer that says what is wrong."""
+    try:
+        return msgspec.json.decode(body, type=OperatorRequest)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return OperatorAnswer(AnswerStatus.INVALID, f'not a request: {error}')
+
+
+def render_operator_answer(answer: OperatorAnswer) -> OutgoingAnswer:
+    """Encode an answer for the operator's client."""
+    return OutgoingAnswer(
+        STATUS_BY_ANSWER[answer.status],
+        (('Content-Type', 'application/json'),),
+        msgspec.json.encode(answer),
+    )
