Control program for operators

Cause: operators need the language on the command line and in scripts, and must be told whether a change took effect when nodes fall silent. Change: ebonycleat-ctl with settings, one-shot commands or a script, tables and JSON, and exit codes; a client that tries one node after the other and sends a change again only under its operation id. Conclusion: scripts can tell rejected, unknown and not done apart.

--- a/src/ebonycleat/internal/process/config_follower.py
+++ b/src/ebonycleat/internal/process/config_follower.py
@@ -143,8 +143,9 @@
         return []
 
     def append_finished(self, result: AppendResult, now: float) -> None:
-        """Take the result of a snapshot's append, whatever it is."""
-        self.snapshots.finished(now)
+        """Take the end of a snapshot's append; others are passed over."""
+        if result.operation_id.startswith(f'{SNAPSHOT_OPERATION}-'):
+            self.snapshots.finished(now)
 
     def _take_page(self, page: ConfigurationPage, now: float) -> Effects:
         self.heard_reader_at = now
--- a/src/ebonycleat/internal/process/operator_service.py
+++ b/src/ebonycleat/internal/process/operator_service.py
@@ -273,20 +273,20 @@
     ) -> OperatorAnswer:
         view = self.follower.view
         append = self.open_appends.get(request.operation_id)
-        if request.attempt == 0:
-            if append is None:
-                return _not_ready(
-                    request,
-                    'the node is behind the log; nothing was appended',
-                )
-            if not append.in_flight and not append.may_have_taken_effect:
-                rejected = Rejected(
-                    RejectionReason.LOG_UNAVAILABLE,
-                    '',
-                    detail='the log service cannot be reached and nothing '
-                    'changed; try again later',
-                )
-                return answer_rejected(view, rejected, request.operation_id)
+        is_behind = view.version < request.at_least_version
+        if append is None and (is_behind or not self.follower.ready):
+            return _not_ready(
+                request,
+                'the node is behind the log; it appended nothing',
+            )
+        if append is not None and _is_surely_lost(append, request):
+            rejected = Rejected(
+                RejectionReason.LOG_UNAVAILABLE,
+                '',
+                detail='the log service cannot be reached and nothing '
+                'changed; try again later',
+            )
+            return answer_rejected(view, rejected, request.operation_id)
         return OperatorAnswer(
             AnswerStatus.UNKNOWN,
             'the outcome is unknown; look it up with '
@@ -312,6 +312,11 @@
                 )
 
 
+def _is_surely_lost(append: OpenAppend, request: OperatorRequest) -> bool:
+    is_open = append.in_flight or append.may_have_taken_effect
+    return request.attempt == 0 and not is_open
+
+
 def _is_operation_id(text: str) -> bool:
     is_reserved = text.startswith(f'{SNAPSHOT_OPERATION}-')
     return not is_reserved and NAME_PATTERN.fullmatch(text) is not None
--- /dev/null
+++ b/tests/cover/test_ctl.py
@@ -0,0 +1,199 @@
+"""The control program: exit codes, and one effect for each change."""
+
+import functools
+import io
+import json
+import pathlib
+
+import msgspec
+import pytest
+
+from ebonycleat.commands.ctl import main
+from ebonycleat.internal.connection.operator_client import (
+    NoAnswer,
+    NodeSilent,
+    OperatorClient,
+    OperatorTransport,
+)
+from ebonycleat.internal.connection.operator_messages import (
+    AnswerStatus,
+    OperatorAnswer,
+    OperatorRequest,
+)
+from ebonycleat.internal.version.view import TeamInForce
+from tests.servers import free_port, scripted_server
+
+KEY = 'operators-secret'
+ACCEPTED = OperatorAnswer(AnswerStatus.ACCEPTED, 'accepted', 'op', 7)
+
+
+class ScriptedTransport(OperatorTransport):
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.sent = []
+
+    def send(self, node, request):
+        self.sent.append((node, request.operation_id, request.attempt))
+        answer = self.answers.pop(0)
+        if isinstance(answer, NodeSilent):
+            raise answer
+        return answer
+
+
+def http(answer, status='200 OK', headers=''):
+    body = msgspec.json.encode(answer)
+    head = f'HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
+def write_settings(path, *ports, source="key_environment = 'OPERATOR_KEY'"):
+    nodes = [f'127.0.0.1:{port}' for port in ports]
+    path.write_text(f'nodes = {nodes}\n{source}\n')
+    return ['--settings', str(path)]
+
+
+@pytest.fixture
+def settings(tmp_path, monkeypatch):
+    """Write settings for the given ports and return the options."""
+    monkeypatch.setenv('OPERATOR_KEY', KEY)
+    return functools.partial(write_settings, tmp_path / 'ctl.toml')
+
+
+def test_a_change_that_may_have_been_sent_keeps_its_id_at_the_next_node():
+    """Guards against a change that takes effect twice."""
+    lost = NodeSilent('closed', sent=True)
+    refused = NodeSilent('refused', sent=False)
+    not_ready = OperatorAnswer(AnswerStatus.NOT_READY)
+    transport = ScriptedTransport(refused, lost, not_ready, ACCEPTED)
+    client = OperatorClient(['a', 'b', 'c', 'd'], transport)
+    request = OperatorRequest('fence node x', 'op')
+    assert client.ask(request, is_change=True) == ACCEPTED
+    assert transport.sent == [
+        ('a', 'op', 0),
+        ('b', 'op', 0),
+        ('c', 'op', 1),
+        ('d', 'op', 1),
+    ]
+    assert client.nodes[0] == 'd'
+
+
+@pytest.mark.parametrize('sent', [True, False])
+def test_silence_is_unknown_only_if_a_change_may_have_been_sent(sent):
+    """Guards against "nothing was done" about a change in force."""
+    request = OperatorRequest('fence node x', 'op')
+    for is_change in (True, False):
+        transport = ScriptedTransport(NodeSilent('gone', sent=sent))
+        answer = OperatorClient(['a'], transport).ask(
+            request,
+            is_change=is_change,
+        )
+        assert isinstance(answer, NoAnswer)
+        assert answer.may_have_taken_effect is (sent and is_change)
+
+
+def test_a_script_sends_each_command_with_the_key_and_the_last_version(
+    settings,
+    monkeypatch,
+    capsys,
+):
+    """Guards against a script whose next line meets an older view."""
+    team = TeamInForce('survey', 10.0, 5.0, (('a', 1.0),), 7)
+    shown = OperatorAnswer(AnswerStatus.DONE, version=7, teams=(team,))
+    script = io.StringIO('withdraw route map\n\nshow teams\n')
+    monkeypatch.setattr('sys.stdin', script)
+    with scripted_server(http(ACCEPTED), http(shown)) as server:
+        assert main(settings(server.port)) == 0
+    first, second = server.requests
+    assert f'Authorization: Bearer {KEY}\r\n'.encode() in first
+    body = json.loads(first.split(b'\r\n\r\n')[1])
+    assert body['text'] == 'withdraw route map'
+    assert body['operation_id'].startswith('op-')
+    body = json.loads(second.split(b'\r\n\r\n')[1])
+    assert (body['at_least_version'], body['operation_id']) == (7, '')
+    printed = capsys.readouterr()
+    assert 'survey  10          5      a=1           7' in printed.out
+    assert KEY not in printed.out + printed.err
+
+
+@pytest.mark.parametrize(
+    ('answer', 'code'),
+    [
+        (http(ACCEPTED), 0),
+        (http(OperatorAnswer(AnswerStatus.REJECTED, 'no')), 1),
+        (http(OperatorAnswer(AnswerStatus.UNAUTHORISED), '401 No'), 2),
+        (http(OperatorAnswer(AnswerStatus.UNKNOWN, 'perhaps')), 3),
+        (b'', 3),
+        (http({'reason': 'shed'}, '503 Busy'), 3),
+        (
+            http({}, '503 Busy', 'Ebonycleat-Outcome: not-run\r\n'),
+            4,
+        ),
+        (http(OperatorAnswer(AnswerStatus.NOT_READY)), 4),
+    ],
+)
+def test_the_exit_code_tells_what_became_of_the_change(
+    settings,
+    answer,
+    code,
+):
+    """Guards against scripts that take an unknown outcome for a known one."""
+    with scripted_server(answer, closing=True) as server:
+        options = settings(free_port(), server.port)
+        assert main([*options, 'fence', 'node', 'x']) == code
+    assert server.requests
+
+
+def test_json_output_is_one_answer_per_line(settings, capsys):
+    """Guards against output that programs cannot read."""
+    with scripted_server(http(ACCEPTED)) as server:
+        options = settings(server.port)
+        expect = ['--expect', 'node:x=0', '--expect', 'team:y=2']
+        again = ['--operation-id', 'op-1']
+        words = ['fence node x']
+        assert main([*options, '--json', *expect, *again, *words]) == 0
+    printed = capsys.readouterr().out
+    assert msgspec.json.decode(printed, type=OperatorAnswer) == ACCEPTED
+    body = json.loads(server.requests[0].split(b'\r\n\r\n')[1])
+    assert body['expected'] == [['node:x', 0], ['team:y', 2]]
+    assert (body['operation_id'], body['attempt']) == ('op-1', 1)
+
+
+@pytest.mark.parametrize(
+    ('source', 'arguments', 'said'),
+    [
+        ('', ['--check-settings'], 'one of key_file'),
+        ("key_environment = 'UNSET'", ['--check-settings'], 'no key there'),
+        ("key_file = '/absent'", ['--check-settings'], 'a readable file'),
+        ("key_environment = 'OPERATOR_KEY'", ['shwo'], 'did you mean "show"'),
+        ("key_environment = 'OPERATOR_KEY'", ['#'], 'no command'),
+        (
+            "key_environment = 'OPERATOR_KEY'",
+            ['--expect', 'x', 'fence node x'],
+            'SUBJECT=VERSION',
+        ),
+    ],
+)
+def test_wrong_use_is_told_before_anything_is_sent(
+    settings,
+    capsys,
+    source,
+    arguments,
+    said,
+):
+    """Guards against a half-done script because of a typing error."""
+    assert main([*settings(free_port(), source=source), *arguments]) == 2
+    assert said in capsys.readouterr().err
+
+
+def test_wrong_addresses_are_named_and_key_files_are_read(
+    settings,
+    tmp_path,
+    capsys,
+):
+    """Guards against settings that fail only at the first use."""
+    assert main([*settings('x'), '--check-settings']) == 2
+    assert 'nodes[0]: found' in capsys.readouterr().err
+    key_file = pathlib.Path(tmp_path) / 'key'
+    key_file.write_text(f'{KEY}\n')
+    options = settings(free_port(), source=f"key_file = '{key_file}'")
+    assert main([*options, '--check-settings']) == 0
