Policy benchmark: slow service, greedy team, faults, zones, retries

Cause: section 7 needs figures for each of its promises. Change: five more scenarios with bounds from the design; make bench and make bench-check run them; each prints JSON, one table and the seed.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,11 @@
 format: setup
 	$(BIN)/ruff format src tests bench
 
+bench: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.policy
+
+bench-check: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.policy --check
+
 clean:
 	rm -rf build .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/bench/policy_baselines.py
+++ b/bench/policy_baselines.py
@@ -79,6 +79,7 @@
             partial(self.take_end, number, RunResult.FAILED),
         )
         place = self.carrier.choose(self.chain[0])
+        place.target.sent_at.append(self.clock.now)
         take_end = partial(self.take_end, number)
         failing_s = self.carrier.world.failure_delay_s(self.zone, place.node)
         if failing_s is not None:
--- a/bench/policy_layer.py
+++ b/bench/policy_layer.py
@@ -358,6 +358,8 @@
     ) -> None:
         """Carry an attempt to a node, and its reply back."""
         clock = self.world.clock
+        place = self.world.places[member.node]
+        place.target.sent_at.append(clock.now)
         failing_s = self.world.failure_delay_s(zone, member.node)
         if failing_s is not None:
             lost = refuse_outcome_unknown(Reason.CONNECTION_LOST)
--- a/bench/policy_targets.py
+++ b/bench/policy_targets.py
@@ -1,6 +1,7 @@
 """Small fake of a target: slots, service time, cold start and faults."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import TypeAlias
@@ -21,7 +22,8 @@
 class FakeTarget:
     """Works for half its time, calls on if the chain goes on, and ends.
 
-    ``broken`` answers every request at once with an error.
+    ``broken`` answers every request at once with an error; without that,
+    ``failing_share`` of the runs fail after their work.
     """
 
     def __init__(
@@ -39,14 +41,18 @@
         self.factor: float = 1
         self.alive = True
         self.broken = False
+        self.failing_share: float = 0
         self.cold_until: float = 0
         self.running: dict[int, RunEnd] = {}
         self.started_at: list[float] = []
+        self.starts_by_root: Counter[str] = Counter()
         self.most_running = 0
+        self.sent_at: list[float] = []
 
     def run(self, call: Call, call_on: CallOn | None, on_end: RunEnd) -> None:
         """Run one call; ``call_on`` makes the next call of the chain."""
         self.started_at.append(self.clock.now)
+        self.starts_by_root[call.root_id] += 1
         if not self.alive:
             on_end(RunResult.TARGET_DIED)
             return
@@ -71,7 +77,9 @@
         half_s: float,
     ) -> None:
         """Call the next service, then work for the second half."""
-        finish = partial(self.end, run_id, RunResult.SUCCEEDED)
+        fails = self.rng.random() < self.failing_share
+        how = RunResult.FAILED if fails else RunResult.SUCCEEDED
+        finish = partial(self.end, run_id, how)
         if call_on is None:
             self.clock.after(half_s, finish)
             return
--- /dev/null
+++ b/bench/policy_zones.py
@@ -0,0 +1,104 @@
+"""A zone cut off from the others, and a zone lost with all its VMs."""
+
+from functools import partial
+
+from bench.policy_clients import (
+    Clients,
+    RootRequest,
+    goodput_per_s,
+    share_served,
+)
+from bench.policy_figures import Figure
+from bench.policy_sites import (
+    CHAINS,
+    Variant,
+    capacity_per_s,
+    create_clients,
+    create_site,
+    flows_of_mix,
+)
+from bench.policy_world import ZONES, World
+
+SITE = 'lankadeep'
+FAULT_S = 5
+MEASURED_FROM_S = 8
+END_S = 16
+CUT_ZONE = 'c'
+CUT_LOAD = 0.6
+LOST_LOAD = 0.9
+SERVED_SHARE = 0.95
+
+
+def run_zone_fault(
+    load: float,
+    is_lost: bool,
+    variant: Variant,
+    seed: int,
+) -> Clients:
+    """Run the map chain; the fault lasts to the end."""
+    world = create_site(SITE, seed)
+    clients = create_clients(variant, world)
+    chain = CHAINS[SITE][0]
+    rate_per_s = capacity_per_s(world, chain) * load
+    for flow in flows_of_mix(chain, rate_per_s, {}):
+        clients.send_flow(flow, 0, END_S)
+    start = _lose_zone if is_lost else _cut_zone
+    world.clock.after(FAULT_S, partial(start, world))
+    world.clock.run_until(END_S + 2)
+    return clients
+
+
+def _cut_zone(world: World) -> None:
+    world.cut_since[CUT_ZONE] = world.clock.now
+
+
+def _lose_zone(world: World) -> None:
+    for place in world.places.values():
+        if place.zone == CUT_ZONE:
+            world.kill_node(place.node)
+
+
+def _is_from(zone: str, request: RootRequest) -> bool:
+    return request.zone == zone
+
+
+def measure_zones(variant: Variant, seed: int) -> list[Figure]:
+    """Each zone's own targets suffice for it when cut; not when lost."""
+    is_layer = variant is Variant.LAYER
+    cut = run_zone_fault(CUT_LOAD, False, variant, seed)
+    figures = [
+        Figure(
+            'zone c cut off',
+            variant.value,
+            f'served of requests of zone {zone}',
+            share_served(
+                cut.requests,
+                MEASURED_FROM_S,
+                END_S,
+                partial(_is_from, zone),
+            ),
+            at_least=SERVED_SHARE if is_layer else None,
+        )
+        for zone in ZONES
+    ]
+    lost = run_zone_fault(LOST_LOAD, True, variant, seed)
+    goodput = goodput_per_s(lost.requests, MEASURED_FROM_S, END_S)
+    left = capacity_left(lost.carrier.world)
+    figures.append(
+        Figure(
+            'zone c lost',
+            variant.value,
+            'goodput / capacity left',
+            goodput / left,
+            at_least=SERVED_SHARE if is_layer else None,
+        ),
+    )
+    return figures
+
+
+def capacity_left(world: World) -> float:
+    """Capacity of the map chain without the targets of the lost zone."""
+    chain = CHAINS[SITE][0]
+    places = world.of_service(chain[0])
+    lost = sum(place.zone == CUT_ZONE for place in places)
+    return capacity_per_s(world, chain) * (1 - lost / len(places))
