Capacity slopes: bytes, memory and processor time per unit of size

Each cost is measured at three sizes or more and fitted with a line; the largest distance of a point from the line shows where a cost is not linear.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,9 @@
 format: setup
 	$(BIN)/ruff format src tests bench
 
+# Writes out/capacity.json; docs/CAPACITY.md is worked out from it.
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf build .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,49 @@
+"""Measures the slopes that ``docs/CAPACITY.md`` is worked out from.
+
+Each cost is measured at three sizes or more and fitted with a line. Run it
+with ``make capacity``; it writes ``out/capacity.json`` and prints a table.
+"""
+
+import dataclasses
+import json
+import pathlib
+import sys
+
+from bench.capacity_bytes import bytes_subjects
+from bench.capacity_fit import Slope, measure_slope
+from bench.capacity_memory import memory_subjects
+from bench.capacity_time import time_subjects
+
+OUTPUT = pathlib.Path('out') / 'capacity.json'
+HEADER = (
+    f'{"cost":36}{"unit":>7}{"fixed":>12}{"slope":>12}  {"per":24}'
+    f'{"worst":>7}  points'
+)
+
+
+def describe_slope(found: Slope) -> str:
+    """One line of the table."""
+    points = ' '.join(f'{size}:{cost:.4g}' for size, cost in found.points)
+    return (
+        f'{found.name:36}{found.unit:>7}{found.intercept:12.4g}'
+        f'{found.slope:12.4g}  {found.per:24}{found.worst_error:7.1%}'
+        f'  {points}'
+    )
+
+
+def main() -> int:
+    """Measure everything."""
+    slopes = []
+    sys.stdout.write(f'{HEADER}\n')
+    subjects = (*bytes_subjects(), *memory_subjects(), *time_subjects())
+    for subject in subjects:
+        found = measure_slope(subject)
+        sys.stdout.write(f'{describe_slope(found)}\n')
+        slopes.append(dataclasses.asdict(found))
+    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    OUTPUT.write_text(json.dumps(slopes, indent=1), encoding='utf-8')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/capacity_bytes.py
@@ -0,0 +1,201 @@
+"""Bytes of each peer message and log record, as the codec encodes them."""
+
+import functools
+from collections.abc import Callable
+
+from bench import capacity_samples as samples
+from bench.capacity_fit import Subject
+from bench.capacity_states import make_heartbeat
+from ebonycleat.internal.connection.codec import create_codec
+from ebonycleat.internal.connection.grant_messages import (
+    GRANT_MESSAGES,
+    GrantAsk,
+    GrantGiven,
+    GrantReport,
+)
+from ebonycleat.internal.connection.lease_messages import (
+    LEASE_MESSAGES,
+    AskedSlot,
+    HeartbeatAck,
+    SupportAsk,
+)
+from ebonycleat.internal.connection.log_service import LogRecord
+from ebonycleat.internal.connection.messages import (
+    CALL_MESSAGES,
+    LINK_MESSAGES,
+    PeerAnswer,
+    PeerCall,
+    Ping,
+)
+from ebonycleat.internal.process.announced_members import Announcement
+from ebonycleat.internal.process.config_relay import (
+    CONFIGURATION_MESSAGES,
+    ConfigurationPage,
+)
+from ebonycleat.internal.process.metrics import HistogramPart
+from ebonycleat.internal.process.ownership import Claim, Release
+from ebonycleat.internal.process.started_log import StartedGroup
+from ebonycleat.internal.version.records import ChangeSet
+from ebonycleat.internal.version.snapshot import Snapshot
+from ebonycleat.internal.version.view import RouteInForce, TeamInForce
+
+CODEC = create_codec(
+    *LINK_MESSAGES,
+    *CALL_MESSAGES,
+    *GRANT_MESSAGES,
+    *LEASE_MESSAGES,
+    *CONFIGURATION_MESSAGES,
+    Announcement,
+    ChangeSet,
+    Claim,
+    HistogramPart,
+    Release,
+    Snapshot,
+    StartedGroup,
+)
+UNIT = 'bytes'
+FEW = (1, 8, 64)
+MANY = (100, 1000, 4000)
+BODY_SIZES = (0, 4096, 65536)
+HASH_BYTES = 16
+
+
+def bytes_subjects() -> list[Subject]:
+    """Every message and record that the roles send or write."""
+    return [
+        _subject('PeerCall', 'body byte', _peer_call, BODY_SIZES),
+        _subject('PeerAnswer', 'body byte', _peer_answer, BODY_SIZES),
+        _subject('Ping', 'doubling of its number', _ping),
+        _subject('Heartbeat', 'slot', make_heartbeat),
+        _subject('HeartbeatAck', 'refused slot', _heartbeat_ack, (0, 1, 8)),
+        _subject('SupportAsk', 'slot', _support_ask),
+        _subject('GrantAsk', 'report', _grant_ask, (0, 1, 8)),
+        _subject('GrantGiven', 'doubling of its tokens', _grant_given),
+        _subject('ConfigurationPage', 'record', _configuration_page),
+        _subject('record Announcement', 'node', _announcement),
+        _subject('record Claim', 'doubling of its number', _claim),
+        _subject('record Release', 'doubling of its epoch', _release),
+        _subject('record StartedGroup', 'id', _started_group),
+        _subject('record ChangeSet', 'node', _change_set),
+        _subject('snapshot keys', 'key', _snapshot_of_keys, MANY),
+        _subject('snapshot teams', 'team', _snapshot_of_teams, MANY),
+        _subject('snapshot routes', 'route', _snapshot_of_routes, MANY),
+    ]
+
+
+def _subject(
+    name: str,
+    per: str,
+    make: Callable[[int], object],
+    sizes: tuple[int, ...] = FEW,
+) -> Subject:
+    measure = functools.partial(encoded_bytes, make)
+    return Subject(f'bytes: {name}', UNIT, per, sizes, measure)
+
+
+def encoded_bytes(make: Callable[[int], object], size: int) -> float:
+    """Length of one message."""
+    return len(CODEC.encode(make(size)))
+
+
+def _peer_call(size: int) -> PeerCall:
+    return PeerCall(samples.make_call(1, size), 1.25)
+
+
+def _peer_answer(size: int) -> PeerAnswer:
+    return PeerAnswer(samples.make_answer(1, size), samples.LOAD)
+
+
+def _ping(size: int) -> Ping:
+    return Ping(size)
+
+
+def _heartbeat_ack(size: int) -> HeartbeatAck:
+    slots = tuple(samples.make_slot(number) for number in range(size))
+    return HeartbeatAck(1_780_000_000_000, 100_000, slots)
+
+
+def _support_ask(size: int) -> SupportAsk:
+    return SupportAsk(
+        tuple(
+            AskedSlot(samples.make_slot(number), number + 1)
+            for number in range(size)
+        ),
+    )
+
+
+def _grant_ask(size: int) -> GrantAsk:
+    reports = tuple(
+        GrantReport(f'100000.{number}', 12, 0) for number in range(size)
+    )
+    ask_id = f'{samples.node_name(1)}/1780000000000/100000'
+    return GrantAsk(ask_id, samples.node_name(1), 'team-00001', 5, reports)
+
+
+def _grant_given(size: int) -> GrantGiven:
+    ask_id = f'{samples.node_name(1)}/1780000000000/100000'
+    return GrantGiven(ask_id, '100000.100', 'team-00001', size, 0.987654)
+
+
+def _configuration_page(size: int) -> ConfigurationPage:
+    records = tuple(
+        LogRecord(
+            100_000 + number,
+            CODEC.encode(samples.make_change_set(number)),
+        )
+        for number in range(size)
+    )
+    return ConfigurationPage(1, 4, 100_000, 100_000 + size, 90_000, records)
+
+
+def _announcement(size: int) -> Announcement:
+    return samples.make_announcement(size)
+
+
+def _claim(size: int) -> Claim:
+    return samples.make_claim(size)
+
+
+def _release(size: int) -> Release:
+    return Release(samples.make_slot(size), size, samples.node_name(size))
+
+
+def _started_group(size: int) -> StartedGroup:
+    return StartedGroup(
+        f'{samples.node_name(1)}/1780000000000/1000',
+        samples.node_name(1),
+        1_780_000_000_000,
+        'service-0001',
+        bytes(HASH_BYTES * size),
+    )
+
+
+def _change_set(size: int) -> ChangeSet:
+    return samples.make_change_set(size)
+
+
+def _snapshot_of_keys(size: int) -> Snapshot:
+    keys = map(samples.make_key, range(size))
+    return make_snapshot(
+        keys=tuple(
+            (bytes.fromhex(key.digest), key.team, key.changed_at)
+            for key in keys
+        ),
+    )
+
+
+def _snapshot_of_teams(size: int) -> Snapshot:
+    return make_snapshot(teams=tuple(map(samples.make_team, range(size))))
+
+
+def _snapshot_of_routes(size: int) -> Snapshot:
+    return make_snapshot(routes=tuple(map(samples.make_route, range(size))))
+
+
+def make_snapshot(
+    teams: tuple[TeamInForce, ...] = (),
+    keys: tuple[tuple[bytes, str, int], ...] = (),
+    routes: tuple[RouteInForce, ...] = (),
+) -> Snapshot:
+    """A snapshot with nothing in it but these."""
+    return Snapshot(100, 100, teams, keys, routes, (), (0, 0), (), (0, 0), ())
--- /dev/null
+++ b/bench/capacity_samples.py
@@ -0,0 +1,187 @@
+"""Records and messages with texts as long as in production."""
+
+import hashlib
+
+from ebonycleat.internal.process.announced_members import Announcement
+from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.process.ownership import BUDGET, Claim, SlotId
+from ebonycleat.internal.request.call import Answer, Call, Priority
+from ebonycleat.internal.version.records import (
+    ChangeSet,
+    PutKey,
+    PutRoute,
+    PutTeam,
+)
+from ebonycleat.internal.version.view import (
+    KeyInForce,
+    Operation,
+    RouteInForce,
+    TeamInForce,
+)
+
+ZONES = tuple(f'region-{number // 4}-zone-{number % 4}' for number in range(31))
+WEIGHTS = tuple((zone, 1.0) for zone in ZONES)
+TEAMS = 64
+LOAD = GateLoad(12, 35, 35, 0.0125, 640, draining=False)
+
+
+def node_name(number: int) -> str:
+    """A node id as a VM's administrator would write it."""
+    return f'vm-{number:05d}.region-3-zone-1'
+
+
+def team_name(number: int) -> str:
+    """A team's name."""
+    return f'team-{number:05d}'
+
+
+def digest_of(number: int) -> str:
+    """The digest of a key that nobody has."""
+    return hashlib.sha256(str(number).encode()).hexdigest()
+
+
+def make_call(number: int, body_bytes: int = 0) -> Call:
+    """A call as it travels between nodes."""
+    return Call(
+        call_id=f'{digest_of(number)[:32]}',
+        root_id=f'{digest_of(number)[32:]}',
+        team=team_name(number % TEAMS),
+        route=f'route-{number % 10:04d}',
+        service='station-registry',
+        priority=Priority(number % len(Priority)),
+        idempotent=True,
+        deadline=1e9,
+        method='POST',
+        path=f'/stations/{number}/readings?from=2026-01-01',
+        headers=(
+            ('Content-Type', 'application/json'),
+            ('Accept', 'application/json'),
+        ),
+        body=bytes(body_bytes),
+        key_digest=digest_of(number),
+    )
+
+
+def make_answer(number: int, body_bytes: int = 0) -> Answer:
+    """The answer to ``make_call`` of the same number."""
+    return Answer(
+        digest_of(number)[:32],
+        200,
+        (
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(body_bytes)),
+        ),
+        bytes(body_bytes),
+    )
+
+
+def make_announcement(number: int) -> Announcement:
+    """A member of the fleet."""
+    return Announcement(
+        node=node_name(number),
+        incarnation=1_780_000_000_000 + number,
+        zone=ZONES[number % len(ZONES)],
+        service=f'service-{number % 2400:04d}',
+        host=f'10.{number // 65536}.{number // 256 % 256}.{number % 256}',
+        port=7000,
+        slots=45,
+    )
+
+
+def make_slot(number: int) -> SlotId:
+    """A budget slot; those of other zones follow after 64."""
+    return SlotId(BUDGET, ZONES[number // 64 % len(ZONES)], number)
+
+
+def make_claim(number: int) -> Claim:
+    """A claim with five witnesses, in a fleet of 548 nodes per zone."""
+    return Claim(
+        slot=make_slot(number),
+        owner=node_name(number % 548),
+        incarnation=1_780_000_000_000 + number,
+        previous_epoch=0,
+        witnesses=tuple(
+            node_name((number * 7 + place) % 548) for place in range(5)
+        ),
+        supporters=(),
+        unlogged=False,
+        operation_id=f'{node_name(number)}/1780000000000/c{number}',
+    )
+
+
+def make_change_set(number: int) -> ChangeSet:
+    """One new key, the most frequent change."""
+    team = team_name(number % TEAMS)
+    return _change_set(number, PutKey(digest_of(number), team))
+
+
+def make_team_change(number: int) -> ChangeSet:
+    """One new team with a weight for each zone."""
+    return _change_set(number, PutTeam(team_name(number), 100, 200, WEIGHTS))
+
+
+def make_route_change(number: int) -> ChangeSet:
+    """One new route."""
+    return _change_set(
+        number,
+        PutRoute(
+            route=f'route-{number:04d}',
+            service=f'service-{number:04d}',
+            methods=('GET', 'POST'),
+            path_prefix=f'/service-{number:04d}/v1',
+            priority=Priority.NORMAL,
+            idempotent=True,
+            retry_limit=3,
+            timeout_ms=2000,
+            open_to_all=False,
+        ),
+    )
+
+
+def make_key(number: int) -> KeyInForce:
+    """A key in force."""
+    return KeyInForce(digest_of(number), team_name(number % TEAMS), number + 1)
+
+
+def make_team(number: int) -> TeamInForce:
+    """A team in force."""
+    return TeamInForce(team_name(number), 100, 200, WEIGHTS, number + 1)
+
+
+def make_route(number: int) -> RouteInForce:
+    """A route in force."""
+    return RouteInForce(
+        f'route-{number:04d}',
+        f'service-{number:04d}',
+        ('GET', 'POST'),
+        f'/service-{number:04d}/v1',
+        Priority.NORMAL,
+        idempotent=True,
+        retry_limit=3,
+        timeout_ms=2000,
+        open_to_all=False,
+        changed_at=number + 1,
+    )
+
+
+def make_operation(number: int) -> Operation:
+    """A remembered change set with one change."""
+    change_set = make_change_set(number)
+    return Operation(
+        change_set.operation_id,
+        change_set.operator,
+        change_set.issued_at,
+        number + 1,
+        1,
+        change_set.changes,
+    )
+
+
+def _change_set(number: int, change: PutKey | PutTeam | PutRoute) -> ChangeSet:
+    return ChangeSet(
+        operation_id=f'operator-{digest_of(number)[:24]}',
+        operator='maria.lopez',
+        issued_at=1_780_000_000.5,
+        expected=((change.subject, 0),),
+        changes=(change,),
+    )
--- /dev/null
+++ b/bench/capacity_states.py
@@ -0,0 +1,205 @@
+"""States of a node filled to a given size, as messages would fill them."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from bench import capacity_samples as samples
+from ebonycleat.internal.connection.codec import create_codec
+from ebonycleat.internal.connection.lease_messages import Heartbeat, HeldSlot
+from ebonycleat.internal.process.announced_members import (
+    AnnouncedMembers,
+    Announcement,
+)
+from ebonycleat.internal.process.dedupe_memory import (
+    DedupeLimits,
+    DedupeMemory,
+    IdEntry,
+)
+from ebonycleat.internal.process.held_slots import HeldSlots
+from ebonycleat.internal.process.metrics import LatencyHistograms
+from ebonycleat.internal.process.ownership import (
+    Basis,
+    Claim,
+    ClaimAccepted,
+    OwnershipFold,
+    create_ownership_fold,
+)
+from ebonycleat.internal.process.slot_claims import OwnershipSettings
+from ebonycleat.internal.process.started_log import (
+    GroupCommit,
+    StartedGroup,
+    StartedIds,
+)
+from ebonycleat.internal.process.target_records import TargetRecords
+from ebonycleat.internal.process.team_tokens import DemandEstimate
+from ebonycleat.internal.process.token_bucket import TokenBucket
+from ebonycleat.internal.process.witness import WitnessBook
+from ebonycleat.internal.request.call import Priority
+from ebonycleat.internal.version.fold import ConfigurationFold, create_fold
+from ebonycleat.internal.version.persistent_map import create_persistent_map
+from ebonycleat.internal.version.records import ChangeSet
+
+CODEC = create_codec(ChangeSet, Claim, Announcement, Heartbeat)
+ANSWER_BYTES = 200
+HASH_BYTES = 16
+
+
+def as_received(messages: Iterable[object]) -> Iterator[Any]:
+    """Messages whose texts are not shared, as after decoding."""
+    for message in messages:
+        yield CODEC.decode(CODEC.encode(message))
+
+
+def apply_changes(
+    changes: Iterable[ChangeSet],
+    fold: ConfigurationFold,
+) -> ConfigurationFold:
+    """Apply change sets at the next offsets."""
+    for change_set in as_received(changes):
+        fold.apply(fold.view.offset + 1, change_set)
+    return fold
+
+
+def fold_with_teams() -> ConfigurationFold:
+    """A fold in which the keys of the samples are allowed."""
+    teams = map(samples.make_team_change, range(samples.TEAMS))
+    return apply_changes(teams, create_fold())
+
+
+def build_keys(size: int) -> object:
+    """Keys in force, in the map that a view holds."""
+    keys = map(samples.make_key, range(size))
+    return create_persistent_map((key.digest, key) for key in keys)
+
+
+def build_teams(size: int) -> object:
+    """Teams as a decoded change set carries them, in a map."""
+    changes = as_received(map(samples.make_team_change, range(size)))
+    teams = (change_set.changes[0] for change_set in changes)
+    return create_persistent_map((team.team, team) for team in teams)
+
+
+def build_routes(size: int) -> object:
+    """Routes as a decoded change set carries them, in a map."""
+    changes = as_received(map(samples.make_route_change, range(size)))
+    routes = (change_set.changes[0] for change_set in changes)
+    return create_persistent_map((route.route, route) for route in routes)
+
+
+def build_operations(size: int) -> object:
+    """The memory against second copies of change sets."""
+    operations = map(samples.make_operation, range(size))
+    return create_persistent_map(
+        (operation.operation_id, operation) for operation in operations
+    )
+
+
+def build_members(size: int) -> object:
+    """What a node knows of the fleet after reading ``members``."""
+    members = AnnouncedMembers()
+    for announcement in as_received(
+        map(samples.make_announcement, range(size))
+    ):
+        members.apply(announcement)
+    return members
+
+
+def build_ownership(size: int) -> OwnershipFold:
+    """A fold of the ownership stream in which every slot has an owner."""
+    fold = create_ownership_fold()
+    claims = as_received(map(samples.make_claim, range(size)))
+    for offset, claim in enumerate(claims, start=1):
+        fold.apply(offset, claim)
+    return fold
+
+
+def build_held_slots(size: int) -> HeldSlots:
+    """The leases of a node that owns so many slots."""
+    held = HeldSlots(
+        OwnershipSettings(samples.node_name(1), samples.ZONES[0], 1),
+    )
+    claims = as_received(map(samples.make_claim, range(size)))
+    for offset, claim in enumerate(claims, start=1):
+        accepted = ClaimAccepted(claim, offset, Basis.FIRST, unlogged=False)
+        held.gained(accepted, 0)
+    return held
+
+
+def make_heartbeat(size: int) -> Heartbeat:
+    """A heartbeat that carries so many slots."""
+    held = tuple(
+        HeldSlot(samples.make_slot(number), number + 1, unlogged=False)
+        for number in range(size)
+    )
+    return Heartbeat(1_780_000_000_000, 1, held)
+
+
+def make_witness_book() -> WitnessBook:
+    """A witness that may promise everything."""
+    book = WitnessBook(create_ownership_fold(), 0)
+    book.log_was_read_to_its_end()
+    return book
+
+
+def build_promises(size: int) -> object:
+    """A witness that vouches for so many slots."""
+    book = make_witness_book()
+    (heartbeat,) = as_received([make_heartbeat(size)])  # noqa: WPS460 (one)
+    book.hear(samples.node_name(1), heartbeat, 0)
+    return book
+
+
+def build_started_ids(size: int) -> object:
+    """Ids of a service that other owners wrote to the log."""
+    own = GroupCommit(samples.node_name(1), 1, 'service-0001')
+    started = StartedIds(own, span_s=600, max_ids=size)
+    hashes = b''.join(
+        bytes.fromhex(samples.digest_of(number))[:HASH_BYTES]
+        for number in range(size)
+    )
+    group = StartedGroup('id', samples.node_name(2), 1, 'service-0001', hashes)
+    started.read([group], 0)
+    return started
+
+
+def build_kept_answers(size: int) -> object:
+    """Ids with an answer of 200 bytes, as their owner keeps them."""
+    memory = DedupeMemory(DedupeLimits())
+    for number in range(size):
+        id_hash = bytes.fromhex(samples.digest_of(number))[:HASH_BYTES]
+        entry = IdEntry(id_hash, number % 64)
+        memory.entries[id_hash] = entry
+        answer = samples.make_answer(number, ANSWER_BYTES)
+        memory.keep_answer(entry, answer, 0)
+    return memory
+
+
+def build_buckets(size: int) -> object:
+    """Buckets of an owner, without grants."""
+    return {
+        samples.team_name(number): TokenBucket((100, 200), 0, 0)
+        for number in range(size)
+    }
+
+
+def build_estimates(size: int) -> object:
+    """Demand that an ingress has seen of each team."""
+    return {
+        samples.team_name(number): DemandEstimate() for number in range(size)
+    }
+
+
+def build_target_records(size: int) -> object:
+    """Observations of targets, without failures."""
+    records = TargetRecords()
+    for number in range(size):
+        records.of(samples.node_name(number))
+    return records
+
+
+def build_histograms(size: int) -> object:
+    """One class of each team with one latency."""
+    histograms = LatencyHistograms()
+    for number in range(size):
+        histograms.record(samples.team_name(number), Priority.NORMAL, 0.01)
+    return histograms
