--- a/src/ebonycleat/internal/process/dedupe_host.py
+++ b/src/ebonycleat/internal/process/dedupe_host.py
@@ -17,7 +17,11 @@
 )
 from ebonycleat.internal.process.lease import LeaseQueries
 from ebonycleat.internal.process.ownership import DEDUPE, Basis, SlotId
-from ebonycleat.internal.process.slot_leases import SlotGained, SlotLeases
+from ebonycleat.internal.process.slot_leases import (
+    SlotGained,
+    SlotLeases,
+    SlotRenewed,
+)
 from ebonycleat.internal.process.started_log import StartedGroup
 from ebonycleat.internal.request.call import Answer, CallResult
 from ebonycleat.internal.request.idempotent_send import (
@@ -105,6 +109,18 @@
         )
         return self.address(self.owner.slot_gained(tenure, now))
 
+    def slot_renewed(
+        self,
+        renewed: SlotRenewed,
+        now: float,
+    ) -> list[HostOutput]:
+        """Take copies that are sent with the new epoch, too."""
+        held = self.owner.tenures.get(renewed.slot.number)
+        if held is None:
+            return []
+        tenure = dataclasses.replace(held, epoch=renewed.epoch)
+        return self.address(self.owner.slot_gained(tenure, now))
+
     def slot_lost(self, slot: SlotId, now: float) -> list[HostOutput]:
         """Stop deciding for a slot."""
         return self.address(self.owner.slot_lost(slot.number, now))
--- a/src/ebonycleat/internal/process/ownership_host.py
+++ b/src/ebonycleat/internal/process/ownership_host.py
@@ -14,6 +14,7 @@
     OwnershipChange,
     SlotGained,
     SlotLost,
+    SlotRenewed,
 )
 
 OwnershipStep: TypeAlias = Effect | HostOutput
@@ -121,6 +122,8 @@
                 self.budgets.slot_gained(change, now)
             case SlotGained():
                 return self.dedupe.slot_gained(change, now)
+            case SlotRenewed() if not is_budget:
+                return self.dedupe.slot_renewed(change, now)
             case SlotLost() if is_budget:
                 self.budgets.slot_lost(change.slot)
             case SlotLost():
--- a/src/ebonycleat/internal/process/slot_leases.py
+++ b/src/ebonycleat/internal/process/slot_leases.py
@@ -37,7 +37,15 @@
     slot: SlotId
 
 
-OwnershipChange: TypeAlias = SlotGained | SlotLost
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRenewed:
+    """This node owns the slot without a break, under a later epoch."""
+
+    slot: SlotId
+    epoch: int
+
+
+OwnershipChange: TypeAlias = SlotGained | SlotRenewed | SlotLost
 
 
 class SlotLeases(LeaseQueries):
@@ -84,7 +92,7 @@
         return lease.is_unlogged_acknowledged()
 
     def take_changes(self) -> list[OwnershipChange]:
-        """Return slots gained and lost since the last call, in order."""
+        """Return what was gained, renewed and lost since the last call."""
         changes = self.changes
         self.changes = []
         return changes
@@ -109,6 +117,7 @@
         lease = self.held.leases.get(claim.slot)
         if lease is not None and accepted.basis is Basis.RENEWED:
             lease.renewed(accepted.epoch, claim.witnesses)
+            self.changes.append(SlotRenewed(claim.slot, accepted.epoch))
             return
         gained = self.held.gained(accepted, now)
         self.changes.append(
--- a/src/ebonycleat_tools/load.py
+++ b/src/ebonycleat_tools/load.py
@@ -14,6 +14,7 @@
 from ebonycleat.internal.process.log_setup import set_up_logging
 from ebonycleat_tools.load_plan import LoadPlan, MissingKey, read_key
 from ebonycleat_tools.load_report import create_report
+from ebonycleat_tools.load_results import LoadResults
 from ebonycleat_tools.load_runner import run_load
 
 REPORT_TITLE = 'ebonycleat load run'
@@ -27,12 +28,17 @@
         sys.stderr.write(f'{missing}\n')
         return EXIT_WRONG_USE
     results = run_load(plan, key_by_team, uuid.uuid4().hex)
-    _write(plan.report.json_file, results.to_json())
-    _write(plan.report.html_file, create_report(results, REPORT_TITLE))
+    write_reports(plan, results)
     sys.stdout.write(results.to_table())
     return EXIT_DONE
 
 
+def write_reports(plan: LoadPlan, results: LoadResults) -> None:
+    """Write the files that the plan asks for."""
+    _write(plan.report.json_file, results.to_json())
+    _write(plan.report.html_file, create_report(results, REPORT_TITLE))
+
+
 def _write(file_name: str, text: str) -> None:
     if file_name:
         path = pathlib.Path(file_name)
--- a/src/ebonycleat_tools/load_runner.py
+++ b/src/ebonycleat_tools/load_runner.py
@@ -176,8 +176,12 @@
     key_by_team: Mapping[str, str],
     run_id: str,
     clock: Callable[[], float] = time.monotonic,
+    results: LoadResults | None = None,
 ) -> LoadResults:
-    """Run a plan; ``run_id`` must differ between runs against one system."""
+    """Run a plan; ``run_id`` must differ between runs against one system.
+
+    ``results`` can be read under its lock while the load runs.
+    """
     with contextlib.ExitStack() as stack:
         clients = [
             stack.enter_context(
@@ -186,6 +190,7 @@
             for address in plan.addresses
         ]
         runner = LoadRunner(plan, clients, key_by_team, clock)
+        runner.results = results or runner.results
         return runner.run(plan_requests(plan, run_id))
 
 
