Membership: announcements, liveness, hubs and zone summaries

Cause: routing and ownership need to know who lives, at 14 and at 17,000 nodes, also while the log is down. Change: Membership with one code path for both sizes: heartbeats go to two hubs per service and zone, hubs send digests to subscribers; up to 32 nodes every node is a hub. Announcements pass from seed peers without the log.

--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,208 @@
+"""Messages and bytes of membership per node and second, at both sizes.
+
+At full size one zone of 548 nodes runs in whole; of each other zone only
+20 nodes are announced and its summaries are fed in, once a second. What
+leaves for other zones equals, by symmetry, what comes from them.
+"""
+
+import argparse
+import collections
+import dataclasses
+import json
+import random
+import sys
+
+from ebonycleat.internal.connection.codec import create_codec
+from ebonycleat.internal.process.effects import Effect, SendToPeer
+from ebonycleat.internal.process.membership import Membership
+from ebonycleat.internal.process.membership_hubs import Hubs
+from ebonycleat.internal.process.membership_messages import (
+    Announcement,
+    Heartbeat,
+    HubDigest,
+    MemberNews,
+    MembersAsk,
+    MemberState,
+    MembersTold,
+    Subscribe,
+    ZoneSummary,
+)
+
+# TCP, IP and websocket headers of one message in a packet of its own.
+OVERHEAD_BYTES = 60
+
+TICKS_PER_S = 10
+
+TODAY_ZONES = 3
+
+# A service has its members in three of the 31 zones.
+OTHER_ZONES_OF_A_SERVICE = ('z1', 'z2')
+
+CODEC = create_codec(
+    Heartbeat,
+    HubDigest,
+    Subscribe,
+    MembersAsk,
+    MembersTold,
+    MemberNews,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """One size of the fleet, as far as it is simulated."""
+
+    name: str
+    zones: int
+    services: int
+    nodes_by_zone: int
+    nodes_by_other_zone: int
+    calls: int
+
+
+SIZES = (
+    Size('today', 3, 4, 5, 5, 3),
+    Size('in two years', 31, 232, 548, 20, 5),
+)
+
+
+class Fleet:
+    """The nodes that run, with counted traffic between them."""
+
+    def __init__(self, size: Size, rng: random.Random) -> None:
+        """Announce all nodes to all nodes that run."""
+        self.size = size
+        self.kinds: collections.Counter[str] = collections.Counter()
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.taken: collections.Counter[str] = collections.Counter()
+        self.taken_bytes: collections.Counter[str] = collections.Counter()
+        records = [
+            record
+            for zone in range(size.zones)
+            for record in _zone_records(zone, size)
+        ]
+        self.services = sorted({record.service for record in records})
+        self.nodes: dict[str, Membership] = {}
+        shared: dict[tuple[str, str], Hubs] = {}
+        for record in records:
+            if record.zone == 'z0' or size.zones == TODAY_ZONES:
+                calls = tuple(rng.sample(self.services, size.calls))
+                member = Membership(record, calls)
+                self.nodes[record.node] = member
+                for other in records:
+                    member.announced(other)
+                member.log_reached_end(0)
+                # All views are equal here, so one choice serves all.
+                member.table.zone_versions.clear()
+                member.traffic.plan.hubs = shared
+
+    def run(self, seconds: int) -> None:
+        """Run on the paused clock; messages arrive at the next tick."""
+        arriving: list[SendToPeer] = []
+        for tick in range(seconds * TICKS_PER_S):
+            now = tick / TICKS_PER_S
+            following: list[SendToPeer] = []
+            for sent in arriving:
+                receiver = self.nodes.get(sent.node)
+                if receiver is not None:
+                    size = len(CODEC.encode(sent.message))
+                    self.taken[sent.node] += 1
+                    self.taken_bytes[sent.node] += size
+                    receiver.received(sent.message, now)
+            for name, member in self.nodes.items():
+                following.extend(self._count(name, member.tick(now)))
+            if tick % TICKS_PER_S == 0 and self.size.zones > TODAY_ZONES:
+                following.extend(self._from_other_zones())
+            arriving = following
+
+    def report(self, seconds: int) -> dict[str, object]:
+        """Return rates per node and second."""
+        count = len(self.nodes)
+        rate = 1 / seconds / count
+        return {
+            'size': self.size.name,
+            'nodes_run': count,
+            'sent_messages': sum(self.sent.values()) * rate,
+            'sent_bytes': sum(self.sent_bytes.values()) * rate,
+            'received_messages': sum(self.taken.values()) * rate,
+            'received_bytes': sum(self.taken_bytes.values()) * rate,
+            'busiest_sender_bytes': max(
+                size + OVERHEAD_BYTES * self.sent[name]
+                for name, size in self.sent_bytes.items()
+            )
+            / seconds,
+            'both_with_overhead_bytes': (
+                sum(self.sent_bytes.values())
+                + sum(self.taken_bytes.values())
+                + OVERHEAD_BYTES
+                * (sum(self.sent.values()) + sum(self.taken.values()))
+            )
+            * rate,
+            'kinds_sent': {
+                kind: number * rate for kind, number in self.kinds.items()
+            },
+        }
+
+    def _count(self, name: str, effects: list[Effect]) -> list[SendToPeer]:
+        sent = [one for one in effects if isinstance(one, SendToPeer)]
+        for effect in sent:
+            self.kinds[type(effect.message).__name__] += 1
+            self.sent[name] += 1
+            self.sent_bytes[name] += len(CODEC.encode(effect.message))
+        return sent
+
+    def _from_other_zones(self) -> list[SendToPeer]:
+        any_node = next(iter(self.nodes.values()))
+        plan = any_node.traffic.plan
+        return [
+            SendToPeer(
+                hub,
+                HubDigest('x', (), _summaries(service)),
+            )
+            for service in self.services
+            for hub in plan.hubs_of(service, 'z0')
+        ]
+
+
+def _zone_records(zone: int, size: Size) -> list[Announcement]:
+    count = size.nodes_by_other_zone if zone else size.nodes_by_zone
+    return [
+        Announcement(
+            node=f'vm-{zone:02d}-{index:04d}',
+            incarnation=1,
+            zone=f'z{zone}',
+            service=f'service-{index % size.services:04d}',
+            peer_address=f'10.{zone}.{index // 256}.{index % 256}:7400',
+            slots=45,
+            state=MemberState.UP,
+        )
+        for index in range(count)
+    ]
+
+
+def _summaries(service: str) -> tuple[ZoneSummary, ...]:
+    sample = ('vm-01-0001', 'vm-01-0002', 'vm-01-0003')
+    return tuple(
+        ZoneSummary(zone, service, 3, 1 / 2, sample)
+        for zone in OTHER_ZONES_OF_A_SERVICE
+    )
+
+
+def main() -> int:
+    """Measure both sizes and print one JSON line for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=int, default=10)
+    parser.add_argument('--seed', type=int, default=1)
+    chosen = parser.parse_args()
+    for size in SIZES:
+        fleet = Fleet(size, random.Random(chosen.seed))
+        fleet.run(chosen.seconds)
+        report = {'seed': chosen.seed, **fleet.report(chosen.seconds)}
+        json.dump(report, sys.stdout, indent=1)
+        sys.stdout.write('\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/cover/test_membership.py
@@ -0,0 +1,245 @@
+"""Who is taken for alive, and what a node learns of others."""
+
+import dataclasses
+
+import pytest
+
+from ebonycleat.internal.connection.codec import create_codec
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendFailed,
+    AppendToLog,
+    SendToPeer,
+)
+from ebonycleat.internal.process.membership import Membership
+from ebonycleat.internal.process.membership_duty import SeedPeer
+from ebonycleat.internal.process.membership_hubs import DIRECT_FLEET, HUBS
+from ebonycleat.internal.process.membership_messages import (
+    Announcement,
+    ChangeKind,
+    Heartbeat,
+    HubDigest,
+    MemberChange,
+    MemberState,
+    ZoneSummary,
+)
+from ebonycleat.internal.process.membership_table import (
+    ANNOUNCE_INTERVAL_S,
+    ANNOUNCEMENT_LASTS_S,
+    SILENT_S,
+)
+
+
+def make_record(node, zone='z0', service='map', incarnation=1, **fields):
+    record = Announcement(
+        node=node,
+        incarnation=incarnation,
+        zone=zone,
+        service=service,
+        peer_address=f'127.0.0.1:{node}',
+        slots=10,
+        state=MemberState.UP,
+    )
+    return dataclasses.replace(record, **fields)
+
+
+def make_beat(node, number=1, incarnation=1, state=MemberState.UP):
+    return Heartbeat(node, incarnation, number, state, 1, 2, 10, 0)
+
+
+def names(records):
+    return [record.node for record in records]
+
+
+@pytest.fixture
+def membership():
+    member = Membership(make_record('own'))
+    member.announced(make_record('b'))
+    return member
+
+
+def test_a_member_is_live_only_while_it_is_heard(membership):
+    """Guards against work for a node that has died."""
+    assert names(membership.live('map', 1)) == []
+    membership.received(make_beat('b'), 1)
+    assert names(membership.live('map', 1 + SILENT_S)) == ['b']
+    membership.table.tick(1.1 + SILENT_S)
+    assert names(membership.live('map', 1.1 + SILENT_S)) == []
+    assert membership.take_changes() == [
+        MemberChange('b', ChangeKind.LIVE),
+        MemberChange('b', ChangeKind.SILENT),
+    ]
+
+
+@pytest.mark.parametrize('state', [MemberState.DRAINING, MemberState.LEFT])
+def test_a_leaving_member_gets_no_new_work(membership, state):
+    """Guards against P10, also when an earlier heartbeat comes late."""
+    membership.received(make_beat('b', 1), 1)
+    membership.received(make_beat('b', 3, state=state), 2)
+    membership.received(make_beat('b', 2), 2.1)
+    membership.announced(make_record('b'))
+    assert names(membership.live('map', 2.1)) == []
+
+
+def test_late_messages_of_a_former_incarnation_are_ignored(membership):
+    """Guards against a restarted node that a late message puts to drain."""
+    membership.received(make_beat('b', 9), 1)
+    membership.received(make_beat('b', 1, incarnation=2), 2)
+    membership.received(make_beat('b', 10, state=MemberState.LEFT), 2.1)
+    membership.announced(make_record('b', state=MemberState.LEFT))
+    assert names(membership.live('map', 2.1)) == ['b']
+    replaced = MemberChange('b', ChangeKind.REPLACED)
+    assert replaced in membership.take_changes()
+
+
+def test_a_repeated_heartbeat_does_not_prolong_a_life(membership):
+    """Guards against duplicates that keep a dead node alive."""
+    membership.received(make_beat('b'), 1)
+    membership.received(make_beat('b'), 2.5)
+    assert names(membership.live('map', 3.1)) == []
+
+
+def test_the_age_of_a_relayed_heartbeat_counts(membership):
+    """Guards against hubs that add their delay to a member's life."""
+    beat = make_beat('b')._replace(age_s=1.5)
+    membership.received(HubDigest('hub', (beat,), ()), 10)
+    assert names(membership.live('map', 10.4)) == ['b']
+    assert names(membership.live('map', 10.6)) == []
+
+
+def appends(effects):
+    return [one for one in effects if isinstance(one, AppendToLog)]
+
+
+def test_announcements_are_repeated_hourly_and_after_a_failure(membership):
+    """Guards against a node that the log's retention forgets."""
+    first = appends(membership.tick(0))[0]
+    assert appends(membership.tick(10)) == []
+    membership.append_result(AppendFailed(first.operation_id, True), 11)
+    second = appends(membership.tick(12))[0]
+    membership.append_result(AppendDone(second.operation_id, 1), 13)
+    assert appends(membership.tick(ANNOUNCE_INTERVAL_S)) == []
+    assert appends(membership.tick(ANNOUNCE_INTERVAL_S + 13))
+    drain = appends(membership.change_state(MemberState.DRAINING, 5000))
+    assert drain[0].record.state is MemberState.DRAINING
+
+
+def test_only_time_with_a_readable_log_forgets_members(membership):
+    """Guards against a long outage of the log that empties the table."""
+    membership.log_reached_end(0)
+    membership.log_reached_end(10 * ANNOUNCEMENT_LASTS_S)
+    assert 'b' in names(membership.nodes())
+    start = 10 * ANNOUNCEMENT_LASTS_S
+    for second in range(0, ANNOUNCEMENT_LASTS_S + 60, 30):
+        membership.log_reached_end(start + second)
+    assert 'b' not in names(membership.nodes())
+
+
+def deliver(nodes, effects, now):
+    pending = list(effects)
+    while pending:
+        effect = pending.pop(0)
+        if isinstance(effect, SendToPeer) and effect.node in nodes:
+            receiver = nodes[effect.node]
+            pending.extend(receiver.received(effect.message, now))
+
+
+def test_a_starting_node_learns_members_from_seeds_without_the_log():
+    """Guards against a node that cannot start while the log is down."""
+    records = [
+        make_record(f'n{index}', zone=f'z{index % 3}') for index in range(9)
+    ]
+    nodes = {record.node: Membership(record) for record in records}
+    for member in nodes.values():
+        for record in records:
+            member.announced(record)
+        member.log_reached_end(0)
+    seeds = (SeedPeer('n4', '127.0.0.1:n4'),)
+    late = Membership(make_record('late', zone='z2'), seeds=seeds)
+    assert late.address_of('n4') == '127.0.0.1:n4'
+    nodes['late'] = late
+    deliver(nodes, late.tick(1), 1)
+    assert len(late.nodes()) == 10
+    for member in nodes.values():
+        assert 'late' in names(member.nodes())
+
+
+def run_fleet(nodes, start, ticks, silent=()):
+    for tick in range(ticks):
+        now = start + tick / 10
+        for name, member in nodes.items():
+            if name not in silent:
+                reachable = {
+                    key: peer
+                    for key, peer in nodes.items()
+                    if key not in silent
+                }
+                deliver(reachable, member.tick(now), now)
+    return start + ticks / 10
+
+
+def make_large_fleet():
+    records = [
+        make_record(f'n{zone}-{index:02d}', f'z{zone}', f's{index % 10}')
+        for zone in range(2)
+        for index in range(DIRECT_FLEET)
+    ]
+    nodes = {}
+    for record in records:
+        member = Membership(record, calls=('s3',))
+        for other in records:
+            member.announced(other)
+        member.log_reached_end(0)
+        nodes[record.node] = member
+    return nodes
+
+
+def test_hubs_carry_liveness_and_summaries_in_a_large_fleet():
+    """Guards against a large fleet that works unlike a small one."""
+    nodes = make_large_fleet()
+    now = run_fleet(nodes, 0, 60)
+    caller = nodes['n0-00']
+    own_zone = names(caller.live('s3', now))
+    assert own_zone == ['n0-03', 'n0-13', 'n0-23']
+    assert names(caller.live('s0', now))[-1] == 'n1-30'
+    summaries = caller.zone_summaries('s3', now)
+    assert summaries == [
+        ZoneSummary('z1', 's3', 3, 0, ('n1-03', 'n1-13', 'n1-23')),
+    ]
+
+
+def test_dead_hubs_are_replaced_when_their_links_are_lost():
+    """Guards against members that seem silent because their hubs died."""
+    nodes = make_large_fleet()
+    now = run_fleet(nodes, 0, 60)
+    plan = nodes['n0-00'].traffic.plan
+    dead = plan.hubs_of('s3', 'z0')
+    assert len(dead) == HUBS
+    for member in nodes.values():
+        for hub in dead:
+            member.link_changed(hub, reachable=False)
+    now = run_fleet(nodes, now, 60, silent=dead)
+    alive = set(names(nodes['n0-00'].live('s3', now)))
+    assert alive == {'n0-03', 'n0-13', 'n0-23'} - set(dead)
+
+
+def test_a_draining_member_is_known_everywhere_within_two_seconds():
+    """Guards against P10 at full size, where hubs stand between nodes."""
+    nodes = make_large_fleet()
+    now = run_fleet(nodes, 0, 60)
+    leaving = nodes['n0-13']
+    deliver(nodes, leaving.change_state(MemberState.DRAINING, now), now)
+    now = run_fleet(nodes, now, 5)
+    assert 'n0-13' not in names(nodes['n0-00'].live('s3', now))
+
+
+def test_heartbeats_and_digests_survive_a_round_trip():
+    """Guards against compact messages that lose a type on the way."""
+    codec = create_codec(Heartbeat, HubDigest)
+    digest = HubDigest(
+        'hub',
+        (make_beat('b'),),
+        (ZoneSummary('z1', 'map', 3, 0.5, ('a',)),),
+    )
+    assert codec.decode(codec.encode(digest)) == digest
+    assert codec.decode(codec.encode(make_beat('b'))) == make_beat('b')
