Admission: shed only while the queue is long; limit by own work

Cause: the level fell whenever one call waited at a target of few slots, and slots stayed empty; slow dependencies lowered the limit of their callers. Change: the target delay is half a service time, the cut grows with the excess, and a short queue takes anything. The limit judges service time without the time in which the target waited for calls of its own.

--- a/bench/policy_layer.py
+++ b/bench/policy_layer.py
@@ -155,10 +155,12 @@
         )
 
         def child_done(refusal: Refusal | None) -> None:  # noqa: WPS430
+            context.end_child(child.call_id, self.clock.now)
             if refusal:
                 context.note_refused_deeper(refusal)
             done(refusal is None)
 
+        context.start_child(child.call_id, self.clock.now)
         Hop(self, child, chain, context.ledger, child_done).attempt()
 
     def run_ended(self, received: Received, how: RunResult) -> None:
@@ -172,7 +174,8 @@
             refusal = closed.refused_deeper or refuse_outcome_unknown(
                 Reason.TARGET_FAILED,
             )
-        outcome = RunOutcome(how, now - received.started_at)
+        service_s = now - received.started_at
+        outcome = RunOutcome(how, service_s, closed.waited_s)
         events = self.gate.finished(call_id, outcome, now)
         self.answer(received, refusal, closed.retries_unused)
         self.apply(events)
--- a/src/ebonycleat/internal/process/admission_level.py
+++ b/src/ebonycleat/internal/process/admission_level.py
@@ -21,11 +21,14 @@
 LOWEST_LEVEL = 16
 """Some calls always pass, so that the end of an overload is noticed."""
 
-WINDOW_S = 0.1
-TARGET_DELAY_S = 0.02
-"""A shorter queue empties between two answers of a busy target."""
-
-CUT_SHARE = 0.1
+SHORTEST_WINDOW_S = 0.1
+SHORTEST_TARGET_DELAY_S = 0.02
+TARGET_DELAY_SHARE = 0.5
+"""Target delay in service times. Arrivals follow a change of the level only
+after the work of earlier hops; a shorter queue runs empty meanwhile."""
+
+LARGEST_CUT = 0.1
+CUT_PER_EXCESS = 0.05
 FIRST_STEP = 4
 LARGEST_STEP = 64
 """From the lowest level all calls are admitted again within 2.5 s."""
@@ -46,6 +49,11 @@
     return position + SURPLUS_OFFSET if surplus else position
 
 
+def target_delay_s(service_s: float) -> float:
+    """Queue delay in seconds above which the level falls."""
+    return max(SHORTEST_TARGET_DELAY_S, service_s * TARGET_DELAY_SHARE)
+
+
 class AdmissionLevel:
     """Level of one gate, moved once per window by the queue's delay."""
 
@@ -56,30 +64,32 @@
         self.window_until: float = 0
         self.admitted_at: dict[int, int] = {}
 
-    def admits(self, position: int) -> bool:
-        """Decide on one arrival and count it."""
-        if position >= self.level:
-            return False
+    def count(self, position: int) -> None:
+        """Count one arrival that was not refused."""
         count = self.admitted_at.get(position, 0)
         self.admitted_at[position] = count + 1
-        return True
 
-    def update(self, delay_s: float, now: float) -> None:
-        """Close the window when it is over."""
+    def update(self, delay_s: float, service_s: float, now: float) -> None:
+        """Close the window when it is over.
+
+        Between half the target delay and the target the level stays.
+        """
         if now < self.window_until:
             return
-        self.window_until = now + WINDOW_S
-        if delay_s > TARGET_DELAY_S:
+        self.window_until = now + max(SHORTEST_WINDOW_S, service_s)
+        target_s = target_delay_s(service_s)
+        if delay_s > target_s:
             self.step = FIRST_STEP
-            self.lower()
-        else:
+            excess = delay_s / target_s - 1
+            self.lower(min(LARGEST_CUT, excess * CUT_PER_EXCESS))
+        elif delay_s <= target_s / 2:
             self.level = min(OPEN_LEVEL, self.level + self.step)
             self.step = min(LARGEST_STEP, self.step * 2)
         self.admitted_at = {}
 
-    def lower(self) -> None:
+    def lower(self, share: float) -> None:
         """Cut the highest positions that make up a share of arrivals."""
-        excess = sum(self.admitted_at.values()) * CUT_SHARE
+        excess = sum(self.admitted_at.values()) * share
         for position in sorted(self.admitted_at, reverse=True):
             if excess <= 0:
                 break
--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -196,7 +196,7 @@
         elif outcome.result is RunResult.TARGET_SHED:
             self.cut_after_shed(now)
         elif outcome.result is RunResult.SUCCEEDED:
-            self.note_success(outcome.service_s, now)
+            self.note_success(outcome.own_s, now)
         else:
             # An error answer still shows that the process is alive.
             self.pause.note_success()
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -8,7 +8,6 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from ebonycleat.internal.process.admission_level import position_of
 from ebonycleat.internal.process.concurrency_limit import (
     ConcurrencyLimit,
     create_adaptive_limit,
@@ -152,8 +151,7 @@
             return [refuse(call, Reason.NO_TARGET, 'the target is down')]
         if entry.latest_start <= now:
             return [refuse(call, Reason.DEADLINE, 'too late to start')]
-        position = position_of(call, entry.surplus)
-        if not self.signals.level.admits(position):
+        if not self.signals.admits(entry):
             return [refuse(call, Reason.SHED, 'overload: retry later')]
         return []
 
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -1,6 +1,10 @@
 """What a gate has seen lately, as the signals that its decisions use."""
 
-from ebonycleat.internal.process.admission_level import AdmissionLevel
+from ebonycleat.internal.process.admission_level import (
+    AdmissionLevel,
+    position_of,
+    target_delay_s,
+)
 from ebonycleat.internal.process.fair_queue import FairQueue, QueuedCall
 from ebonycleat.internal.process.service_time import ServiceTimes
 from ebonycleat.internal.process.team_shares import TeamShares
@@ -21,6 +25,15 @@
         self.shares = TeamShares()
         self.service_times = ServiceTimes()
         self.waits_since: float | None = None
+        self.is_delayed = False
+
+    def admits(self, entry: QueuedCall) -> bool:
+        """Admit below the level, and anything while the queue is short."""
+        position = position_of(entry.call, entry.surplus)
+        if self.is_delayed and position >= self.level.level:
+            return False
+        self.level.count(position)
+        return True
 
     def delay_s(self, allowed: int) -> float:
         """Seconds that the queue takes to empty at the present limit."""
@@ -29,7 +42,10 @@
 
     def update(self, allowed: int, now: float) -> None:
         """Move the admission level and notice standing overload."""
-        self.level.update(self.delay_s(allowed), now)
+        delay_s = self.delay_s(allowed)
+        service_s = self.service_times.overall_s
+        self.level.update(delay_s, service_s, now)
+        self.is_delayed = delay_s > target_delay_s(service_s)
         if self.queue.oldest_wait(now) <= STANDING_WAIT_S:
             self.waits_since = None
         elif self.waits_since is None:
--- a/src/ebonycleat/internal/process/run_outcome.py
+++ b/src/ebonycleat/internal/process/run_outcome.py
@@ -15,7 +15,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunOutcome:
-    """Result of one run; ``service_s`` counts from dispatch to the end."""
+    """Result of one run; ``service_s`` counts from dispatch to the end.
+
+    ``waited_s`` is the part of it in which the target waited for calls of
+    its own; a slow dependency is no reason to run fewer calls here.
+    """
 
     result: RunResult
     service_s: float = 0
+    waited_s: float = 0
+
+    @property
+    def own_s(self) -> float:
+        """Seconds of the target's own work."""
+        return max(0, self.service_s - self.waited_s)
--- a/src/ebonycleat/internal/request/context.py
+++ b/src/ebonycleat/internal/request/context.py
@@ -55,12 +55,27 @@
     ledger: RetryLedger
     children: set[str]
     refused_deeper: Refusal | None = None
+    waited_s: float = 0
+    waits_since: float = 0
 
     @property
     def child_depth(self) -> int:
         """Depth of calls made under this context."""
         return self.call.depth + 1
 
+    def start_child(self, call_id: str, now: float) -> None:
+        """Note a further call; the target is taken to wait for it."""
+        if not self.children:
+            self.waits_since = now
+        self.children.add(call_id)
+
+    def end_child(self, call_id: str, now: float) -> None:
+        """Note the end of a further call."""
+        if call_id in self.children:
+            self.children.remove(call_id)
+            if not self.children:
+                self.waited_s += now - self.waits_since
+
     def note_refused_deeper(self, refusal: Refusal) -> None:
         """Note that a further call was refused for good.
 
@@ -80,6 +95,7 @@
     retries_unused: int
     children_to_cancel: tuple[str, ...]
     refused_deeper: Refusal | None = None
+    waited_s: float = 0
 
 
 NOTHING_TO_DO = ClosedContext(0, ())
@@ -127,6 +143,7 @@
             context.ledger.close(),
             tuple(sorted(context.children)),
             context.refused_deeper,
+            context.waited_s,
         )
 
     def close_expired(self, now: float) -> list[ClosedContext]:
--- a/tests/cover/test_request_context.py
+++ b/tests/cover/test_request_context.py
@@ -43,7 +43,9 @@
     text = registry.open(make_call('1', retry_allowance=2))
     context = registry.resolve(text, 0)
     assert isinstance(context, RequestContext)
-    context.children.add('child')
+    context.start_child('child', 1)
+    context.start_child('done', 2)
+    context.end_child('done', 3)
     closed = registry.close(text)
     assert closed.retries_unused == 2
     assert closed.children_to_cancel == ('child',)
