--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 
 from bench.capacity_bytes import bytes_subjects
 from bench.capacity_fit import Slope, measure_slope
+from bench.capacity_links import link_subjects
 from bench.capacity_memory import memory_subjects
 from bench.capacity_time import time_subjects
 
@@ -35,7 +36,12 @@
     """Measure everything."""
     slopes = []
     sys.stdout.write(f'{HEADER}\n')
-    subjects = (*bytes_subjects(), *memory_subjects(), *time_subjects())
+    subjects = (
+        *bytes_subjects(),
+        *memory_subjects(),
+        *link_subjects(),
+        *time_subjects(),
+    )
     for subject in subjects:
         found = measure_slope(subject)
         sys.stdout.write(f'{describe_slope(found)}\n')
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -6,6 +6,7 @@
 
 from bench.capacity_bytes import bytes_subjects
 from bench.capacity_fit import Subject, fit_line, measure_slope
+from bench.capacity_links import link_subjects
 from bench.capacity_memory import memory_subjects
 from bench.capacity_time import processor_time_us, time_subjects
 
@@ -35,7 +36,7 @@
 
 @pytest.mark.parametrize(
     'subject',
-    [*bytes_subjects(), *memory_subjects()],
+    [*bytes_subjects(), *memory_subjects(), *link_subjects()],
     ids=lambda subject: subject.name,
 )
 def test_every_size_can_be_measured(subject):
