Membership by heartbeats and hubs replaces the announced list

Cause: a dead node stayed a candidate for calls, slots and witnesses until its announcement was withdrawn. Change: routing, ownership and configuration readers use the live members; links that open or close are reported to membership; message classes of one codec must have distinct names, since two heartbeats clashed.

--- a/bench/capacity_bytes.py
+++ b/bench/capacity_bytes.py
@@ -27,7 +27,7 @@
     PeerCall,
     Ping,
 )
-from ebonycleat.internal.process.announced_members import Announcement
+from ebonycleat.internal.process.membership_messages import Announcement
 from ebonycleat.internal.process.config_relay import (
     CONFIGURATION_MESSAGES,
     ConfigurationPage,
--- a/bench/capacity_samples.py
+++ b/bench/capacity_samples.py
@@ -2,8 +2,11 @@
 
 import hashlib
 
-from ebonycleat.internal.process.announced_members import Announcement
 from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.process.membership_messages import (
+    Announcement,
+    MemberState,
+)
 from ebonycleat.internal.process.ownership import BUDGET, Claim, SlotId
 from ebonycleat.internal.request.call import Answer, Call, Priority
 from ebonycleat.internal.version.records import (
@@ -82,9 +85,11 @@
         incarnation=1_780_000_000_000 + number,
         zone=ZONES[number % len(ZONES)],
         service=f'service-{number % 2400:04d}',
-        host=f'10.{number // 65536}.{number // 256 % 256}.{number % 256}',
-        port=7000,
+        peer_address=(
+            f'10.{number // 65536}.{number // 256 % 256}.{number % 256}:7000'
+        ),
         slots=45,
+        state=MemberState.UP,
     )
 
 
--- a/bench/capacity_states.py
+++ b/bench/capacity_states.py
@@ -6,16 +6,14 @@
 from bench import capacity_samples as samples
 from ebonycleat.internal.connection.codec import create_codec
 from ebonycleat.internal.connection.lease_messages import Heartbeat, HeldSlot
-from ebonycleat.internal.process.announced_members import (
-    AnnouncedMembers,
-    Announcement,
-)
 from ebonycleat.internal.process.dedupe_memory import (
     DedupeLimits,
     DedupeMemory,
     IdEntry,
 )
 from ebonycleat.internal.process.held_slots import HeldSlots
+from ebonycleat.internal.process.membership_messages import Announcement
+from ebonycleat.internal.process.membership_table import MemberTable
 from ebonycleat.internal.process.metrics import LatencyHistograms
 from ebonycleat.internal.process.ownership import (
     Basis,
@@ -96,11 +94,11 @@
 
 def build_members(size: int) -> object:
     """What a node knows of the fleet after reading ``members``."""
-    members = AnnouncedMembers()
+    members = MemberTable()
     for announcement in as_received(
         map(samples.make_announcement, range(size))
     ):
-        members.apply(announcement)
+        members.announced(announcement)
     return members
 
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -18,7 +18,7 @@
 from ebonycleat.internal.process.membership_hubs import Hubs
 from ebonycleat.internal.process.membership_messages import (
     Announcement,
-    Heartbeat,
+    MemberHeartbeat,
     HubDigest,
     MemberNews,
     MembersAsk,
@@ -39,7 +39,7 @@
 OTHER_ZONES_OF_A_SERVICE = ('z1', 'z2')
 
 CODEC = create_codec(
-    Heartbeat,
+    MemberHeartbeat,
     HubDigest,
     Subscribe,
     MembersAsk,
--- a/src/ebonycleat/internal/connection/codec.py
+++ b/src/ebonycleat/internal/connection/codec.py
@@ -21,9 +21,12 @@
 
     def __init__(self, classes: Iterable[type]) -> None:
         """Allow exactly these classes; their names must be distinct."""
+        known_classes = tuple(classes)
         self.class_by_name: Mapping[str, type] = {
-            known.__name__: known for known in classes
+            known.__name__: known for known in known_classes
         }
+        if len(self.class_by_name) < len(known_classes):
+            raise ValueError('two message classes have the same name')
 
     def encode(self, message: object) -> bytes:
         """Encode one message; its class must be registered."""
--- a/src/ebonycleat/internal/connection/peer_transport.py
+++ b/src/ebonycleat/internal/connection/peer_transport.py
@@ -65,6 +65,10 @@
     ) -> None:
         """Resolve calls whose link closed; ``sent`` if they had left."""
 
+    @abc.abstractmethod
+    def link_changed(self, node: str, *, reachable: bool) -> None:
+        """Note that a link opened, or that there is none any more."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerIdentity:
@@ -139,6 +143,7 @@
         try:
             link = await self.open_link(node)
         except OPEN_ERRORS:
+            self.listener.link_changed(node, reachable=False)
             self.report_lost(node, self.waiting.pop(node))
             return
         for message in self.waiting.pop(node):
@@ -185,6 +190,7 @@
     def registered(self, link: Link) -> Iterator[None]:
         """Offer the link for sending; at the end resolve its calls."""
         self.links[link.node].append(link)
+        self.listener.link_changed(link.node, reachable=True)
         try:
             yield
         finally:
@@ -193,6 +199,8 @@
     def remove_link(self, link: Link) -> None:
         """Stop using a closed link and resolve the calls on it."""
         self.links[link.node].remove(link)
+        if not self.links[link.node]:
+            self.listener.link_changed(link.node, reachable=False)
         self.report_lost(link.node, link.outbox)
         if link.sent_calls:
             self.listener.calls_lost(link.node, link.sent_calls, sent=True)
--- a/src/ebonycleat/internal/process/members_part.py
+++ b/src/ebonycleat/internal/process/members_part.py
@@ -1,95 +1,164 @@
-"""The members that a node knows, and its own announcements."""
+"""Membership as the other parts of a node need it."""
 
-import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from ebonycleat.internal.connection.log_service import Stream
-from ebonycleat.internal.process.announced_members import (
-    AnnouncedMembers,
-    Announcement,
+from ebonycleat.internal.process.directory import Directory
+from ebonycleat.internal.process.effects import AppendResult, Effect
+from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.process.membership import (
+    Membership,
+    MemberMessage,
 )
-from ebonycleat.internal.process.effects import (
-    AppendDone,
-    AppendResult,
-    AppendToLog,
+from ebonycleat.internal.process.membership_messages import (
+    Announcement,
+    HubDigest,
+    MemberHeartbeat,
+    MemberNews,
+    MembersAsk,
+    MembersTold,
+    MemberState,
+    Subscribe,
 )
-from ebonycleat.internal.process.rendezvous import Member
+from ebonycleat.internal.process.membership_traffic import TargetLoad
+from ebonycleat.internal.process.rendezvous import Member as SlotMember
+from ebonycleat.internal.process.settings import split_address
+from ebonycleat.internal.process.target_records import Member
+from ebonycleat.internal.version.view import ConfigurationView
 
 MEMBER_RECORDS = (Announcement,)
-REPEAT_S = 1.0
+MEMBER_MESSAGES = (
+    MemberHeartbeat,
+    HubDigest,
+    Subscribe,
+    MembersAsk,
+    MembersTold,
+    MemberNews,
+)
+
+
+class MemberDirectory(Directory):
+    """Live members by service, refreshed when time advances.
+
+    Every call looks them up, so they are kept as ready lists; a member is
+    noticed as silent at the next tick at the latest.
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        """Read from ``membership``."""
+        self.membership = membership
+        self.by_service: dict[str, list[Member]] = {}
+
+    def members_of(self, service: str, now: float) -> Sequence[Member]:
+        """Members of a service that may get new work."""
+        members = self.by_service.get(service)
+        if members is None:
+            members = self.look_up(service, now)
+            self.by_service[service] = members
+        return members
+
+    def zones_of(self, service: str, now: float) -> frozenset[str]:
+        """Zones that have members of the service."""
+        members = self.members_of(service, now)
+        return frozenset(member.zone for member in members)
+
+    def refresh(self) -> None:
+        """Look members up again when they are next needed."""
+        self.by_service.clear()
+
+    def look_up(self, service: str, now: float) -> list[Member]:
+        """Find the members heard by this node, and those summaries name."""
+        found = {
+            known.node: Member(known.node, known.zone)
+            for known in self.membership.live(service, now)
+        }
+        for summary in self.membership.zone_summaries(service, now):
+            for node in summary.sample:
+                found.setdefault(node, Member(node, summary.zone))
+        own = self.membership.duty.own
+        if own.service == service and own.state is MemberState.UP:
+            found.setdefault(own.node, Member(own.node, own.zone))
+        return list(found.values())
 
 
 class MembersPart:
-    """Announces the node until the log has confirmed it."""
+    """Membership, and who is told of changes."""
 
     def __init__(
         self,
-        announcement: Announcement,
-        members: AnnouncedMembers,
+        membership: Membership,
+        directory: MemberDirectory,
     ) -> None:
-        """Start with this node as the only member."""
-        self.announcement = announcement
-        self.members = members
-        self.seen: tuple[Member, ...] = ()
-        self.confirmed = False
-        self.announce_at: float = 0
+        """Serve one node."""
+        self.membership = membership
+        self.directory = directory
+        self.seen: tuple[SlotMember, ...] = ()
+
+    def configuration_changed(self, view: ConfigurationView) -> None:
+        """Follow the services that the routes in force lead to."""
+        services = {route.service for _, route in view.routes.pairs()}
+        self.membership.traffic.calls = tuple(sorted(services))
+        self.membership.subscribed_version = -1
 
     def take_records(
         self,
         records: Iterable[tuple[int, object]],
         now: float,
+        *,
+        at_end: bool,
     ) -> tuple[()]:
         """Apply announcements from the log."""
         for _, record in records:
             if isinstance(record, Announcement):
-                self.members.apply(record)
+                self.membership.announced(record)
+        if at_end:
+            self.membership.log_reached_end(now)
         return ()
 
-    def take_changes(self, now: float) -> tuple[Member, ...] | None:
+    def receive(self, message: MemberMessage, now: float) -> list[Effect]:
+        """Take a message of another node's membership."""
+        return self.membership.received(message, now)
+
+    def link_changed(self, node: str, *, reachable: bool) -> None:
+        """Note that the link to a node was lost or works again."""
+        self.membership.link_changed(node, reachable=reachable)
+
+    def append_finished(self, append_result: AppendResult, now: float) -> None:
+        """Take the result of the append of the own announcement."""
+        self.membership.append_result(append_result, now)
+
+    def leave(self, now: float) -> list[Effect]:
+        """Announce that this node takes no new work."""
+        self.directory.refresh()
+        return self.membership.change_state(MemberState.DRAINING, now)
+
+    def take_changes(self, now: float) -> tuple[SlotMember, ...] | None:
         """Return the live members once after they changed."""
+        self.membership.take_changes()
         live = tuple(
-            Member(known.node, known.zone, (known.service,))
-            for known in self.members.by_node.values()
-            if not known.leaving
+            SlotMember(
+                member.announcement.node,
+                member.announcement.zone,
+                (member.announcement.service,),
+            )
+            for member in self.membership.table.live(now)
         )
         if live == self.seen:
             return None
         self.seen = live
         return live
 
-    def tick(self, now: float) -> list[AppendToLog]:
-        """Announce this node until the log has confirmed it."""
-        if self.confirmed or now < self.announce_at:
-            return []
-        self.announce_at = now + REPEAT_S
-        return [self.announce()]
-
-    def leave(self, now: float) -> list[AppendToLog]:
-        """Announce that this node takes no new work."""
-        self.announcement = dataclasses.replace(
-            self.announcement,
-            leaving=True,
+    def tick(self, load: GateLoad, now: float) -> list[Effect]:
+        """Send heartbeats and digests; ``load`` is that of the own gate."""
+        self.membership.load = TargetLoad(
+            load.queued,
+            load.running,
+            load.admission_level,
         )
-        self.members.apply(self.announcement)
-        return [self.announce()]
-
-    def announce(self) -> AppendToLog:
-        """Make the append of the current announcement."""
-        said = self.announcement
-        word = 'leave' if said.leaving else 'join'
-        operation_id = f'{word}-{said.node}-{said.incarnation}'
-        return AppendToLog(Stream.MEMBERS, said, operation_id)
-
-    def append_finished(
-        self,
-        append_result: AppendResult,
-        now: float,
-    ) -> None:
-        """Stop announcing once the log has the record."""
-        if isinstance(append_result, AppendDone):
-            self.confirmed = True
+        effects = self.membership.tick(now)
+        self.directory.refresh()
+        return effects
 
     def address_of(self, node: str) -> tuple[str, int] | None:
         """Where a node listens for its peers, if that is known."""
-        known = self.members.by_node.get(node)
-        return None if known is None else (known.host, known.port)
+        address = self.membership.address_of(node)
+        return split_address(address) if address else None
--- a/src/ebonycleat/internal/process/membership.py
+++ b/src/ebonycleat/internal/process/membership.py
@@ -13,7 +13,7 @@
 from ebonycleat.internal.process.membership_hubs import HubPlan
 from ebonycleat.internal.process.membership_messages import (
     Announcement,
-    Heartbeat,
+    MemberHeartbeat,
     HubDigest,
     MemberChange,
     MemberState,
@@ -38,7 +38,9 @@
 
 ASK_INTERVAL_S = 1
 
-MemberMessage: TypeAlias = Heartbeat | HubDigest | Subscribe | ExchangeMessage
+MemberMessage: TypeAlias = (
+    MemberHeartbeat | HubDigest | Subscribe | ExchangeMessage
+)
 
 
 class Membership:
@@ -87,7 +89,7 @@
 
     def received(self, message: MemberMessage, now: float) -> list[Effect]:
         """Take a peer message; return what it makes this node send."""
-        if isinstance(message, Heartbeat):
+        if isinstance(message, MemberHeartbeat):
             self.table.heard(message, now)
         elif isinstance(message, HubDigest):
             self.traffic.take(message, now)
@@ -160,7 +162,7 @@
         """Return the fresh summaries of a service, one for each zone."""
         return self.traffic.zone_summaries(service, now)
 
-    def load_of(self, node: str) -> Heartbeat | None:
+    def load_of(self, node: str) -> MemberHeartbeat | None:
         """Return the latest heartbeat of a node."""
         member = self.table.members.get(node)
         return None if member is None else member.beat
--- a/src/ebonycleat/internal/process/membership_hubs.py
+++ b/src/ebonycleat/internal/process/membership_hubs.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from ebonycleat.internal.process.membership_messages import (
-    Heartbeat,
+    MemberHeartbeat,
     HubDigest,
     MemberState,
     Subscribe,
@@ -220,7 +220,7 @@
         plan: HubPlan,
         subscriber: Subscriber,
         now: float,
-    ) -> list[Heartbeat]:
+    ) -> list[MemberHeartbeat]:
         beats = []
         for member in self._zone_members(plan, subscriber.ask.services):
             beat = member.beat
@@ -256,7 +256,7 @@
         ]
 
 
-def _busy(beat: Heartbeat | None) -> int:
+def _busy(beat: MemberHeartbeat | None) -> int:
     return beat.queued + beat.running if beat else 0
 
 
--- a/src/ebonycleat/internal/process/membership_messages.py
+++ b/src/ebonycleat/internal/process/membership_messages.py
@@ -31,7 +31,7 @@
     operation_id: str = ''
 
 
-class Heartbeat(NamedTuple):
+class MemberHeartbeat(NamedTuple):
     """Peer message: a node lives, with the load of its target.
 
     Heartbeats and summaries are tuples, which are encoded without the names
@@ -71,7 +71,7 @@
     """Peer message: what a hub heard since the last digest."""
 
     hub: str
-    beats: tuple[Heartbeat, ...]
+    beats: tuple[MemberHeartbeat, ...]
     summaries: tuple[ZoneSummary, ...]
 
 
--- a/src/ebonycleat/internal/process/membership_table.py
+++ b/src/ebonycleat/internal/process/membership_table.py
@@ -7,7 +7,7 @@
     STATE_ORDER,
     Announcement,
     ChangeKind,
-    Heartbeat,
+    MemberHeartbeat,
     MemberChange,
     MemberState,
 )
@@ -35,7 +35,7 @@
     heard_at: float = -math.inf
     live: bool = False
     unreachable: bool = False
-    beat: Heartbeat | None = None
+    beat: MemberHeartbeat | None = None
 
 
 class MemberTable:
@@ -72,7 +72,7 @@
         self._count_change(record.zone)
         return True
 
-    def heard(self, beat: Heartbeat, now: float) -> None:
+    def heard(self, beat: MemberHeartbeat, now: float) -> None:
         """Take a heartbeat; late and repeated ones are ignored."""
         member = self.members.get(beat.node)
         if member is None:
--- a/src/ebonycleat/internal/process/membership_traffic.py
+++ b/src/ebonycleat/internal/process/membership_traffic.py
@@ -8,7 +8,7 @@
 from ebonycleat.internal.process.membership_hubs import HubPlan, HubRole
 from ebonycleat.internal.process.membership_messages import (
     Announcement,
-    Heartbeat,
+    MemberHeartbeat,
     HubDigest,
     Subscribe,
     ZoneSummary,
@@ -63,7 +63,7 @@
     ) -> list[Effect]:
         """Send the own heartbeat to the hubs of the own service."""
         self.beats_sent += 1
-        beat = Heartbeat(
+        beat = MemberHeartbeat(
             node=own.node,
             incarnation=own.incarnation,
             number=self.beats_sent,
--- a/src/ebonycleat/internal/process/node_core.py
+++ b/src/ebonycleat/internal/process/node_core.py
@@ -34,6 +34,7 @@
     StreamExpired,
 )
 from ebonycleat.internal.process.members_part import (
+    MEMBER_MESSAGES,
     MEMBER_RECORDS,
     MembersPart,
 )
@@ -90,6 +91,7 @@
             *GRANT_MESSAGES,
             *LEASE_MESSAGES,
             *CONFIGURATION_MESSAGES,
+            *MEMBER_MESSAGES,
         )
         self.log_codec = create_codec(
             *CONFIGURATION_RECORDS,
@@ -157,6 +159,10 @@
         effects = self.call_flow.call_lost(call_id, now, sent=sent)
         return self.perform(effects, now)
 
+    def link_changed(self, node: str, *, reachable: bool) -> None:
+        """Note that the link to a node was lost or works again."""
+        self.members.link_changed(node, reachable=reachable)
+
     def target_finished(
         self,
         call_id: str,
@@ -251,7 +257,8 @@
         steps: list[CoreStep] = []
         for cursor in self.cursors.values():
             steps.extend(cursor.tick(now))
-        steps.extend(self.members.tick(now))
+        load = self.call_flow.gate_service.gate.load(now)
+        steps.extend(self.members.tick(load, now))
         live = self.members.take_changes(now)
         if live is not None:
             self.configuration.members_changed(live, now)
@@ -278,7 +285,11 @@
         ]
         match stream:
             case Stream.MEMBERS:
-                return self.members.take_records(records, now)
+                return self.members.take_records(
+                    records,
+                    now,
+                    at_end=page.at_end,
+                )
             case Stream.OWNERSHIP:
                 return self.ownership.log_page(
                     read_result.started_at,
@@ -318,6 +329,8 @@
         """Hand a message to the part that it is for."""
         if isinstance(message, LEASE_MESSAGES):
             return self.ownership.receive(sender, message, now)
+        if isinstance(message, MEMBER_MESSAGES):
+            return self.members.receive(message, now)
         if isinstance(message, CONFIGURATION_MESSAGES):
             return self.configuration.peer_message(sender, message, now)
         return self.call_flow.take_message(sender, message, now)
@@ -335,6 +348,7 @@
             effects.append(effect)
         view = self.configuration.take_new_view()
         if view is not None:
+            self.members.configuration_changed(view)
             changed = self.call_flow.configuration_changed(view, now)
             effects.extend(changed)
         return effects
--- a/src/ebonycleat/internal/process/node_factory.py
+++ b/src/ebonycleat/internal/process/node_factory.py
@@ -12,10 +12,6 @@
     NodeRow,
     RefusalRow,
 )
-from ebonycleat.internal.process.announced_members import (
-    AnnouncedMembers,
-    Announcement,
-)
 from ebonycleat.internal.process.budget_owner import BudgetOwner
 from ebonycleat.internal.process.call_flow import CallFlow, FlowParts
 from ebonycleat.internal.process.config_follower import ConfigurationFollower
@@ -27,7 +23,16 @@
 from ebonycleat.internal.process.grant_holder import GrantHolder
 from ebonycleat.internal.process.idempotent_ingress import IdempotentIngress
 from ebonycleat.internal.process.ingress import Ingress
-from ebonycleat.internal.process.members_part import MembersPart
+from ebonycleat.internal.process.members_part import (
+    MemberDirectory,
+    MembersPart,
+)
+from ebonycleat.internal.process.membership import Membership
+from ebonycleat.internal.process.membership_duty import SeedPeer
+from ebonycleat.internal.process.membership_messages import (
+    Announcement,
+    MemberState,
+)
 from ebonycleat.internal.process.metrics import create_metrics
 from ebonycleat.internal.process.node_core import CoreParts, NodeCore
 from ebonycleat.internal.process.operator_answers import NodeFacts
@@ -42,7 +47,7 @@
 from ebonycleat.internal.process.retry_budget import RetryBudget
 from ebonycleat.internal.process.retry_policy import RetryPolicy
 from ebonycleat.internal.process.router import create_router
-from ebonycleat.internal.process.settings import NodeSettings
+from ebonycleat.internal.process.settings import NodeSettings, join_address
 from ebonycleat.internal.process.slot_claims import OwnershipSettings
 from ebonycleat.internal.process.started_log import GroupCommit
 from ebonycleat.internal.process.stream_cursor import StreamCursor
@@ -70,23 +75,24 @@
 
     def __init__(
         self,
-        members: AnnouncedMembers,
+        membership: Membership,
         metrics: RequestMetrics,
     ) -> None:
         """Read from the parts that hold the facts."""
-        self.members = members
+        self.membership = membership
         self.metrics = metrics
 
     def nodes(self) -> tuple[NodeRow, ...]:
         """List the nodes that this node knows, itself included."""
+        live = self.membership.table.live_members
         return tuple(
             NodeRow(
                 known.node,
                 known.zone,
                 known.service,
-                'leaving' if known.leaving else 'up',
+                known.state.value if known.node in live else 'not heard',
             )
-            for known in self.members.by_node.values()
+            for known in self.membership.nodes()
         )
 
     def refusals(self) -> tuple[RefusalRow, ...]:
@@ -120,9 +126,13 @@
         self.randomness = randomness
         self.rng = randomness.choices
         self.identity = settings.node
-        self.announcement = _announcement_of(settings, incarnation)
-        self.members = AnnouncedMembers()
-        self.members.apply(self.announcement)
+        self.membership = Membership(
+            _announcement_of(settings, incarnation),
+            seeds=tuple(
+                SeedPeer(address, address) for address in settings.peers.seeds
+            ),
+        )
+        self.directory = MemberDirectory(self.membership)
         self.metrics = RequestMetrics(
             create_metrics(settings.statsd),
             self.identity.zone,
@@ -141,7 +151,7 @@
                 self.follower,
                 self.build_operators(),
             ),
-            MembersPart(self.announcement, self.members),
+            MembersPart(self.membership, self.directory),
             OwnershipHost(
                 self.engine,
                 self.budgets,
@@ -198,7 +208,7 @@
                 for operator in self.settings.operators
             },
             self.follower,
-            KnownFacts(self.members, self.metrics),
+            KnownFacts(self.membership, self.metrics),
         )
 
     def build_call_flow(self) -> CallFlow:
@@ -206,7 +216,7 @@
         identity = self.identity
         tokens = TokenDesk(self.build_holder(), self.budgets)
         ingress = Ingress(
-            self.members,
+            self.directory,
             create_router(identity.zone, identity.id, self.rng),
             RetryPolicy(RetryBudget(), self.rng),
             tokens.spend,
@@ -232,7 +242,7 @@
 
     def zones(self) -> list[str]:
         """List the known zones, this node's own first."""
-        known = {member.zone for member in self.members.by_node.values()}
+        known = {member.zone for member in self.membership.nodes()}
         return [self.identity.zone, *sorted(known - {self.identity.zone})]
 
     def build_gate_service(self) -> GateService:
@@ -270,7 +280,7 @@
         incarnation=incarnation,
         zone=identity.zone,
         service=identity.service,
-        host=settings.peers.address,
-        port=settings.peers.port,
+        peer_address=join_address(settings.peers.address, settings.peers.port),
         slots=settings.target.slots,
+        state=MemberState.UP,
     )
--- a/src/ebonycleat/internal/process/settings.py
+++ b/src/ebonycleat/internal/process/settings.py
@@ -26,6 +26,11 @@
     return parts.group(1), port
 
 
+def join_address(host: str, port: int) -> str:
+    """Write an address as ``split_address`` reads it."""
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
 def is_ip_address(text: str) -> bool:
     """Names are not accepted: nodes must work while DNS does not."""
     try:
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -169,6 +169,10 @@
             effects = self.core.call_lost(node, call_id, now, sent=sent)
             self.perform(effects)
 
+    def link_changed(self, node: str, *, reachable: bool) -> None:
+        """Tell the core that a link opened or could not be kept."""
+        self.core.link_changed(node, reachable=reachable)
+
     def perform(self, effects: Iterable[NodeEffect]) -> None:
         """Carry out effects in order."""
         for effect in effects:
--- a/src/ebonycleat_tools/demo.py
+++ b/src/ebonycleat_tools/demo.py
@@ -80,7 +80,8 @@
         self.wait_until('all nodes serve', self.all_nodes_serve)
         self.create_everything()
         self.wait_until('tokens are given out', self.probe_all_teams)
-        with self.load_running() as results:
+        results = LoadResults(self.settings.load.report.bucket_s)
+        with self.load_running(results):
             self.pause(CALM_S)
             self.withdraw_key()
             self.lower_rate(results)
@@ -212,9 +213,9 @@
 
     def change(self, command: str) -> int:
         """Make a change through one node; return its version."""
-        variable = self.settings.operator_key_variable
+        key = os.environ[self.settings.operator_key_variable]
         address = next(iter(self.settings.nodes.values()))
-        return self.client.change(address, command, os.environ[variable])
+        return self.client.change(address, command, key)
 
     def claim_duration(
         self,
@@ -297,17 +298,16 @@
         self.waiting.wait(pause_s)
 
     @contextlib.contextmanager
-    def load_running(self) -> Iterator[LoadResults]:
+    def load_running(self, results: LoadResults) -> Iterator[None]:
         """Send the load while the context is open, and then to its end."""
         plan = self.settings.load
-        results = LoadResults(plan.report.bucket_s)
         thread = threading.Thread(
             target=run_load,
             args=(plan, self.keys, 'demo', self.clock, results),
         )
         thread.start()
         try:
-            yield results
+            yield
         finally:
             thread.join()
 
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -17,7 +17,7 @@
 from ebonycleat.internal.process.membership_messages import (
     Announcement,
     ChangeKind,
-    Heartbeat,
+    MemberHeartbeat,
     HubDigest,
     MemberChange,
     MemberState,
@@ -44,7 +44,7 @@
 
 
 def make_beat(node, number=1, incarnation=1, state=MemberState.UP):
-    return Heartbeat(node, incarnation, number, state, 1, 2, 10, 0)
+    return MemberHeartbeat(node, incarnation, number, state, 1, 2, 10, 0)
 
 
 def names(records):
@@ -235,7 +235,7 @@
 
 def test_heartbeats_and_digests_survive_a_round_trip():
     """Guards against compact messages that lose a type on the way."""
-    codec = create_codec(Heartbeat, HubDigest)
+    codec = create_codec(MemberHeartbeat, HubDigest)
     digest = HubDigest(
         'hub',
         (make_beat('b'),),
