--- a/src/ebonycleat/internal/process/config_follower.py
+++ b/src/ebonycleat/internal/process/config_follower.py
@@ -21,9 +21,7 @@
     SnapshotGiven,
     SnapshotOffer,
     SnapshotQuery,
-    children_in_tree,
-    rank_nodes,
-    readers_of,
+    assign_role,
 )
 from ebonycleat.internal.process.config_stream import (
     FollowedStream,
@@ -70,6 +68,7 @@
         self.rng = rng
         self.stream = FollowedStream()
         self.live: tuple[str, ...] = (node,)
+        self.role = assign_role(node, self.live)
         self.heard_reader_at = now - READER_SILENCE_S
         self.reads = ReadPacer(now)
         self.offers = SnapshotOffers()
@@ -89,7 +88,10 @@
 
     def members_changed(self, live: tuple[str, ...]) -> None:
         """Take over which nodes of the zone are live, this one included."""
-        self.live = tuple(sorted({*live, self.node}))
+        members = tuple(sorted({*live, self.node}))
+        if members != self.live:
+            self.live = members
+            self.role = assign_role(self.node, members)
 
     def tick(self, now: float) -> Effects:
         """Decide what time alone makes due; call it each 0.1 s or so."""
@@ -120,8 +122,9 @@
 
     def log_failed(self, now: float) -> Effects:
         """Take ``LogUnavailable``: keep what is in force and try later."""
-        is_reader = self.node in readers_of(self.live)
-        limit = READER_RETRY_MAX_S if is_reader else OTHERS_RETRY_MAX_S
+        limit = OTHERS_RETRY_MAX_S
+        if self.role.is_reader:
+            limit = READER_RETRY_MAX_S
         self.reads.failed(now, limit, self.rng)
         return self._ask_peers_if_due(now)
 
@@ -157,11 +160,10 @@
         return [*self._forward(page, now), *self._read_if_due(now)]
 
     def _send_page(self, offset: int, page: LogPage, now: float) -> Effects:
-        readers = readers_of(self.live)
-        if self.node not in readers or self.stream.seek_offset:
+        if self.stream.seek_offset or not self.role.is_reader:
             return []
         relayed = ConfigurationPage(
-            readers.index(self.node),
+            self.role.reader,
             MAX_HOPS + 1,
             offset,
             page.next_offset,
@@ -177,15 +179,16 @@
             return []
         self.forwarded[page.tree] = (max(upto, page.next_offset), now)
         onward = dataclasses.replace(page, hops_left=page.hops_left - 1)
+        if page.tree >= len(self.role.children):
+            return []
         return [
-            SendToPeer(child, onward)
-            for child in children_in_tree(page.tree, self.node, self.live)
+            SendToPeer(child, onward) for child in self.role.children[page.tree]
         ]
 
     def _read_if_due(self, now: float) -> Effects:
         is_silent = now - self.heard_reader_at >= READER_SILENCE_S
         wanted = self.behind_reader or self.stream.seek_offset or is_silent
-        wanted = wanted or self.node in readers_of(self.live)
+        wanted = wanted or self.role.is_reader
         if not wanted or not self.reads.may_start(now):
             return []
         self.reads.started(now)
@@ -208,10 +211,10 @@
         ]
 
     def _snapshot_if_due(self, now: float) -> Effects:
-        winner = rank_nodes('configuration-snapshot', self.live)[0]
-        if winner != self.node or self.stream.seek_offset or not self.ready:
+        if self.stream.seek_offset or not self.ready:
             return []
-        if not self.snapshots.may_start(now, self.view.offset):
+        rank = self.role.snapshot_rank
+        if not self.snapshots.may_start(now, self.view.offset, rank):
             return []
         self.snapshots.started()
         snapshot = take_snapshot(self.view)
--- a/src/ebonycleat/internal/process/config_pacing.py
+++ b/src/ebonycleat/internal/process/config_pacing.py
@@ -15,6 +15,9 @@
 # Each zone has a writer, and all see at once that a snapshot is due; the
 # first to write saves the others the work.
 SNAPSHOT_SPREAD_S: Final = 30.0
+# A live writer may be cut off from the log; then the next in rank takes over.
+SNAPSHOT_WRITERS: Final = 3
+SNAPSHOT_TAKEOVER_S: Final = 60.0
 
 
 class ReadPacer:
@@ -94,26 +97,27 @@
         self.seen_when = now
         self.first_offset = 1
         self.in_flight = False
-        self.not_before = math.inf
+        self.due_from = math.inf
 
     def seen(self, offset: int, now: float) -> None:
         """Note a snapshot that stands in the log at an offset."""
         if offset > self.seen_at:
             self.seen_at = offset
             self.seen_when = now
-            self.not_before = math.inf
+            self.due_from = math.inf
 
     def log_begins_at(self, first_offset: int) -> None:
         """Note the oldest offset that the log still keeps."""
         self.first_offset = max(self.first_offset, first_offset)
 
-    def may_start(self, now: float, offset: int) -> bool:
-        """Tell whether the state at an offset is to be written now."""
-        if not self._is_wanted(now, offset):
+    def may_start(self, now: float, offset: int, rank: int) -> bool:
+        """Tell whether the node of this rank writes the state at an offset."""
+        if rank >= SNAPSHOT_WRITERS or not self._is_wanted(now, offset):
             return False
-        if math.isinf(self.not_before):
-            self.not_before = now + self.rng.uniform(0, SNAPSHOT_SPREAD_S)
-        return now >= self.not_before and not self.in_flight
+        if math.isinf(self.due_from):
+            self.due_from = now + self.rng.uniform(0, SNAPSHOT_SPREAD_S)
+        is_due = now >= self.due_from + rank * SNAPSHOT_TAKEOVER_S
+        return is_due and not self.in_flight
 
     def started(self) -> None:
         """Note an append in flight."""
@@ -122,7 +126,7 @@
     def finished(self, now: float) -> None:
         """Note its end; unless seen in the log, it is tried again later."""
         self.in_flight = False
-        self.not_before = now + SNAPSHOT_RETRY_S
+        self.due_from = max(self.due_from, now) + SNAPSHOT_RETRY_S
 
     def _is_wanted(self, now: float, offset: int) -> bool:
         # Once the log forgets records, the newest snapshot has to stand in
--- a/src/ebonycleat/internal/process/config_relay.py
+++ b/src/ebonycleat/internal/process/config_relay.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 import xxhash
@@ -20,6 +20,7 @@
 # Eight to the power of six is above any zone; it ends loops among nodes that
 # for a moment disagree on who is live.
 MAX_HOPS: Final = 6
+NO_READER: Final = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +40,24 @@
     records: tuple[LogRecord, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneRole:
+    """A node's part in its zone.
+
+    ``reader`` is the number of the node's own tree, or ``NO_READER``;
+    ``children`` has the nodes below it in each tree.
+    """
+
+    reader: int
+    snapshot_rank: int
+    children: tuple[tuple[str, ...], ...]
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether the node reads the log for its zone."""
+        return self.reader != NO_READER
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotQuery:
     """Ask a peer how far its configuration goes."""
@@ -81,12 +100,16 @@
     )
 
 
-def readers_of(nodes: Iterable[str]) -> list[str]:
+def readers_of(nodes: Collection[str]) -> list[str]:
     """Choose the readers of a zone among its live nodes."""
     return rank_nodes('configuration-reader', nodes)[:READERS_PER_ZONE]
 
 
-def children_in_tree(tree: int, node: str, nodes: Iterable[str]) -> list[str]:
+def children_in_tree(
+    tree: int,
+    node: str,
+    nodes: Collection[str],
+) -> list[str]:
     """List the nodes to which ``node`` passes pages of one reader's tree."""
     readers = readers_of(nodes)
     if tree >= len(readers):
@@ -100,5 +123,18 @@
     return order[first : first + FAN_OUT]
 
 
+def assign_role(node: str, nodes: Collection[str]) -> ZoneRole:
+    """Compute a node's part; it takes time, so once per change of members."""
+    readers = readers_of(nodes)
+    return ZoneRole(
+        readers.index(node) if node in readers else NO_READER,
+        rank_nodes('configuration-snapshot', nodes).index(node),
+        tuple(
+            tuple(children_in_tree(tree, node, nodes))
+            for tree in range(len(readers))
+        ),
+    )
+
+
 def _rendezvous_hash(purpose: str, node: str) -> int:
     return xxhash.xxh64_intdigest(f'{purpose}|{node}'.encode())
--- a/tests/cover/test_configuration_fold.py
+++ b/tests/cover/test_configuration_fold.py
@@ -3,7 +3,8 @@
 import pytest
 
 from ebonycleat import Reason
-from ebonycleat.internal.version.fold import create_fold
+from ebonycleat.internal.version.change_checks import MAX_CHANGES
+from ebonycleat.internal.version.fold import ConfigurationFold, create_fold
 from ebonycleat.internal.version.records import (
     Accepted,
     AlreadyApplied,
@@ -15,7 +16,13 @@
     WithdrawRoute,
     WithdrawTeam,
 )
-from ebonycleat.internal.version.view import NO_PART, UnknownTeam, ZonePart
+from ebonycleat.internal.version.snapshot import restore_view, take_snapshot
+from ebonycleat.internal.version.view import (
+    NO_PART,
+    WITHDRAWN_KEPT,
+    UnknownTeam,
+    ZonePart,
+)
 from tests.configuration_records import (
     change_set,
     digest_of,
@@ -172,3 +179,36 @@
     ).view
     match = view.match_route(method, path)
     assert found in {getattr(match, 'route', None), getattr(match, 'reason', 0)}
+
+
+def test_a_route_that_moves_leaves_its_old_path():
+    """Guards against a path that stays open after its route moved."""
+    fold = fold_of(put_route('map', '/map'), put_route('z', '/all'))
+    moved = (
+        put_route('map', '/all', methods=('POST',)),
+        put_route('a', '/all', methods=('PUT',)),
+    )
+    fold.apply(2, change_set('move', *moved))
+    assert fold.view.match_route('GET', '/map').reason is Reason.NO_ROUTE
+    assert fold.view.match_route('POST', '/all').route == 'map'
+    assert restore_view(take_snapshot(fold.view)) == fold.view
+
+
+def test_nodes_forget_the_same_withdrawn_keys():
+    """Guards against refusals that differ between old and new nodes."""
+    fold = fold_of(put_team())
+    digests = [digest_of(str(number)) for number in range(WITHDRAWN_KEPT + 1)]
+    digests.sort(reverse=True)
+    for start in range(0, len(digests), MAX_CHANGES):
+        part = digests[start : start + MAX_CHANGES]
+        keys = [PutKey(digest, 'survey') for digest in part]
+        fold.apply(start + 2, change_set(f'op{start}', *keys))
+    restored = ConfigurationFold(restore_view(take_snapshot(fold.view)))
+    offset = fold.view.offset + 1
+    for node in (fold, restored):
+        node.apply(offset, change_set('w', WithdrawTeam('survey')))
+    assert restore_view(take_snapshot(fold.view)) == restored.view
+    reasons = [fold.view.team_of_key(digest).reason for digest in digests]
+    # The withdrawal of the team itself takes a place as well.
+    assert reasons[-2:] == [Reason.UNKNOWN_KEY, Reason.UNKNOWN_KEY]
+    assert set(reasons[:-2]) == {Reason.WITHDRAWN_KEY}
--- a/tests/cover/test_configuration_follower.py
+++ b/tests/cover/test_configuration_follower.py
@@ -4,18 +4,29 @@
 
 import pytest
 
-from ebonycleat.internal.connection.log_service import LogRecord
+from ebonycleat.internal.connection.log_service import LogPage, LogRecord
 from ebonycleat.internal.process.config_follower import ConfigurationFollower
 from ebonycleat.internal.process.config_pacing import SNAPSHOT_EVERY_RECORDS
 from ebonycleat.internal.process.config_relay import (
+    FAN_OUT,
     ConfigurationPage,
     SnapshotGiven,
     children_in_tree,
     readers_of,
 )
-from ebonycleat.internal.process.config_stream import SNAPSHOT_PREFIX
+from ebonycleat.internal.process.config_stream import (
+    SNAPSHOT_PREFIX,
+    FollowedStream,
+)
+from ebonycleat.internal.process.effects import SendToPeer
 from ebonycleat.internal.version.snapshot import take_snapshot
-from tests.configuration_records import change_set, log_records, put_team
+from ebonycleat.internal.version.view import ConfigurationView
+from tests.configuration_records import (
+    change_set,
+    codec,
+    log_records,
+    put_team,
+)
 from tests.configuration_world import World
 
 NODES = tuple(f'n{number}' for number in range(30))
@@ -92,12 +103,52 @@
 
 def test_a_gap_between_pages_is_read_and_not_skipped():
     """Guards against a lost page that leaves out a change for good."""
-    follower = ConfigurationFollower('n1', random.Random(1), 0)
-    late = LogRecord(7, log_records(change_set('op', put_team()))[0].payload)
-    page = ConfigurationPage(0, 2, 7, 8, 0, (late,))
-    effects = follower.peer_message('n2', page, 0)
-    assert follower.view.offset == 0
-    assert [effect.offset for effect in effects] == [1]
+    follower = ConfigurationFollower('n0', random.Random(1), 0)
+    follower.members_changed(NODES)
+    assert not follower.role.is_reader
+    records = log_records(change_set('op', put_team()))
+    first = ConfigurationPage(0, 1, 1, 2, 0, records)
+    assert follower.peer_message('n2', first, 0) == []
+    late = ConfigurationPage(0, 1, 7, 8, 0, (LogRecord(7, b''),))
+    effects = follower.peer_message('n2', late, 0)
+    assert follower.view.offset == 1
+    assert [effect.offset for effect in effects] == [2]
+
+
+def test_pages_stop_after_their_last_hop():
+    """Guards against pages in circles among nodes that see other members."""
+    reader = readers_of(NODES)[0]
+    for hops_left, count in ((2, FAN_OUT), (1, 0)):
+        follower = ConfigurationFollower(reader, random.Random(1), 9)
+        follower.members_changed(NODES)
+        page = ConfigurationPage(0, hops_left, 1, 2, 0, ())
+        effects = follower.peer_message('n2', page, 9)
+        sent = [effect for effect in effects if isinstance(effect, SendToPeer)]
+        assert len(sent) == count
+
+
+def test_a_snapshot_whose_next_records_are_lost_is_not_used():
+    """Guards against a start that leaves out the changes in between."""
+    stream = FollowedStream()
+    stream.seek_from(8)
+    payload = codec.encode(take_snapshot(ConfigurationView(offset=5)))
+    page = LogPage((LogRecord(8, payload),), 9, 8, at_end=True)
+    assert not stream.take_log_page(8, page)
+    assert (stream.ready, stream.next_offset, stream.seek_offset) == (0, 1, 9)
+
+
+def test_another_node_writes_the_snapshot_if_the_first_is_cut_off():
+    """Guards against a log that outlives its last snapshot."""
+    world = World('n1', 'n2', 'n3')
+    fill(world, SNAPSHOT_EVERY_RECORDS)
+    world.run(4)
+    world.silent.update(
+        node
+        for node, follower in world.nodes.items()
+        if not follower.role.snapshot_rank
+    )
+    world.run(100)
+    assert len(world.records) == SNAPSHOT_EVERY_RECORDS + 1
 
 
 def test_a_new_node_starts_from_the_newest_peer_while_the_log_is_down():
@@ -122,7 +173,10 @@
     """Guards against a configuration that is lost with its old records."""
     world = World('n1', 'n2', 'n3')
     fill(world, SNAPSHOT_EVERY_RECORDS)
-    world.run(60)
+    world.run(4)
+    world.reads.clear()
+    world.run(200)
+    assert set(world.reads) == set(readers_of(world.nodes))
     snapshots = [
         record.offset
         for record in world.records
--- a/tests/cover/test_operator_service.py
+++ b/tests/cover/test_operator_service.py
@@ -161,21 +161,23 @@
 
 
 @pytest.mark.parametrize(
-    ('results', 'status'),
+    ('attempt', 'results', 'status'),
     [
-        ([AppendFailed('op', False)], AnswerStatus.REJECTED),
-        ([AppendFailed('op', True)], AnswerStatus.UNKNOWN),
-        ([AppendDone('op', 1)], AnswerStatus.UNKNOWN),
-        ([], AnswerStatus.UNKNOWN),
+        (0, [AppendFailed('op', False)], AnswerStatus.REJECTED),
+        (1, [AppendFailed('op', False)], AnswerStatus.UNKNOWN),
+        (0, [AppendFailed('op', True)], AnswerStatus.UNKNOWN),
+        (0, [AppendDone('op', 1)], AnswerStatus.UNKNOWN),
+        (0, [], AnswerStatus.UNKNOWN),
     ],
 )
 def test_rejected_without_the_log_is_said_only_if_nothing_was_appended(
+    attempt,
     results,
     status,
 ):
     """Guards against "nothing changed" about a change that may come."""
     node = Node([])
-    node.submit(CREATE, wait_s=0.2)
+    node.submit(CREATE, attempt=attempt, wait_s=0.2)
     for result in results:
         assert node.service.append_finished(result, node.now) == []
     replies = node.wait(0.2)
