Benchmark of group commit against a refusal window

Cause: the choice between the log and a refusal window needs figures. Change: bench/dedupe.py runs both ways over 14 nodes; GroupCommit tells when its next append is due, so that no tick delays it. Conclusion: a driver should wake at due_at().

--- /dev/null
+++ b/bench/dedupe.py
@@ -0,0 +1,461 @@
+"""Logged group commit against a refusal window, on the paused clock.
+
+``logged`` appends started ids to the log before they run. ``window`` runs
+ids from memory alone; then a new owner cannot know what has started, and
+refuses every id that it does not know for the memory span of ten minutes.
+All calls carry new ids inside their team's rate, so each refusal is
+wrongful. Added time is from the arrival at the ingress to the gate.
+"""
+
+import argparse
+import collections
+import dataclasses
+import json
+import math
+import random
+import sys
+
+from bench.dedupe_world import (
+    CLOCK_DRIFT,
+    HEARTBEAT_S,
+    HOLD_S,
+    Clock,
+    FakeLog,
+    Fault,
+    Faults,
+)
+from ebonycleat.internal.process.dedupe import DedupeOwner
+from ebonycleat.internal.process.dedupe_runs import DedupeEvent, RunCall
+from ebonycleat.internal.process.dedupe_slots import SlotRights, Tenure
+from ebonycleat.internal.process.effects import AppendResult, AppendToLog
+from ebonycleat.internal.process.started_log import (
+    GroupCommit,
+    StartedGroup,
+    group_interval_s,
+)
+from ebonycleat.internal.request.call import (
+    Answer,
+    Call,
+    Priority,
+    RefusedCall,
+)
+from ebonycleat.internal.request.idempotent_send import (
+    SLOTS_PER_SERVICE,
+    CopyNotTaken,
+    DedupeAsk,
+    slot_index,
+)
+from ebonycleat.internal.request.refusal import Outcome
+
+# Corda Viva: readiness, payment, catalogue and workbench services.
+NODES_BY_SERVICE = (3, 3, 5, 3)
+
+TICK_S = 0.05
+
+HOP_S = 0.001
+
+SERVICE_S = 0.01
+
+TIMEOUT_S = 2
+
+RETRY_S = 0.1
+
+LOST_AT_S = 90
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """What happens in one run."""
+
+    name: str
+    owner_lost: bool
+    log_down: bool
+    lasts_s: int
+
+
+SCENARIOS = (
+    Scenario('calm', owner_lost=False, log_down=False, lasts_s=120),
+    Scenario('owner lost', owner_lost=True, log_down=False, lasts_s=780),
+    Scenario('log down 60 s', owner_lost=False, log_down=True, lasts_s=780),
+    Scenario('both', owner_lost=True, log_down=True, lasts_s=780),
+)
+
+
+class NeverConfirmed(GroupCommit):
+    """No log at all: ids are run from memory, as if it were down."""
+
+    def add(self, id_hash: bytes) -> None:
+        """Keep nothing for the log."""
+
+    def log_is_down(self, now: float) -> bool:
+        """Always run without the log."""
+        return True
+
+
+class BenchRights(SlotRights):
+    """A node that lives holds its slots; flags take a heartbeat."""
+
+    def __init__(self, *, logged: bool) -> None:
+        """Hold nothing."""
+        self.logged = logged
+        self.usable_from: dict[int, float] = {}
+        self.flagged_at: dict[int, float] = {}
+
+    def usable(self, slot: int, now: float) -> bool:
+        """Say if the claimant's wait is over."""
+        return now >= self.usable_from.get(slot, math.inf)
+
+    def unlogged_acknowledged(self, slot: int, now: float) -> bool:
+        """Say if the flag has had time to reach a majority and return."""
+        if not self.logged:
+            return True
+        return now >= self.flagged_at.get(slot, math.inf) + 2 * HOP_S
+
+
+class BenchNode:
+    """One owner with its log client; targets answer after 10 ms."""
+
+    def __init__(
+        self,
+        run: 'BenchRun',
+        name: str,
+        service: str,
+    ) -> None:
+        """Create the node of one service."""
+        self.run = run
+        self.service = service
+        self.alive = True
+        self.offset = 0
+        self.woken_at = math.inf
+        self.rights = BenchRights(logged=run.logged)
+        commit_class = GroupCommit if run.logged else NeverConfirmed
+        interval_s = group_interval_s(sum(NODES_BY_SERVICE))
+        commit = commit_class(name, 1, service, interval_s)
+        self.owner = DedupeOwner(commit, self.rights)
+        start_s = run.rng.uniform(0, TICK_S)
+        run.clock.after(start_s, self.tick)
+        run.clock.after(start_s, self.heartbeat)
+        run.clock.after(start_s, self.read)
+
+    def tick(self) -> None:
+        """Advance the decisions, and again."""
+        if self.alive:
+            self.carry_out(self.owner.tick(self.run.clock.now))
+            self.run.clock.after(TICK_S, self.tick)
+
+    def heartbeat(self) -> None:
+        """Set or clear the flag of each slot, and again."""
+        now = self.run.clock.now
+        for slot in self.rights.usable_from:
+            if self.owner.needs_unlogged_flag(slot, now):
+                self.rights.flagged_at.setdefault(slot, now)
+            else:
+                self.rights.flagged_at.pop(slot, None)
+        if self.alive:
+            self.run.clock.after(HEARTBEAT_S, self.heartbeat)
+
+    def read(self) -> None:
+        """Read the started stream."""
+        if self.alive and self.run.logged:
+            began = self.run.clock.now
+            self.run.log.read(
+                self.offset,
+                lambda *page: self.take(began, *page),
+            )
+
+    def take(
+        self,
+        began: float,
+        groups: tuple[StartedGroup, ...],
+        following: int,
+        at_end: bool,
+    ) -> None:
+        """Take a page of the started stream."""
+        self.offset = following
+        now = self.run.clock.now
+        self.carry_out(
+            self.owner.started_page(groups, began, now, at_end=at_end),
+        )
+        self.run.clock.after(TICK_S, self.read)
+
+    def confirm(self, append: AppendResult) -> None:
+        """Take the result of an append."""
+        if self.alive:
+            now = self.run.clock.now
+            self.carry_out(self.owner.append_result(append, now))
+
+    def begin(self, ask: DedupeAsk) -> None:
+        """Take a call from the ingress."""
+        if self.alive:
+            self.carry_out(self.owner.begin(ask, self.run.clock.now))
+
+    def finish(self, call: Call) -> None:
+        """End a run with an answer."""
+        if self.alive:
+            answer = Answer(call.call_id, 200, body=b'done')
+            now = self.run.clock.now
+            self.carry_out(self.owner.finished(call.call_id, answer, now))
+
+    def carry_out(self, events: list[DedupeEvent]) -> None:
+        """Do what the decisions ask for, and wake for the next append."""
+        for event in events:
+            self.carry_out_one(event)
+        due_at = self.owner.commit.due_at()
+        if due_at < self.woken_at or self.woken_at <= self.run.clock.now:
+            self.woken_at = due_at
+            if due_at < math.inf:
+                wait_s = max(due_at - self.run.clock.now, 0)
+                self.run.clock.after(wait_s, self.wake)
+
+    def wake(self) -> None:
+        """Let the append leave that is due now."""
+        if self.alive:
+            self.carry_out(self.owner.tick(self.run.clock.now))
+
+    def carry_out_one(self, event: DedupeEvent) -> None:
+        """Do what one event asks for."""
+        clock = self.run.clock
+        if isinstance(event, AppendToLog):
+            self.run.log.append(event, self.confirm)
+        elif isinstance(event, RunCall):
+            self.run.started(event.call)
+            self.owner.may_dispatch(event.call.call_id, clock.now)
+            clock.after(SERVICE_S, self.finish, event.call)
+        elif isinstance(event, CopyNotTaken):
+            clock.after(RETRY_S, self.run.send, event.call_id)
+        elif isinstance(event.result, RefusedCall):
+            self.run.refused(event.call_id, event.result.refusal.outcome)
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A call that has neither run nor been refused."""
+
+    ask: DedupeAsk
+    service: str
+    arrived_at: float
+
+
+class BenchRun:
+    """One scenario with one way to know what has started."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        rate_per_s: float,
+        seed: int,
+        *,
+        logged: bool,
+    ) -> None:
+        """Deal the slots of each service to its nodes."""
+        self.scenario = scenario
+        self.rate_per_s = rate_per_s
+        self.logged = logged
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        down = Fault('log-down', '', LOST_AT_S - 30, LOST_AT_S + 30)
+        faults = Faults(self.clock, (down,) if scenario.log_down else ())
+        self.log = FakeLog(self.clock, faults, self.rng)
+        self.faults = faults
+        self.pending: dict[str, Pending] = {}
+        self.added_s: list[float] = []
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.calls = 0
+        self.epoch = 0
+        self.nodes: dict[str, list[BenchNode]] = {}
+        self.owners: dict[tuple[str, int], BenchNode] = {}
+        self.epochs: dict[tuple[str, int], int] = {}
+        for index, count in enumerate(NODES_BY_SERVICE):
+            service = f's{index}'
+            self.nodes[service] = [
+                BenchNode(self, f'{service}-{number}', service)
+                for number in range(count)
+            ]
+            for slot in range(SLOTS_PER_SERVICE):
+                self.claim(self.nodes[service][slot % count], slot, 0)
+
+    def run(self) -> dict[str, object]:
+        """Run to the end and report."""
+        self.clock.after(1, self.arrive)
+        if self.scenario.owner_lost:
+            self.clock.after(LOST_AT_S, self.lose, self.nodes['s1'][0])
+        self.clock.run_until(self.scenario.lasts_s)
+        refused = sum(self.refusals.values())
+        self.added_s.sort()
+        return {
+            'scenario': self.scenario.name,
+            'way': 'logged' if self.logged else 'window',
+            'calls': self.calls,
+            'wrongful_refusals': refused,
+            'wrongful_share': round(refused / self.calls, 5),
+            'refused_not_run': self.refusals['not-run'],
+            'refused_unknown': self.refusals['unknown'],
+            'added_p50_ms': self.percentile(0.5),
+            'added_p99_ms': self.percentile(0.99),
+            'appends_per_s': round(
+                self.log.appends / self.scenario.lasts_s,
+                1,
+            ),
+        }
+
+    def percentile(self, share: float) -> float:
+        """Return a percentile of the added time in milliseconds."""
+        index = min(len(self.added_s) - 1, int(share * len(self.added_s)))
+        return round(self.added_s[index] * 1000, 2)
+
+    def arrive(self) -> None:
+        """Let one call with a new id arrive, and the next one later."""
+        self.calls += 1
+        key = f'id-{self.calls}'
+        service = f's{self.rng.randrange(len(NODES_BY_SERVICE))}'
+        now = self.clock.now
+        call = Call(
+            call_id=key,
+            root_id=key,
+            team='survey',
+            route='deposit',
+            service=service,
+            priority=Priority.HIGH,
+            idempotent=False,
+            deadline=now + TIMEOUT_S,
+            method='POST',
+            path='/',
+            idempotency_key=key,
+        )
+        ask = DedupeAsk(call, slot_index('survey', key), 0, 1, 0)
+        self.pending[key] = Pending(ask, service, now)
+        self.send(key)
+        self.clock.after(TIMEOUT_S, self.give_up, key)
+        if now < self.scenario.lasts_s - 2 * TIMEOUT_S:
+            gap_s = self.rng.expovariate(self.rate_per_s)
+            self.clock.after(gap_s, self.arrive)
+
+    def send(self, call_id: str) -> None:
+        """Send the next copy to the owner, or look again later."""
+        pending = self.pending.get(call_id)
+        if pending is None:
+            return
+        where = (pending.service, pending.ask.slot)
+        node = self.owners[where]
+        if not node.alive:
+            self.clock.after(RETRY_S, self.send, call_id)
+            return
+        pending.ask = dataclasses.replace(
+            pending.ask,
+            epoch=self.epochs[where],
+            copy_number=pending.ask.copy_number + 1,
+        )
+        self.clock.after(HOP_S, node.begin, pending.ask)
+        # A copy to a node that dies is sent again after 1 s of silence.
+        self.clock.after(1, self.send_if_lost, call_id, node)
+
+    def send_if_lost(self, call_id: str, node: BenchNode) -> None:
+        """Send again if the node has died."""
+        if not node.alive:
+            self.send(call_id)
+
+    def started(self, call: Call) -> None:
+        """Record the time that a call had to wait before its gate."""
+        pending = self.pending.pop(call.call_id, None)
+        if pending is not None:
+            self.added_s.append(self.clock.now - pending.arrived_at)
+
+    def refused(self, call_id: str, outcome: Outcome) -> None:
+        """Record a refusal; all of them are wrongful here."""
+        if self.pending.pop(call_id, None) is not None:
+            self.refusals[outcome.value] += 1
+
+    def give_up(self, call_id: str) -> None:
+        """Refuse at the deadline; without any copy nothing can have run."""
+        pending = self.pending.get(call_id)
+        if pending is not None:
+            unsent = pending.ask.copy_number == 0
+            self.refused(
+                call_id,
+                Outcome.NOT_RUN if unsent else Outcome.UNKNOWN,
+            )
+
+    def lose(self, lost: BenchNode) -> None:
+        """Lose an owner for good; others claim when its lease is over."""
+        lost.alive = False
+        self.clock.after(
+            HOLD_S * (1 + CLOCK_DRIFT) + HEARTBEAT_S,
+            self.take_over,
+            lost,
+        )
+
+    def take_over(self, lost: BenchNode) -> None:
+        """Claim the slots of a lost node, as soon as the log is up."""
+        if self.faults.active('log-down'):
+            self.clock.after(RETRY_S, self.take_over, lost)
+            return
+        alive = [node for node in self.nodes[lost.service] if node.alive]
+        for slot in lost.rights.usable_from:
+            flagged = slot in lost.rights.flagged_at or not self.logged
+            wait_s = HOLD_S * (1 + CLOCK_DRIFT)
+            new_owner = alive[slot % len(alive)]
+            self.claim(new_owner, slot, wait_s, unlogged=flagged)
+
+    def claim(
+        self,
+        node: BenchNode,
+        slot: int,
+        wait_s: float,
+        *,
+        unlogged: bool = False,
+    ) -> None:
+        """Give a slot to a node."""
+        self.epoch += 1
+        where = (node.service, slot)
+        tenure = Tenure(
+            slot=slot,
+            first_epoch=self.epoch,
+            epoch=self.epoch,
+            unlogged=unlogged,
+            never_owned=where not in self.owners,
+            # Without a log there is nothing to wait for.
+            loaded=not self.logged,
+        )
+        self.owners[where] = node
+        self.epochs[where] = self.epoch
+        now = self.clock.now
+        node.rights.usable_from[slot] = now + wait_s
+        node.carry_out(node.owner.slot_gained(tenure, now))
+
+
+def main() -> int:
+    """Run every scenario both ways; print JSON lines and a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--rate', type=float, default=200)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--scenario', default='')
+    chosen = parser.parse_args()
+    rows = []
+    for scenario in SCENARIOS:
+        if chosen.scenario in {'', scenario.name}:
+            for logged in (True, False):
+                run = BenchRun(
+                    scenario,
+                    chosen.rate,
+                    chosen.seed,
+                    logged=logged,
+                )
+                rows.append(run.run())
+                row = {'seed': chosen.seed, 'rate': chosen.rate, **rows[-1]}
+                sys.stdout.write(f'{json.dumps(row)}\n')
+    write_table(rows)
+    return 0
+
+
+def write_table(rows: list[dict[str, object]]) -> None:
+    """Write the rows as a Markdown table."""
+    columns = list(rows[0])
+    sys.stdout.write(f'| {" | ".join(columns)} |\n')
+    sys.stdout.write(f'|{"---|" * len(columns)}\n')
+    for cells in rows:
+        texts = [str(cells[name]) for name in columns]
+        sys.stdout.write(f'| {" | ".join(texts)} |\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/ebonycleat/internal/process/dedupe.py
+++ b/src/ebonycleat/internal/process/dedupe.py
@@ -190,7 +190,7 @@
         return events
 
     def tick(self, now: float) -> list[DedupeEvent]:
-        """Advance time; call it at least every 50 ms."""
+        """Advance time; call it every 50 ms and at ``commit.due_at()``."""
         events: list[DedupeEvent] = []
         for tenure in self.tenures.values():
             if now < tenure.usable_since and self.rights.usable(
--- a/src/ebonycleat/internal/process/started_log.py
+++ b/src/ebonycleat/internal/process/started_log.py
@@ -95,16 +95,18 @@
         """Queue one id; it leaves only when the log has confirmed it."""
         self.queue.append(id_hash)
 
+    def due_at(self) -> float:
+        """Return when the next append may leave, infinity if none waits."""
+        if self.awaiting or not (self.group or self.queue):
+            return math.inf
+        pause_s = RETRY_INTERVAL_S if self.failed else self.interval_s
+        return self.sent_at + pause_s
+
     def next_append(self, now: float) -> list[AppendToLog]:
         """Return the append that is due, if one is."""
-        if self.awaiting:
-            return []
-        pause_s = RETRY_INTERVAL_S if self.failed else self.interval_s
-        if now < self.sent_at + pause_s:
+        if now < self.due_at():
             return []
         if self.group is None:
-            if not self.queue:
-                return []
             self.group = self._make_group()
         self.awaiting = True
         self.sent_at = now
