A leaving node is not chosen from old summaries; a clean stop of the shell

Cause: one call in a demo run was lost to a node that had left: a zone summary up to 5 s old still named it, and the retries went to it again. Ruled out: the announcement, which arrives at once. Reads of the log that were started after the threads had been closed filled the log with errors. Change: newer news of a node goes before a summary, a retry avoids nodes that could not be reached, and a stopped shell starts nothing new. The demo's claim counts refusals of requests that had been admitted as cut; a refusal for lack of tokens was counted too, which it is not.

--- a/src/ebonycleat/internal/process/ingress.py
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
 from ebonycleat.internal.process.directory import Directory
@@ -17,7 +17,7 @@
     RetryAt,
     RetryPolicy,
 )
-from ebonycleat.internal.process.router import RouteRequest, Router
+from ebonycleat.internal.process.router import RouteChoice, RouteRequest, Router
 from ebonycleat.internal.process.target_records import Member
 from ebonycleat.internal.request.call import (
     Answer,
@@ -137,7 +137,9 @@
         request = self.request_awaiting(attempt_id)
         if request is None or request.attempt is None:
             return []
-        self.router.note_failure(request.attempt.member, False, now)
+        member = request.attempt.member
+        self.router.note_failure(member, False, now)
+        request.lost_nodes |= {member.node}
         if sent:
             request.lose_attempt()
         else:
@@ -186,10 +188,7 @@
         if request.request_id not in self.requests:
             return []
         members = self.directory.members_of(request.call.service, now)
-        choice = self.router.choose(
-            RouteRequest(request.call, members, request.refused_zones),
-            now,
-        )
+        choice = self.choose(request, members, now)
         if isinstance(choice, Refusal):
             return self.failed(request, choice, now)
         if not self.spend_token(request, now):
@@ -197,6 +196,25 @@
         self.router.note_sent(choice)
         return [PlaceCall(choice.node, request.next_attempt(choice, now))]
 
+    def choose(
+        self,
+        request: OpenRequest,
+        members: Sequence[Member],
+        now: float,
+    ) -> RouteChoice:
+        """Choose a member, one that was not lost before if there is one."""
+        wanted = RouteRequest(
+            request.call,
+            members,
+            request.refused_zones,
+            request.lost_nodes,
+        )
+        choice = self.router.choose(wanted, now)
+        if isinstance(choice, Refusal) and request.lost_nodes:
+            anywhere = dataclasses.replace(wanted, avoid_nodes=frozenset())
+            return self.router.choose(anywhere, now)
+        return choice
+
     def failed(
         self,
         request: OpenRequest,
--- a/src/ebonycleat/internal/process/members_part.py
+++ b/src/ebonycleat/internal/process/members_part.py
@@ -73,12 +73,25 @@
         }
         for summary in self.membership.zone_summaries(service, now):
             for node in summary.sample:
-                found.setdefault(node, Member(node, summary.zone))
+                if not self.is_known_to_be_gone(node):
+                    found.setdefault(node, Member(node, summary.zone))
         own = self.membership.duty.own
         if own.service == service and own.state is MemberState.UP:
             found.setdefault(own.node, Member(own.node, own.zone))
         return list(found.values())
 
+    def is_known_to_be_gone(self, node: str) -> bool:
+        """Tell whether newer news of a node contradicts a summary.
+
+        A summary is up to 5 s old; a node that was heard itself is judged by
+        that, and one that announced to leave gets nothing new.
+        """
+        member = self.membership.table.members.get(node)
+        if member is None:
+            return False
+        heard = member.beat is not None and not member.live
+        return heard or member.state is not MemberState.UP
+
 
 class MembersPart:
     """Membership, and who is told of changes."""
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -80,9 +80,10 @@
         self.log_threads = threads.log
         self.target_threads = threads.target
         self.waiting: dict[str, Future[OutgoingAnswer]] = {}
-        self.tasks: set[asyncio.Future[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
         self.transport: PeerTransport | None = None
         self.stopping = asyncio.Event()
+        self.stopped = False
 
     def submit(self, request: IncomingRequest) -> Future[OutgoingAnswer]:
         """Start a caller's request; called on worker threads."""
@@ -272,9 +273,18 @@
             ticking = asyncio.create_task(self.tick_until_cancelled())
             async with cancelling([ticking]):
                 await self.stopping.wait()
+            self.stopped = True
+            async with cancelling(self.tasks):
+                await asyncio.sleep(0)
 
     def spawn(self, coroutine: Any) -> None:
-        """Run a coroutine and keep it alive until it ends."""
+        """Run a coroutine and keep it alive until it ends.
+
+        Once the shell stops nothing new is started: its threads are gone.
+        """
+        if self.stopped:
+            coroutine.close()
+            return
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/src/ebonycleat/internal/request/open_request.py
+++ b/src/ebonycleat/internal/request/open_request.py
@@ -26,6 +26,7 @@
     ``parent`` is set for calls that a target made under its context.
     ``attempt`` is None while no attempt is under way. ``send`` follows the
     copies of a non-idempotent call. ``token`` is reserved, not yet spent.
+    ``lost_nodes`` could not be reached by an earlier attempt.
     """
 
     call: Call
@@ -36,6 +37,7 @@
     send: IdempotentSend | None = None
     attempts_made: int = 0
     refused_zones: frozenset[str] = frozenset()
+    lost_nodes: frozenset[str] = frozenset()
     attempt: Attempt | None = None
 
     @property
--- a/src/ebonycleat_tools/demo.py
+++ b/src/ebonycleat_tools/demo.py
@@ -20,6 +20,7 @@
 from ebonycleat.internal.process.log_setup import set_up_logging
 from ebonycleat.internal.process.settings import Name, PeerAddress
 from ebonycleat.internal.request.incoming import digest_key
+from ebonycleat.internal.request.refusal import Reason
 from ebonycleat_tools.demo_client import DemoClient, NodeUnreachable
 from ebonycleat_tools.load import write_reports
 from ebonycleat_tools.load_plan import LoadPlan, read_key
@@ -33,6 +34,19 @@
 DRAINED_BOUND_S = 2.0
 CALM_S = 4.0
 LOWERED_RATE_PER_S = 20
+# Refusals of requests that had been admitted and sent; the others are
+# refusals at the door.
+CUT_OFF_REASONS = frozenset(
+    reason.value
+    for reason in (
+        Reason.CANCELLED,
+        Reason.CONNECTION_LOST,
+        Reason.DEADLINE,
+        Reason.OUTCOME_UNKNOWN,
+        Reason.TARGET_FAILED,
+        Reason.TRUNCATED_ANSWER,
+    )
+)
 LOWERED_BURST = 10
 
 
@@ -166,16 +180,16 @@
         ends = [tally.ends for tally in results.groups.values()]
         wrong = sum(end['wrong'] for end in ends)
         answered = sum(end['answered'] for end in ends)
-        unknown = sum(
+        cut_off = sum(
             count
             for tally in results.groups.values()
             for refusal, count in tally.refusals.items()
-            if refusal.endswith(' unknown') and 'over-rate' not in refusal
+            if refusal.partition(' ')[0] in CUT_OFF_REASONS
         )
         self.claims += [
             Claim('requests were answered', str(answered), answered > 0),
             Claim('no caller got a wrong answer', str(wrong), not wrong),
-            Claim('no request was cut off', str(unknown), not unknown),
+            Claim('no request was cut off', str(cut_off), not cut_off),
             self.claim_single_runs(),
             self.claim_no_key_seen(),
         ]
