--- a/src/ebonycleat/internal/process/config_follower.py
+++ b/src/ebonycleat/internal/process/config_follower.py
@@ -32,7 +32,10 @@
     AppendToLog,
     SendToPeer,
 )
-from ebonycleat.internal.version.snapshot import take_snapshot
+from ebonycleat.internal.version.snapshot import (
+    SnapshotBuilder,
+    take_snapshot,
+)
 from ebonycleat.internal.version.view import ConfigurationView
 
 READER_SILENCE_S: Final = 1.5
@@ -42,6 +45,8 @@
 READ_LIMIT: Final = 64
 READER_RETRY_MAX_S: Final = 2.0
 OTHERS_RETRY_MAX_S: Final = 8.0
+# Written between two ticks, so that a snapshot holds up calls by about 1 ms.
+KEYS_PER_TICK: Final = 1000
 # First part of the operation ids of snapshots.
 SNAPSHOT_OPERATION: Final = 'snapshot'
 
@@ -73,6 +78,7 @@
         self.reads = ReadPacer(now)
         self.offers = SnapshotOffers()
         self.snapshots = SnapshotPacer(rng, now)
+        self.snapshot_builder: SnapshotBuilder | None = None
         self.behind_reader = False
         self.forwarded: dict[int, tuple[int, float]] = {}
 
@@ -211,12 +217,20 @@
         ]
 
     def _snapshot_if_due(self, now: float) -> Effects:
-        if self.stream.seek_offset or not self.ready:
-            return []
-        rank = self.role.snapshot_rank
-        if not self.snapshots.may_start(now, self.view.offset, rank):
+        if self.snapshot_builder is None:
+            self._start_snapshot_if_due(now)
+        builder = self.snapshot_builder
+        snapshot = None if builder is None else builder.advance(KEYS_PER_TICK)
+        if snapshot is None:
             return []
-        self.snapshots.started()
-        snapshot = take_snapshot(self.view)
+        self.snapshot_builder = None
         operation_id = f'{SNAPSHOT_OPERATION}-{self.node}-{snapshot.offset}'
         return [AppendToLog(Stream.CONFIGURATION, snapshot, operation_id)]
+
+    def _start_snapshot_if_due(self, now: float) -> None:
+        if self.stream.seek_offset or not self.ready:
+            return
+        rank = self.role.snapshot_rank
+        if self.snapshots.may_start(now, self.view.offset, rank):
+            self.snapshots.started()
+            self.snapshot_builder = SnapshotBuilder(self.view)
--- a/src/ebonycleat/internal/version/snapshot.py
+++ b/src/ebonycleat/internal/version/snapshot.py
@@ -1,6 +1,8 @@
 """Snapshots carry the whole state of the fold past the log's retention."""
 
 import dataclasses
+import itertools
+from collections.abc import Iterable, Iterator
 from typing import Final, TypeAlias
 
 from ebonycleat.internal.version.change_checks import prefix_key
@@ -22,6 +24,7 @@
 )
 
 OldestAndNext: TypeAlias = tuple[int, int]
+KeyTriple: TypeAlias = tuple[bytes, str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +39,7 @@
     offset: int
     version: int
     teams: tuple[TeamInForce, ...]
-    keys: tuple[tuple[bytes, str, int], ...]
+    keys: tuple[KeyTriple, ...]
     routes: tuple[RouteInForce, ...]
     fenced: tuple[tuple[str, int], ...]
     withdrawn_places: OldestAndNext
@@ -48,25 +51,30 @@
 CONFIGURATION_RECORDS: Final = (ChangeSet, Snapshot)
 
 
+class SnapshotBuilder:
+    """Writes a view in portions; tens of thousands of keys take 30 ms.
+
+    The view is frozen, so changes in the meantime do not matter.
+    """
+
+    def __init__(self, view: ConfigurationView) -> None:
+        """Begin with the first keys."""
+        self.view = view
+        self.rest = view.keys.pairs()
+        self.keys: list[KeyTriple] = []
+
+    def advance(self, count: int) -> Snapshot | None:
+        """Write up to ``count`` more keys; return the finished snapshot."""
+        portion = itertools.islice(self.rest, count)
+        self.keys.extend(_write_keys(portion))
+        if len(self.keys) < len(self.view.keys):
+            return None
+        return _write_snapshot(self.view, self.keys)
+
+
 def take_snapshot(view: ConfigurationView) -> Snapshot:
-    """Write a view as one record."""
-    withdrawn = view.withdrawn
-    operations = view.operations
-    return Snapshot(
-        view.offset,
-        view.version,
-        tuple(team for _, team in view.teams.pairs()),
-        tuple(
-            (bytes.fromhex(digest), key.team, key.changed_at)
-            for digest, key in view.keys.pairs()
-        ),
-        tuple(route for _, route in view.routes.pairs()),
-        tuple(view.fenced.pairs()),
-        (withdrawn.oldest, withdrawn.next_place),
-        tuple(entry for _, entry in withdrawn.by_key.pairs()),
-        (operations.oldest, operations.next_place),
-        tuple(entry for _, entry in operations.by_key.pairs()),
-    )
+    """Write a view as one record at once."""
+    return _write_snapshot(view, _write_keys(view.keys.pairs()))
 
 
 def restore_view(snapshot: Snapshot) -> ConfigurationView:
@@ -97,6 +105,33 @@
     )
 
 
+def _write_keys(
+    pairs: Iterable[tuple[str, KeyInForce]],
+) -> Iterator[KeyTriple]:
+    for digest, key in pairs:
+        yield bytes.fromhex(digest), key.team, key.changed_at
+
+
+def _write_snapshot(
+    view: ConfigurationView,
+    keys: Iterable[KeyTriple],
+) -> Snapshot:
+    withdrawn = view.withdrawn
+    operations = view.operations
+    return Snapshot(
+        view.offset,
+        view.version,
+        tuple(team for _, team in view.teams.pairs()),
+        tuple(keys),
+        tuple(route for _, route in view.routes.pairs()),
+        tuple(view.fenced.pairs()),
+        (withdrawn.oldest, withdrawn.next_place),
+        tuple(entry for _, entry in withdrawn.by_key.pairs()),
+        (operations.oldest, operations.next_place),
+        tuple(entry for _, entry in operations.by_key.pairs()),
+    )
+
+
 def _index_routes(
     routes: tuple[RouteInForce, ...],
 ) -> PersistentMap[tuple[str, ...]]:
--- a/tests/cover/test_configuration_fold.py
+++ b/tests/cover/test_configuration_fold.py
@@ -16,7 +16,11 @@
     WithdrawRoute,
     WithdrawTeam,
 )
-from ebonycleat.internal.version.snapshot import restore_view, take_snapshot
+from ebonycleat.internal.version.snapshot import (
+    SnapshotBuilder,
+    restore_view,
+    take_snapshot,
+)
 from ebonycleat.internal.version.view import (
     NO_PART,
     WITHDRAWN_KEPT,
@@ -203,7 +207,10 @@
         part = digests[start : start + MAX_CHANGES]
         keys = [PutKey(digest, 'survey') for digest in part]
         fold.apply(start + 2, change_set(f'op{start}', *keys))
-    restored = ConfigurationFold(restore_view(take_snapshot(fold.view)))
+    builder = SnapshotBuilder(fold.view)
+    portions = [builder.advance(WITHDRAWN_KEPT), builder.advance(1)]
+    assert portions == [None, take_snapshot(fold.view)]
+    restored = ConfigurationFold(restore_view(portions[1]))
     offset = fold.view.offset + 1
     for node in (fold, restored):
         node.apply(offset, change_set('w', WithdrawTeam('survey')))
