A later VM of a fenced node can be fenced; bodies of operators' requests

Cause: a node id belongs to one address for good, so its next VM may die as well; the fold rejected a second fence, and that VM's slots could never be taken over. Conclusion: each fence stands for one VM.

--- a/src/ebonycleat/internal/version/change_checks.py
+++ b/src/ebonycleat/internal/version/change_checks.py
@@ -71,7 +71,7 @@
         case PutRoute():
             return _check_put_route(view, change)
         case FenceNode():
-            return _check_fence(view, change)
+            return _check_name(change.subject, change.node)
     return _check_withdrawal(view, change)
 
 
@@ -224,18 +224,6 @@
     return None
 
 
-def _check_fence(view: ConfigurationView, change: FenceNode) -> Verdict:
-    fenced_at = view.fenced.get(change.node)
-    if fenced_at is None:
-        return _check_name(change.subject, change.node)
-    return Rejected(
-        RejectionReason.ALREADY_FENCED,
-        change.subject,
-        fenced_at,
-        f'node {change.node} is already fenced',
-    )
-
-
 def _check_withdrawal(
     view: ConfigurationView,
     change: WithdrawTeam | WithdrawKey | WithdrawRoute,
--- a/src/ebonycleat/internal/version/help_topics.py
+++ b/src/ebonycleat/internal/version/help_topics.py
@@ -45,9 +45,10 @@
 
 _FENCE: Final = """\
 fence node NAME
-Asserts that the VM of this node is gone for good, so that other nodes may
-take over what it owned. It cannot be undone: never fence a VM that may
-come back, because both could then own the same part of a budget."""
+Asserts that the VM that had this node id until now is gone for good, so
+that other nodes may take over what it owned. It cannot be undone: never
+fence a VM that may come back, because both could then own the same part of
+a budget. A later VM with the same id can be fenced in its turn."""
 
 _BEGIN: Final = """\
 begin
--- a/src/ebonycleat/internal/version/records.py
+++ b/src/ebonycleat/internal/version/records.py
@@ -103,7 +103,10 @@
 
 
 class FenceNode(msgspec.Struct, frozen=True, tag=True):
-    """Assert that the VM of this node is gone for good."""
+    """Assert that the VM that had this node id until now is gone for good.
+
+    A later VM may have the same id and be fenced in its turn.
+    """
 
     node: str
 
@@ -154,7 +157,6 @@
     ZONE_WEIGHTS_FIXED = 'zone-weights-fixed'
     BAD_LIMIT = 'bad-limit'
     ROUTE_OVERLAP = 'route-overlap'
-    ALREADY_FENCED = 'already-fenced'
     LOG_UNAVAILABLE = 'log-unavailable'
 
 
--- a/tests/cover/test_operator_service.py
+++ b/tests/cover/test_operator_service.py
@@ -2,14 +2,18 @@
 
 import random
 
+import msgspec
 import pytest
 
 from ebonycleat.internal.connection.log_service import LogPage, LogRecord
 from ebonycleat.internal.connection.operator_messages import (
     AnswerStatus,
     NodeRow,
+    OperatorAnswer,
     OperatorRequest,
     RefusalRow,
+    read_operator_request,
+    write_operator_answer,
 )
 from ebonycleat.internal.process.config_follower import ConfigurationFollower
 from ebonycleat.internal.process.effects import (
@@ -251,3 +255,29 @@
     assert node.ask('show change none').status is AnswerStatus.UNKNOWN
     assert 'Retry-After' in node.ask('explain refusal over-rate').message
     assert node.ask('shwo teams').status is AnswerStatus.INVALID
+
+
+@pytest.mark.parametrize('body', [b'', b'{}', b'[' * 100_000, b'{"text":1}'])
+def test_a_body_that_is_no_request_gets_an_answer(body):
+    """Guards against a traceback caused by a body from outside."""
+    answer = read_operator_request(body)
+    status, encoded = write_operator_answer(answer)
+    assert status == 400
+    assert msgspec.json.decode(encoded, type=OperatorAnswer) == answer
+
+
+def test_requests_and_answers_survive_a_round_trip():
+    """Guards against a field that one side writes and the other loses."""
+    request = OperatorRequest(CREATE, 'op', 1, (('team:x', 2),), 3, 4)
+    assert read_operator_request(msgspec.json.encode(request)) == request
+    node = Node([])
+    node.ask(f'{CREATE}; create key {KIM} for team survey')
+    for text in (
+        'show teams',
+        'show keys',
+        'show history',
+        f'dry run {CREATE}',
+    ):
+        answer = node.ask(text)
+        encoded = write_operator_answer(answer)[1]
+        assert msgspec.json.decode(encoded, type=OperatorAnswer) == answer
