--- a/tests/cover/test_operator_service.py
+++ b/tests/cover/test_operator_service.py
@@ -1,98 +1,28 @@
 """Operators are told the truth about their changes, whatever the log does."""
 
-import random
-
 import msgspec
 import pytest
 
-from ebonycleat.internal.connection.log_service import LogPage, LogRecord
 from ebonycleat.internal.connection.operator_messages import (
     AnswerStatus,
-    NodeRow,
     OperatorAnswer,
     OperatorRequest,
-    RefusalRow,
     read_operator_request,
     write_operator_answer,
 )
-from ebonycleat.internal.process.config_follower import ConfigurationFollower
-from ebonycleat.internal.process.effects import (
-    AppendDone,
-    AppendFailed,
-    AppendToLog,
-)
-from ebonycleat.internal.process.operator_answers import NodeFacts
+from ebonycleat.internal.process.effects import AppendDone, AppendFailed
 from ebonycleat.internal.process.operator_service import (
     APPEND_REPEAT_S,
     OperatorReply,
-    OperatorService,
 )
 from ebonycleat.internal.version.records import RejectionReason
-from tests.configuration_records import codec, digest_of
-
-CREATE = 'create team survey rate 10 burst 5 zones a, b'
-KIM = digest_of("kim's key")
-
-
-class Facts(NodeFacts):
-    def nodes(self):
-        return (NodeRow('n1', 'a', 'map', 'live'),)
-
-    def refusals(self):
-        return (
-            RefusalRow('survey', 'map', 'CRITICAL', 'a', 'over-rate', 2),
-            RefusalRow('survey', 'tile', 'LOW', 'a', 'shed', 3),
-            RefusalRow('other', 'map', 'CRITICAL', 'a', 'shed', 4),
-        )
-
-
-class Node:
-    """One node and its part of a shared log."""
-
-    def __init__(self, log):
-        self.log = log
-        self.now = 1.0
-        self.tickets = 0
-        self.follower = ConfigurationFollower('n1', random.Random(1), 0)
-        self.service = OperatorService({KIM: 'kim'}, self.follower, Facts())
-        self.catch_up()
-
-    def catch_up(self):
-        """Read to the end and return the replies that this leads to."""
-        records = tuple(
-            LogRecord(offset, payload)
-            for offset, payload in enumerate(self.log, 1)
-        )
-        page = LogPage(records, len(records) + 1, 1, at_end=True)
-        self.follower.log_answered(1, page, self.now)
-        return self.service.tick(self.now)
-
-    def submit(self, text, operation_id='op', **fields):
-        self.tickets += 1
-        request = OperatorRequest(text, operation_id, **fields)
-        ticket = f'ticket{self.tickets}'
-        return self.service.submit(ticket, KIM, request, self.now, 5.0)
-
-    def append(self, effect):
-        assert isinstance(effect, AppendToLog)
-        self.log.append(codec.encode(effect.record))
-
-    def ask(self, text, operation_id='op', **fields):
-        """Submit, let the log work, and return the one answer."""
-        effects = self.submit(text, operation_id, **fields)
-        if isinstance(effects[0], AppendToLog):
-            self.append(effects[0])
-            effects = self.catch_up()
-        return effects[0].answer
-
-    def wait(self, seconds):
-        self.now += seconds
-        return self.service.tick(self.now)
+from tests.configuration_records import digest_of
+from tests.operator_node import CREATE, KIM, Facts, OperatorNode
 
 
 def test_only_known_operators_are_heard():
     """Guards against changes by whoever reaches the node."""
-    node = Node([])
+    node = OperatorNode([])
     request = OperatorRequest(CREATE, 'op')
     for digest in ('', digest_of('other'), 'ключ', KIM.upper()):
         reply = node.service.submit('t', digest, request, 1, 1)[0]
@@ -103,7 +33,7 @@
 def test_the_loser_of_a_race_is_told_which_change_won():
     """Guards against two operators who both believe that they won."""
     log = []
-    first, second = Node(log), Node(log)
+    first, second = OperatorNode(log), OperatorNode(log)
     assert first.ask(CREATE).status is AnswerStatus.ACCEPTED
     second.catch_up()
     winning = first.submit('change team survey rate 20', 'win')
@@ -124,7 +54,7 @@
 
 def test_a_lost_append_answer_leads_to_the_true_outcome():
     """Guards against a second copy that is answered as a conflict."""
-    node = Node([])
+    node = OperatorNode([])
     effect = node.submit(CREATE)[0]
     failed = AppendFailed('op', may_have_taken_effect=True)
     assert node.service.append_finished(failed, node.now) == []
@@ -142,20 +72,20 @@
 def test_a_change_sent_again_to_another_node_takes_effect_once():
     """Guards against a rejection of a change that is in force."""
     log = []
-    first, second = Node(log), Node(log)
+    first, second = OperatorNode(log), OperatorNode(log)
     lost = first.submit(CREATE)[0]
     again = second.submit(CREATE, attempt=1)[0]
     first.append(lost)
     second.append(again)
     answer = second.catch_up()[0].answer
     assert (answer.status, answer.version) == (AnswerStatus.ACCEPTED, 1)
-    third = Node(log).submit(CREATE, attempt=2)[0]
+    third = OperatorNode(log).submit(CREATE, attempt=2)[0]
     assert third.answer == answer
 
 
 def test_a_repeated_attempt_is_never_rejected_before_the_log_decides():
     """Guards against "rejected" while an earlier copy is on its way."""
-    node = Node([])
+    node = OperatorNode([])
     node.ask(CREATE)
     text = 'change team nobody rate 1'
     assert node.ask(text, 'first').status is AnswerStatus.REJECTED
@@ -180,7 +110,7 @@
     status,
 ):
     """Guards against "nothing changed" about a change that may come."""
-    node = Node([])
+    node = OperatorNode([])
     node.submit(CREATE, attempt=attempt, wait_s=0.2)
     for result in results:
         assert node.service.append_finished(result, node.now) == []
@@ -194,7 +124,7 @@
 def test_a_dry_run_tells_the_verdict_and_changes_nothing():
     """Guards against a trial that leaves a trace."""
     log = []
-    node = Node(log)
+    node = OperatorNode(log)
     node.ask(CREATE)
     good = node.ask('dry run change team survey rate 7', '')
     bad = node.ask(f'dry run {CREATE}', '')
@@ -206,7 +136,7 @@
 
 def test_steps_of_one_change_see_the_steps_before_them():
     """Guards against a block that must be cut into several changes."""
-    node = Node([])
+    node = OperatorNode([])
     text = f'{CREATE}; create key {KIM} for team survey; change team survey '
     answer = node.ask(f'{text} burst 9')
     assert answer.status is AnswerStatus.ACCEPTED
@@ -218,7 +148,7 @@
 
 def test_given_versions_replace_those_of_the_view():
     """Guards against an operator who acts on an old listing."""
-    node = Node([])
+    node = OperatorNode([])
     node.ask(CREATE)
     stale = (('team:survey', 0),)
     answer = node.ask('withdraw team survey', 'op2', expected=stale)
@@ -227,7 +157,7 @@
 
 def test_a_node_that_is_behind_sends_the_operator_on():
     """Guards against answers from a configuration of long ago."""
-    node = Node([])
+    node = OperatorNode([])
     assert node.submit('show teams', at_least_version=1, wait_s=1) == []
     assert node.wait(1)[0].answer.status is AnswerStatus.NOT_READY
     assert node.submit('wait for 1') == []
@@ -236,7 +166,7 @@
 
 def test_queries_are_answered_as_typed_data():
     """Guards against listings that lack what is in force."""
-    node = Node([])
+    node = OperatorNode([])
     node.ask(f'{CREATE}; create key {KIM} for team survey')
     assert node.ask('show teams').teams[0].team == 'survey'
     assert node.ask('show keys of team survey').keys[0].digest == KIM
@@ -270,7 +200,7 @@
     """Guards against a field that one side writes and the other loses."""
     request = OperatorRequest(CREATE, 'op', 1, (('team:x', 2),), 3, 4)
     assert read_operator_request(msgspec.json.encode(request)) == request
-    node = Node([])
+    node = OperatorNode([])
     node.ask(f'{CREATE}; create key {KIM} for team survey')
     for text in (
         'show teams',
--- /dev/null
+++ b/tests/operator_node.py
@@ -0,0 +1,81 @@
+"""One node's operator service on a log that the test holds."""
+
+import itertools
+import random
+
+from ebonycleat.internal.connection.log_service import LogPage, LogRecord
+from ebonycleat.internal.connection.operator_messages import (
+    NodeRow,
+    OperatorRequest,
+    RefusalRow,
+)
+from ebonycleat.internal.process.config_follower import ConfigurationFollower
+from ebonycleat.internal.process.effects import AppendToLog
+from ebonycleat.internal.process.operator_answers import NodeFacts
+from ebonycleat.internal.process.operator_service import OperatorService
+from tests.configuration_records import codec, digest_of
+
+CREATE = 'create team survey rate 10 burst 5 zones a, b'
+KIM = digest_of("kim's key")
+
+
+class Facts(NodeFacts):
+    def nodes(self):
+        return (NodeRow('n1', 'a', 'map', 'live'),)
+
+    def refusals(self):
+        return (
+            RefusalRow('survey', 'map', 'CRITICAL', 'a', 'over-rate', 2),
+            RefusalRow('survey', 'tile', 'LOW', 'a', 'shed', 3),
+            RefusalRow('other', 'map', 'CRITICAL', 'a', 'shed', 4),
+        )
+
+
+class OperatorNode:
+    """One node and its part of a shared log."""
+
+    count = itertools.count()
+
+    def __init__(self, log):
+        self.name = f'node{next(self.count)}'
+        self.log = log
+        self.now = 1.0
+        self.tickets = 0
+        self.follower = ConfigurationFollower('n1', random.Random(1), 0)
+        self.service = OperatorService({KIM: 'kim'}, self.follower, Facts())
+        self.catch_up()
+
+    def catch_up(self):
+        """Read to the end and return the replies that this leads to."""
+        records = tuple(
+            LogRecord(offset, payload)
+            for offset, payload in enumerate(self.log, 1)
+        )
+        page = LogPage(records, len(records) + 1, 1, at_end=True)
+        self.follower.log_answered(1, page, self.now)
+        return self.service.tick(self.now)
+
+    def next_ticket(self):
+        return f'{self.name}-{self.tickets}'
+
+    def submit(self, text, operation_id='op', **fields):
+        ticket = self.next_ticket()
+        self.tickets += 1
+        request = OperatorRequest(text, operation_id, **fields)
+        return self.service.submit(ticket, KIM, request, self.now, 5.0)
+
+    def append(self, effect):
+        assert isinstance(effect, AppendToLog)
+        self.log.append(codec.encode(effect.record))
+
+    def ask(self, text, operation_id='op', **fields):
+        """Submit, let the log work, and return the one answer."""
+        effects = self.submit(text, operation_id, **fields)
+        if isinstance(effects[0], AppendToLog):
+            self.append(effects[0])
+            effects = self.catch_up()
+        return effects[0].answer
+
+    def wait(self, seconds):
+        self.now += seconds
+        return self.service.tick(self.now)
