Adversarial schedules for ownership and budgets

Cause: the safety of leases and grants rests on clocks, restarts and late appends that example tests do not reach.

Change: a fleet of nodes on one paused clock with faults, attacks on single slots, and a checker that looks at recorded uses and admissions only.

--- /dev/null
+++ b/bench/fake_log.py
@@ -0,0 +1,94 @@
+"""The platform's log as the schedules see it: slow, down, or losing answers."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from bench.paused_clock import PausedClock
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendFailed,
+    AppendResult,
+    AppendToLog,
+)
+
+LATENCY_S = 0.01
+PAGE_LIMIT = 50
+APPEND_TIMEOUT_S = 0.5
+
+RecordPage = tuple[list[tuple[int, object]], bool]
+
+
+@dataclasses.dataclass(slots=True)
+class LogWeather:
+    """How the log behaves at the moment."""
+
+    down: bool = False
+    lose_answers: float = 0
+    late_append_s: float = 0
+
+
+class FakeLog:
+    """One stream, kept in memory and without retention."""
+
+    def __init__(self, clock: PausedClock, rng: random.Random) -> None:
+        """Start empty and well."""
+        self.clock = clock
+        self.rng = rng
+        self.records: list[object] = []
+        self.weather = LogWeather()
+
+    def append(
+        self,
+        effect: AppendToLog,
+        report: Callable[[AppendResult], None],
+    ) -> None:
+        """Append after a delay; the answer may say less than the truth."""
+        failed = AppendFailed(effect.operation_id, may_have_taken_effect=False)
+        unknown = AppendFailed(effect.operation_id, may_have_taken_effect=True)
+        if self.weather.down:
+            # Half of the requests fail in a way that could have worked.
+            lost = self.rng.choice((failed, unknown))
+            self.clock.call_later(LATENCY_S, report, lost)
+            return
+        delay_s = self.rng.uniform(0, LATENCY_S)
+        if self.rng.random() < self.weather.lose_answers:
+            self.clock.call_later(APPEND_TIMEOUT_S, report, unknown)
+            delay_s += self.rng.uniform(0, self.weather.late_append_s)
+            self.clock.call_later(delay_s, self._write, effect, _nobody)
+            return
+        self.clock.call_later(delay_s, self._write, effect, report)
+
+    def read(
+        self,
+        offset: int,
+        report: Callable[[RecordPage], None],
+    ) -> None:
+        """Read a page from an offset; no report at all when the log is down."""
+        if self.weather.down:
+            return
+        delay_s = self.rng.uniform(0, LATENCY_S)
+        self.clock.call_later(delay_s, self._serve, offset, report)
+
+    def _serve(
+        self,
+        offset: int,
+        report: Callable[[RecordPage], None],
+    ) -> None:
+        end = offset - 1 + PAGE_LIMIT
+        page = list(enumerate(self.records[offset - 1 : end], offset))
+        at_end = end >= len(self.records)
+        delay_s = self.rng.uniform(0, LATENCY_S)
+        self.clock.call_later(delay_s, report, (page, at_end))
+
+    def _write(
+        self,
+        effect: AppendToLog,
+        report: Callable[[AppendResult], None],
+    ) -> None:
+        self.records.append(effect.record)
+        report(AppendDone(effect.operation_id, len(self.records)))
+
+
+def _nobody(outcome: AppendResult) -> None:
+    """Lose an answer."""
--- /dev/null
+++ b/bench/fleet_node.py
@@ -0,0 +1,205 @@
+"""The decisions of one node and a driver around them."""
+
+import functools
+import math
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from bench.fake_log import RecordPage
+from bench.fleet_vm import FleetVm
+from ebonycleat.internal.connection.grant_messages import (
+    GrantAsk,
+    GrantDenied,
+    GrantGiven,
+)
+from ebonycleat.internal.process.budget_owner import BudgetOwner
+from ebonycleat.internal.process.effects import (
+    AppendResult,
+    AppendToLog,
+    Effect,
+    SendToPeer,
+)
+from ebonycleat.internal.process.grant_holder import GrantHolder
+from ebonycleat.internal.process.ownership_engine import (
+    create_ownership_engine,
+)
+from ebonycleat.internal.process.rendezvous import slot_of_team
+from ebonycleat.internal.process.slot_claims import OwnershipSettings
+from ebonycleat.internal.process.slot_leases import SlotGained
+from ebonycleat.internal.process.team_queue import TokenReady, TokenRefused
+from ebonycleat.internal.process.team_tokens import Token
+from ebonycleat.internal.request.refusal import Refusal
+
+Admitted = Callable[[Token], None]
+Refused = Callable[[Refusal], None]
+
+
+class FleetNode(FleetVm):
+    """A node and the driver that carries out its decisions."""
+
+    def start(self) -> None:
+        """Start a node without memory."""
+        shape = self.fleet.shape
+        self.incarnation += 1
+        self.alive = True
+        self.parts = self.fleet.parts
+        settings = OwnershipSettings(
+            self.name,
+            self.zone,
+            self.incarnation,
+            shape.services,
+            shape.slots_per_scope,
+        )
+        self.engine = create_ownership_engine(settings, self.now())
+        self.owner = BudgetOwner(self.engine, self.slot_of, self.part_of)
+        others = [zone for zone in shape.zones if zone != self.zone]
+        zones = [self.zone, *others]
+        self.holder = GrantHolder(
+            self.name,
+            self.incarnation,
+            lambda: zones,
+            self.owner_in,
+        )
+        self.wake_at = math.inf
+        self.waiting: dict[tuple[str, int], tuple[Admitted, Refused]] = {}
+        self.later(self.fleet.rng.uniform(0, shape.tick_s), self.tick)
+        self.later(0, self.poll_log)
+        self.fleet.record_parts()
+
+    def owner_in(self, zone: str, team: str) -> str | None:
+        """Name the owner of a team's tokens in a zone, by the log."""
+        per_scope = self.fleet.shape.slots_per_scope
+        return self.engine.owner_of(slot_of_team(zone, team, per_scope))
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.carry_out(self.engine.stop(self.now()))
+
+    def tick(self) -> None:
+        """Run the periodic work of the engine."""
+        members = self.fleet.members_seen_by(self)
+        if members != self.engine.claims.members:
+            self.carry_out(self.engine.members_changed(members, self.now()))
+        self.carry_out(self.engine.tick(self.now()))
+        self.later(self.fleet.shape.tick_s / self.clock_rate, self.tick)
+
+    def poll_log(self) -> None:
+        """Read on from the engine's offset, again and again."""
+        self.read_log()
+        self.later(self.fleet.shape.log_poll_s, self.poll_log)
+
+    def read_log(self) -> None:
+        """Read one page, and the next one at once if there is more."""
+        if self.name in self.fleet.cut_from_log:
+            return
+        self.fleet.log.read(
+            self.engine.fold.offset + 1,
+            functools.partial(
+                self.run,
+                self.incarnation,
+                self.page_arrived,
+                self.now(),
+            ),
+        )
+
+    def page_arrived(self, started_at: float, page: RecordPage) -> None:
+        """Hand a page to the engine."""
+        records, at_end = page
+        self.carry_out(
+            self.engine.log_page(started_at, records, at_end, self.now()),
+        )
+        if not at_end:
+            self.read_log()
+
+    def arrived(self, sender: str, message: Any) -> None:
+        """Receive a message with whatever node runs here by now."""
+        self.run(self.incarnation, self.receive, sender, message)
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Hand a peer message to the decision it is meant for."""
+        if isinstance(message, GrantAsk):
+            answer = self.owner.receive(message, self.now())
+            if isinstance(answer, GrantGiven):
+                self.fleet.record_use(self, self.slot_of(message.team))
+            if answer is not None:
+                self.carry_out([SendToPeer(sender, answer)])
+        elif isinstance(message, (GrantGiven, GrantDenied)):
+            self.holder.receive(message, self.now())
+            self.settle_holder()
+        else:
+            self.carry_out(self.engine.receive(sender, message, self.now()))
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Send, append, and pass gained and lost slots on to the owner."""
+        for change in self.engine.take_changes():
+            if isinstance(change, SlotGained):
+                self.owner.slot_gained(change, self.now())
+            else:
+                self.owner.slot_lost(change.slot)
+        for effect in effects:
+            if isinstance(effect, SendToPeer):
+                self.fleet.send(self.name, effect)
+            else:
+                self.append(effect)
+
+    def append(self, effect: AppendToLog) -> None:
+        """Append to the log unless cut off from it."""
+        if self.name in self.fleet.cut_from_log:
+            return
+        self.fleet.log.append(
+            effect,
+            functools.partial(
+                self.run,
+                self.incarnation,
+                self.append_answered,
+            ),
+        )
+
+    def append_answered(self, outcome: AppendResult) -> None:
+        """Hand the result of an append to the engine."""
+        self.carry_out(self.engine.append_result(outcome, self.now()))
+
+    def admit(
+        self,
+        team: str,
+        admitted: Admitted,
+        refused: Refused,
+    ) -> None:
+        """Take a token for a call and say how that went."""
+        outcome = self.holder.take_token(team, self.now())
+        if isinstance(outcome, Token):
+            admitted(outcome)
+        elif isinstance(outcome, Refusal):
+            refused(outcome)
+        else:
+            key = (team, outcome.ticket)
+            self.waiting[key] = (admitted, refused)
+        self.settle_holder()
+
+    def settle_holder(self) -> None:
+        """Carry out what the holder decided, and plan its next tick."""
+        for event in self.holder.drain():
+            if isinstance(event, SendToPeer):
+                self.fleet.send(self.name, event)
+            elif isinstance(event, TokenReady):
+                admitted, _ = self.waiting.pop((event.token.team, event.ticket))
+                admitted(event.token)
+            elif isinstance(event, TokenRefused):
+                _, refused = self.waiting.pop((event.team, event.ticket))
+                refused(event.refusal)
+        self.plan_holder_tick()
+
+    def plan_holder_tick(self) -> None:
+        """Schedule the holder's next tick if none is due before it."""
+        wake_at = self.holder.next_wake(self.now())
+        if wake_at < self.wake_at:
+            self.wake_at = wake_at
+            delay_s = max(wake_at - self.now(), 0) / self.clock_rate
+            # A little late, so that rounding cannot make it too early.
+            self.later(delay_s + 1e-6, self.tick_holder)
+
+    def tick_holder(self) -> None:
+        """Run the periodic work of the holder."""
+        self.wake_at = math.inf
+        self.holder.tick(self.now())
+        self.settle_holder()
--- a/src/ebonycleat/internal/process/rendezvous.py
+++ b/src/ebonycleat/internal/process/rendezvous.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import itertools
 from collections.abc import Iterable, Sequence
 
@@ -15,6 +16,8 @@
 
 SLOTS_PER_SCOPE = 64
 MAX_WITNESSES = 5
+# Asked for on every call; one entry per team and zone.
+CACHED_TEAMS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +29,7 @@
     services: tuple[str, ...] = ()
 
 
+@functools.lru_cache(maxsize=CACHED_TEAMS)
 def slot_of_team(
     zone: str,
     team: str,
