Admission cuts by what could not start; spill by level when saturated

Cause: a fixed cut per window converged slowly at targets with long service times; a zone with few targets refused critical calls that others could run.

--- a/src/ebonycleat/internal/process/admission_level.py
+++ b/src/ebonycleat/internal/process/admission_level.py
@@ -27,8 +27,16 @@
 """Target delay in service times. Arrivals follow a change of the level only
 after the work of earlier hops; a shorter queue runs empty meanwhile."""
 
-LARGEST_CUT = 0.1
-CUT_PER_EXCESS = 0.05
+LARGEST_CUT = 0.3
+SMALLEST_CUT = 0.02
+CUT_PER_SURPLUS = 0.5
+"""Part of the arrivals beyond the starts that one window cuts; counts of one
+window are noisy, and cutting all of them at once overshoots."""
+
+STILL_LONG = 0.95
+"""A delay below this share of the last one is falling already; cutting on
+would overshoot, because the queue answers late."""
+
 FIRST_STEP = 4
 LARGEST_STEP = 64
 """From the lowest level all calls are admitted again within 2.5 s."""
@@ -62,6 +70,8 @@
         self.level = OPEN_LEVEL
         self.step = FIRST_STEP
         self.window_until: float = 0
+        self.last_delay_s: float = 0
+        self.started = 0
         self.admitted_at: dict[int, int] = {}
 
     def count(self, position: int) -> None:
@@ -69,6 +79,10 @@
         count = self.admitted_at.get(position, 0)
         self.admitted_at[position] = count + 1
 
+    def count_start(self) -> None:
+        """Count one call that was dispatched."""
+        self.started += 1
+
     def update(self, delay_s: float, service_s: float, now: float) -> None:
         """Close the window when it is over.
 
@@ -78,18 +92,24 @@
             return
         self.window_until = now + max(SHORTEST_WINDOW_S, service_s)
         target_s = target_delay_s(service_s)
+        is_falling = delay_s < self.last_delay_s * STILL_LONG
+        self.last_delay_s = delay_s
         if delay_s > target_s:
             self.step = FIRST_STEP
-            excess = delay_s / target_s - 1
-            self.lower(min(LARGEST_CUT, excess * CUT_PER_EXCESS))
+            if not is_falling:
+                self.lower()
         elif delay_s <= target_s / 2:
             self.level = min(OPEN_LEVEL, self.level + self.step)
             self.step = min(LARGEST_STEP, self.step * 2)
         self.admitted_at = {}
-
-    def lower(self, share: float) -> None:
-        """Cut the highest positions that make up a share of arrivals."""
-        excess = sum(self.admitted_at.values()) * share
+        self.started = 0
+
+    def lower(self) -> None:
+        """Cut the highest positions by part of what could not start."""
+        arrived = sum(self.admitted_at.values())
+        excess = (arrived - self.started) * CUT_PER_SURPLUS
+        excess = max(excess, arrived * SMALLEST_CUT)
+        excess = min(excess, arrived * LARGEST_CUT)
         for position in sorted(self.admitted_at, reverse=True):
             if excess <= 0:
                 break
--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -25,7 +25,7 @@
 IMPROVEMENT = 0.95
 BASELINE_DRIFT = 0.02
 COLD_SHARE = 0.125
-SLOW_START_STEP = 0.5
+SLOW_START_STEP = 1
 """Slots gained per success: the limit grows by half per service time."""
 
 HEALTH_VALID_S = 2
@@ -98,8 +98,10 @@
 
     def is_complete(self, now: float) -> bool:
         """Whether the window holds enough answers over enough time."""
-        enough = self.count >= MIN_WINDOW_ANSWERS
-        return enough and now - self.started_at >= WINDOW_S
+        if self.count < MIN_WINDOW_ANSWERS:
+            return False
+        mean_s = self.total_s / self.count
+        return now - self.started_at >= max(WINDOW_S, mean_s)
 
     def close(self) -> float:
         """Return the mean in seconds and start over."""
@@ -177,6 +179,8 @@
         self.baseline_s = 0
         self.cut_from = 0
         self.window = ServiceTimeWindow()
+        # The quickest calls answer first, so the first window is too fast.
+        self.has_full_window = False
 
     def allowed(self, now: float) -> int:
         """Whole calls allowed now, between 0 (down) and the slots."""
@@ -218,7 +222,10 @@
             self.is_slow_start = self.limit < self.slots
         self.window.add(service_s, now)
         if self.window.is_complete(now):
-            self.judge_window(self.window.close())
+            mean_s = self.window.close()
+            if self.has_full_window:
+                self.judge_window(mean_s)
+            self.has_full_window = True
 
     def cut_after_shed(self, now: float) -> None:
         """Cut once per window, however many calls the target refused."""
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -200,6 +200,7 @@
                 'too late to start',
             )
         self.signals.shares.note_dispatch(call.team, entry.cost, now)
+        self.signals.level.count_start()
         self.running[call.call_id] = call
         return Dispatch(call)
 
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -28,6 +28,8 @@
 """Above this the own zone's choice is compared with other zones'."""
 
 OTHER_ZONE_PENALTY = 1.1
+LEVEL_MARGIN = 16
+"""Spilling for smaller differences of levels would only follow noise."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +98,10 @@
         if not others or self.occupancy(near, now) < SPILL_OCCUPANCY:
             return near
         far = self.better_of_two(others, now)
+        if self.is_saturated(near, now) and self.is_saturated(far, now):
+            far_level = self.levels.level_of(far.node, now)
+            near_level = self.levels.level_of(near.node, now)
+            return far if far_level > near_level + LEVEL_MARGIN else near
         far_score = self.score(far, now) * OTHER_ZONE_PENALTY
         return far if far_score < self.score(near, now) else near
 
@@ -104,6 +110,10 @@
         drawn = self.rng.sample(members, min(2, len(members)))
         return min(drawn, key=lambda member: self.score(member, now))
 
+    def is_saturated(self, member: Member, now: float) -> bool:
+        """Whether calls wait at the target; then its level tells more."""
+        return self.occupancy(member, now) > 1
+
     def occupancy(self, member: Member, now: float) -> float:
         """Share of the target's limit in use, as far as known."""
         return self.records.of(member.node).occupancy(member.load, now)
