--- a/bench/capacity_fleet_actions.py
+++ b/bench/capacity_fleet_actions.py
@@ -5,6 +5,7 @@
 
 from bench import capacity_samples as samples
 from bench.capacity_actions import ZONE, Action
+from ebonycleat.internal.process.membership_messages import MemberHeartbeat
 from ebonycleat.internal.process.node_core import NodeCore
 from ebonycleat.internal.process.node_factory import (
     NodeRandom,
@@ -35,12 +36,30 @@
     randomness = NodeRandom(random.Random(1), random.Random(2))
     core = create_node_core(SETTINGS, 1, randomness, STARTED_AT)
     for number in range(fleet):
-        core.members.members.apply(samples.make_announcement(number))
+        meet(core, number)
     core.slow_tick(STARTED_AT)
     core.slow_tick(STARTED_AT)
     return core
 
 
+def meet(core: NodeCore, number: int) -> None:
+    """Let the node learn of another one and hear it."""
+    known = samples.make_announcement(number)
+    membership = core.members.membership
+    membership.announced(known)
+    beat = MemberHeartbeat(
+        known.node,
+        known.incarnation,
+        1,
+        known.state,
+        queued=0,
+        running=0,
+        slots=known.slots,
+        admission_level=0,
+    )
+    membership.table.heard(beat, STARTED_AT)
+
+
 def fast_ticks(size: int) -> Action:
     """Let the calls and tokens of an idle node advance."""
     flow = make_core(8).call_flow
@@ -61,11 +80,11 @@
 def membership_change(fleet: int) -> Action:
     """The slow tick after one node has joined."""
     core = make_core(fleet)
-    core.members.members.apply(samples.make_announcement(fleet))
+    meet(core, fleet)
     return functools.partial(core.slow_tick, STARTED_AT + 0.1)
 
 
 def members_of_service(fleet: int) -> Action:
     """What the ingress asks for each call that it places."""
-    members = make_core(fleet).members.members
-    return functools.partial(members.members_of, SERVICE, STARTED_AT)
+    directory = make_core(fleet).members.directory
+    return functools.partial(directory.members_of, SERVICE, STARTED_AT)
--- /dev/null
+++ b/bench/node_world_log.py
@@ -0,0 +1,134 @@
+"""The platform's log of a node world: all streams, outages, retention."""
+
+import bisect
+import random
+from typing import TYPE_CHECKING
+
+from bench.paused_clock import PausedClock
+from ebonycleat.internal.connection.log_service import (
+    LogPage,
+    LogRecord,
+    Stream,
+)
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendFailed,
+    AppendResult,
+    AppendToLog,
+    PageRead,
+    ReadFailed,
+    ReadLog,
+    ReadResult,
+    StreamExpired,
+)
+
+if TYPE_CHECKING:
+    from bench.node_world import WorldNode
+
+LATENCY_S = 0.003
+
+
+class WorldLog:
+    """Streams in memory; ``first_offsets`` move on when records expire."""
+
+    def __init__(self, clock: PausedClock, rng: random.Random) -> None:
+        """Start empty and up."""
+        self.clock = clock
+        self.rng = rng
+        self.records: dict[Stream, list[bytes]] = {
+            stream: [] for stream in Stream
+        }
+        self.first_offsets = dict.fromkeys(Stream, 1)
+        self.down = False
+        self.cut_off: set[str] = set()
+        self.latency_s = LATENCY_S
+        self.lose_next_answers = 0
+
+    def expire(self, stream: Stream) -> None:
+        """Forget all records of a stream that stand in it now."""
+        self.first_offsets[stream] = len(self.records[stream]) + 1
+
+    def append(
+        self,
+        node: 'WorldNode',
+        effect: AppendToLog,
+        encoded: bytes,
+    ) -> None:
+        """Append a record and report, unless the log is out of reach."""
+        operation_id = effect.operation_id
+        if self.down or node.name in self.cut_off:
+            failed = AppendFailed(operation_id, may_have_taken_effect=False)
+            node.later(self.latency_s, self.report_append, node, failed)
+            return
+        stream = self.records[effect.stream]
+        stream.append(encoded)
+        result: AppendResult = AppendDone(operation_id, len(stream))
+        if self.lose_next_answers:
+            self.lose_next_answers -= 1
+            result = AppendFailed(operation_id, may_have_taken_effect=True)
+        node.later(self.latency_s, self.report_append, node, result)
+
+    def read(self, node: 'WorldNode', wanted: ReadLog) -> None:
+        """Read a page; with nothing there, look again when the wait ends."""
+        started_at = self.clock.now
+        node.later(
+            self.latency_s,
+            self.serve,
+            node,
+            wanted,
+            started_at,
+            started_at + wanted.wait_s,
+        )
+
+    def serve(
+        self,
+        node: 'WorldNode',
+        wanted: ReadLog,
+        started_at: float,
+        wait_until: float,
+    ) -> None:
+        """Answer a read, or look again a little later."""
+        read_result = self.look(node, wanted, started_at)
+        is_empty = isinstance(read_result, PageRead) and (
+            not read_result.page.records
+        )
+        if is_empty and self.clock.now < wait_until:
+            node.later(
+                self.latency_s * 2,
+                self.serve,
+                node,
+                wanted,
+                started_at,
+                wait_until,
+            )
+            return
+        now = self.clock.now
+        node.perform(node.core.log_read(read_result, now))
+
+    def look(
+        self,
+        node: 'WorldNode',
+        wanted: ReadLog,
+        started_at: float,
+    ) -> ReadResult:
+        """Say what a read finds now."""
+        if self.down or node.name in self.cut_off:
+            return ReadFailed(wanted)
+        first = self.first_offsets[wanted.stream]
+        if wanted.offset < first:
+            return StreamExpired(wanted, first)
+        records = self.records[wanted.stream]
+        numbered = range(1, len(records) + 1)
+        start = bisect.bisect_left(numbered, wanted.offset)
+        found = tuple(
+            LogRecord(offset, records[offset - 1])
+            for offset in numbered[start : start + wanted.limit]
+        )
+        next_offset = found[-1].offset + 1 if found else wanted.offset
+        page = LogPage(found, next_offset, first, next_offset > len(records))
+        return PageRead(wanted, started_at, page)
+
+    def report_append(self, node: 'WorldNode', result: AppendResult) -> None:
+        """Report the result of an append to the node."""
+        now = self.clock.now
+        node.perform(node.core.append_finished(result, now))
