Half of the queue for critical calls; oldest first when none expires

Cause: after a surge, critical calls were refused by full queues, or waited behind newer ones until their deadline, although all of them could be served. Change: only critical calls may fill the second half of the queue, and under standing overload the newest goes first only where the oldest would expire.

--- a/bench/policy_layer.py
+++ b/bench/policy_layer.py
@@ -38,7 +38,7 @@
 
 TICK_S = 0.02
 PROBE_S = 0.25
-QUEUE_PER_SLOT = 1
+QUEUE_PER_SLOT = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonycleat/internal/process/admission_level.py
+++ b/src/ebonycleat/internal/process/admission_level.py
@@ -90,7 +90,9 @@
         """
         if now < self.window_until:
             return
-        self.window_until = now + max(SHORTEST_WINDOW_S, service_s)
+        # An empty queue needs no long look: the level is too low.
+        window_s = service_s if delay_s else 0
+        self.window_until = now + max(SHORTEST_WINDOW_S, window_s)
         target_s = target_delay_s(service_s)
         is_falling = delay_s < self.last_delay_s * STILL_LONG
         self.last_delay_s = delay_s
--- a/src/ebonycleat/internal/process/fair_queue.py
+++ b/src/ebonycleat/internal/process/fair_queue.py
@@ -17,6 +17,9 @@
 RANKS_PER_PRIORITY = 2
 SURPLUS_RANK = len(Priority) * RANKS_PER_PRIORITY
 RANK_COUNT = SURPLUS_RANK * 2
+DRAIN_MARGIN = 1.5
+"""New arrivals of the same rank start in between."""
+
 LARGEST_QUANTUM = 64
 """Bounds how many calls of one team may start in a row."""
 
@@ -45,6 +48,18 @@
         return rank
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast calls leave: ``start_s`` is the mean time between starts.
+
+    ``is_standing`` tells that calls have waited long for long.
+    """
+
+    now: float
+    start_s: float
+    is_standing: bool
+
+
 class TeamRing:
     """Deficit round robin over the teams' calls of one rank."""
 
@@ -54,6 +69,7 @@
         self.waiting: dict[str, dict[str, QueuedCall]] = {}
         self.turns: deque[str] = deque()
         self.deficits: dict[str, float] = {}
+        self.count = 0
 
     def quantum(self, team: str) -> float:
         """Cost that one turn of the team adds to its allowance."""
@@ -67,14 +83,13 @@
             self.turns.append(team)
             self.deficits[team] = self.quantum(team)
         self.waiting[team][entry.call.call_id] = entry
+        self.count += 1
 
-    def pop(self, newest_first: bool) -> QueuedCall:
+    def pop(self, pace: Pace) -> QueuedCall:
         """Take the next call in turn; the ring must not be empty."""
         while True:
             team = self.turns[0]
-            calls = self.waiting[team]
-            ends = reversed(calls) if newest_first else iter(calls)
-            entry = calls[next(ends)]
+            entry = self.candidate(team, pace)
             if self.deficits[team] >= entry.cost:
                 self.deficits[team] -= entry.cost
                 self.remove(entry)
@@ -82,11 +97,28 @@
             self.deficits[team] += self.quantum(team)
             self.turns.rotate(-1)
 
+    def candidate(self, team: str, pace: Pace) -> QueuedCall:
+        """Choose the team's oldest call, or its newest.
+
+        Under standing overload the newest goes first, unless all calls that
+        wait can start well before the oldest expires: then oldest first
+        loses none.
+        """
+        calls = self.waiting[team]
+        oldest = calls[next(iter(calls))]
+        if not pace.is_standing:
+            return oldest
+        drain_s = self.count * pace.start_s * DRAIN_MARGIN
+        if oldest.latest_start - pace.now > drain_s:
+            return oldest
+        return calls[next(reversed(calls))]
+
     def remove(self, entry: QueuedCall) -> None:
         """Take out one call; an idle team keeps no unused allowance."""
         team = entry.call.team
         calls = self.waiting[team]
         calls.pop(entry.call.call_id)
+        self.count -= 1
         if not calls:
             self.waiting.pop(team)
             self.deficits.pop(team)
@@ -142,10 +174,10 @@
             (entry.latest_start, entry.call.call_id),
         )
 
-    def pop(self, newest_first: bool) -> QueuedCall:
+    def pop(self, pace: Pace) -> QueuedCall:
         """Take the call that should start next; must not be empty."""
         ring = next(ring for ring in self.rings if ring.turns)
-        entry = ring.pop(newest_first)
+        entry = ring.pop(pace)
         self.by_id.pop(entry.call.call_id)
         self.forget_old_expiries()
         return entry
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -12,7 +12,11 @@
     ConcurrencyLimit,
     create_adaptive_limit,
 )
-from ebonycleat.internal.process.fair_queue import FairQueue, QueuedCall
+from ebonycleat.internal.process.fair_queue import (
+    FairQueue,
+    Pace,
+    QueuedCall,
+)
 from ebonycleat.internal.process.gate_events import (
     Dispatch,
     GateEvent,
@@ -21,7 +25,7 @@
 from ebonycleat.internal.process.gate_refusals import RefusalWriter
 from ebonycleat.internal.process.gate_signals import GateSignals
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
-from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.request.refusal import Reason
 
 
@@ -156,8 +160,15 @@
         return []
 
     def enqueue(self, entry: QueuedCall) -> list[GateEvent]:
-        """Queue a call; when the queue is full, one call must leave."""
-        if len(self.queue) < self.queue_limit:
+        """Queue a call; when the queue is full, one call must leave.
+
+        Half of the queue is for critical calls: a surge finds the slots
+        taken by others, and they must be able to wait that out.
+        """
+        room = self.queue_limit
+        if entry.call.priority is not Priority.CRITICAL:
+            room = max(1, room // 2)
+        if len(self.queue) < room:
             self.queue.push(entry)
             return []
         victim = self.queue.victim_for(entry)
@@ -186,12 +197,13 @@
                 'the target is down',
             )
         while self.queue and len(self.running) < allowed:
-            events.append(self.start_next(now))
+            pace = self.signals.pace(allowed, now)
+            events.append(self.start_next(pace, now))
         return events
 
-    def start_next(self, now: float) -> GateEvent:
+    def start_next(self, pace: Pace, now: float) -> GateEvent:
         """Dispatch the next call, or shed it if it got too late."""
-        entry = self.queue.pop(self.signals.is_newest_first(now))
+        entry = self.queue.pop(pace)
         call = entry.call
         if self.signals.latest_start(call, now) <= now:
             return self.refusals.refuse(
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -5,7 +5,11 @@
     position_of,
     target_delay_s,
 )
-from ebonycleat.internal.process.fair_queue import FairQueue, QueuedCall
+from ebonycleat.internal.process.fair_queue import (
+    FairQueue,
+    Pace,
+    QueuedCall,
+)
 from ebonycleat.internal.process.service_time import ServiceTimes
 from ebonycleat.internal.process.team_shares import TeamShares
 from ebonycleat.internal.request.call import Call, Priority
@@ -51,10 +55,14 @@
         elif self.waits_since is None:
             self.waits_since = now
 
-    def is_newest_first(self, now: float) -> bool:
-        """Whether the queue has been overloaded for long."""
+    def pace(self, allowed: int, now: float) -> Pace:
+        """Tell how fast calls start, and whether overload has lasted."""
         since = self.waits_since
-        return since is not None and now - since > STANDING_FOR_S
+        return Pace(
+            now=now,
+            start_s=self.service_times.overall_s / max(1, allowed),
+            is_standing=since is not None and now - since > STANDING_FOR_S,
+        )
 
     def latest_start(self, call: Call, now: float) -> float:
         """Last moment at which a start can still meet the deadline."""
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -39,7 +39,7 @@
 
 def test_important_and_deep_calls_start_before_others() -> None:
     """Guards against shedding important or already paid work first."""
-    gate = make_gate(queue_limit=9)
+    gate = make_gate(queue_limit=18)
     gate.offer(make_call('run'), 0)
     gate.offer(make_call('low', Priority.LOW), 0)
     gate.offer(make_call('fresh'), 0)
@@ -57,17 +57,29 @@
 
 def test_full_queue_evicts_the_least_important_call() -> None:
     """Guards against a full queue of low calls keeping important ones out."""
-    gate = make_gate(queue_limit=2)
+    gate = make_gate(queue_limit=4)
     gate.offer(make_call('run'), 0)
     gate.offer(make_call('low', Priority.LOW), 0)
     gate.offer(make_call('normal'), 0)
-    event = only(gate.offer(make_call('top', Priority.CRITICAL), 0))
+    event = only(gate.offer(make_call('high', Priority.HIGH), 0))
     assert isinstance(event, Refuse)
     assert event.call.call_id == 'low'
     assert event.refusal.reason is Reason.QUEUE_FULL
     assert event.refusal.outcome is Outcome.NOT_RUN
 
 
+def test_half_of_the_queue_is_left_to_critical_calls() -> None:
+    """Guards against a surge of others leaving critical calls no place."""
+    gate = make_gate(queue_limit=4)
+    gate.offer(make_call('run'), 0)
+    for number in range(4):
+        gate.offer(make_call(f'normal-{number}'), 0)
+    assert not gate.offer(make_call('top-1', Priority.CRITICAL), 0)
+    assert not gate.offer(make_call('top-2', Priority.CRITICAL), 0)
+    event = only(gate.offer(make_call('top-3', Priority.CRITICAL), 0))
+    assert event.call.priority is Priority.NORMAL
+
+
 def test_call_that_cannot_meet_its_deadline_never_starts() -> None:
     """Guards against work whose caller has already given up."""
     gate = make_gate()
--- a/tests/cover/test_gate_invariants.py
+++ b/tests/cover/test_gate_invariants.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ebonycleat.internal.process.fair_queue import FairQueue, QueuedCall
+from ebonycleat.internal.process.fair_queue import (
+    FairQueue,
+    Pace,
+    QueuedCall,
+)
 from ebonycleat.internal.process.gate import Gate, create_gate
 from ebonycleat.internal.process.gate_events import Dispatch, GateEvent
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
@@ -116,18 +120,19 @@
         st.tuples(st.sampled_from(Priority), st.sampled_from('abc')),
         max_size=60,
     ),
-    newest_first=st.booleans(),
+    is_standing=st.booleans(),
 )
 def test_no_call_starts_before_a_more_important_one(
     calls: list[tuple[Priority, str]],
-    newest_first: bool,
+    is_standing: bool,
 ) -> None:
     """Guards against shedding important requests while others run."""
     queue = FairQueue()
     for number, (priority, team) in enumerate(calls):
         call = make_call(str(number), priority, team)
         queue.push(QueuedCall(call, 0, 10))
-    served = [queue.pop(newest_first).call.priority for _ in calls]
+    pace = Pace(0, 1, is_standing)
+    served = [queue.pop(pace).call.priority for _ in calls]
     assert served == sorted(served)
 
 
@@ -149,8 +154,9 @@
         call = make_call(f'{team}-{number}', team=team)
         queue.push(QueuedCall(call, 0, 10))
     served: Counter[str] = Counter()
+    pace = Pace(0, 1, is_standing=False)
     for _ in range(80):
-        served[queue.pop(newest_first=False).call.team] += 1
+        served[queue.pop(pace).call.team] += 1
     for one in teams:
         for other in teams:
             one_turns = served[one] / queue.quanta[one]
