Router: leave a saturated target only when it may refuse the call

Cause: spilling by every difference of levels sent all callers to one target, whose critical calls then expired. Change: between saturated targets the near one is kept unless the position of the call is within 64 of the near level and the far level is higher.

--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -10,7 +10,10 @@
 from collections.abc import Sequence
 from typing import TypeAlias
 
-from ebonycleat.internal.process.admission_level import HeardLevels
+from ebonycleat.internal.process.admission_level import (
+    HeardLevels,
+    position_of,
+)
 from ebonycleat.internal.process.gate_events import GateLoad
 from ebonycleat.internal.process.target_records import (
     Member,
@@ -28,8 +31,8 @@
 """Above this the own zone's choice is compared with other zones'."""
 
 OTHER_ZONE_PENALTY = 1.1
-LEVEL_MARGIN = 16
-"""Spilling for smaller differences of levels would only follow noise."""
+RISK_MARGIN = 64
+"""Positions this close below a level may be refused by the next one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,9 +85,14 @@
         ]
         if not admitting:
             return refuse_not_run(Reason.SHED, 'overload: retry later')
-        return self.choose_near(admitting, now)
+        return self.choose_near(request.call, admitting, now)
 
-    def choose_near(self, members: Sequence[Member], now: float) -> Member:
+    def choose_near(
+        self,
+        call: Call,
+        members: Sequence[Member],
+        now: float,
+    ) -> Member:
         """Prefer the local target, then the own zone, then the others."""
         own = [member for member in members if member.zone == self.zone]
         others = [member for member in members if member.zone != self.zone]
@@ -99,9 +107,7 @@
             return near
         far = self.better_of_two(others, now)
         if self.is_saturated(near, now) and self.is_saturated(far, now):
-            far_level = self.levels.level_of(far.node, now)
-            near_level = self.levels.level_of(near.node, now)
-            return far if far_level > near_level + LEVEL_MARGIN else near
+            return self.more_open(call, near, far, now)
         far_score = self.score(far, now) * OTHER_ZONE_PENALTY
         return far if far_score < self.score(near, now) else near
 
@@ -110,6 +116,23 @@
         drawn = self.rng.sample(members, min(2, len(members)))
         return min(drawn, key=lambda member: self.score(member, now))
 
+    def more_open(
+        self,
+        call: Call,
+        near: Member,
+        far: Member,
+        now: float,
+    ) -> Member:
+        """Leave a saturated target only if it may soon refuse the call.
+
+        Following every difference of levels would send all callers to the
+        same target, because levels change slower than calls arrive.
+        """
+        near_level = self.levels.level_of(near.node, now)
+        far_level = self.levels.level_of(far.node, now)
+        is_risky = position_of(call) + RISK_MARGIN >= near_level
+        return far if is_risky and far_level > near_level else near
+
     def is_saturated(self, member: Member, now: float) -> bool:
         """Whether calls wait at the target; then its level tells more."""
         return self.occupancy(member, now) > 1
