Ownership survives the log's retention; a drained gate finishes its queue

Cause: whole-node tests showed three faults. A node that started while the log was down knew no owners and refused every team with budget-unavailable; after the log's retention it would have taken owned slots for free ones. A planned stop refused two of six queued requests, because moving them used up the retry budget of the service. A draining gate finishes what it has accepted, begins no new id, and releases its slots when no id runs.

--- a/bench/policy_layer.py
+++ b/bench/policy_layer.py
@@ -396,4 +396,4 @@
     def drain(self, node: str) -> None:
         """Begin a planned stop of a target."""
         layer_node = self.nodes[node]
-        layer_node.apply(layer_node.gate.drain(self.world.clock.now))
+        layer_node.gate.drain()
--- a/src/ebonycleat/internal/process/call_flow.py
+++ b/src/ebonycleat/internal/process/call_flow.py
@@ -155,9 +155,15 @@
         ]
         return self.settle(steps, now)
 
-    def drain(self, now: float) -> list[NodeEffect]:
-        """Refuse queued and new calls at the gate."""
-        return self.settle(self.gate_service.drain(now), now)
+    def drain(self) -> None:
+        """Take no new calls and no new ids; accepted ones finish."""
+        self.gate_service.gate.drain()
+        self.dedupe.draining = True
+
+    def may_release_slots(self) -> bool:
+        """Tell whether no id waits or runs under this node's slots."""
+        is_waiting = bool(self.dedupe.owner.runs.waiting)
+        return not (is_waiting or self.gate_service.runs_for_dedupe_owner())
 
     def is_idle(self) -> bool:
         """Tell whether no request waits here and no call runs here."""
--- a/src/ebonycleat/internal/process/dedupe_host.py
+++ b/src/ebonycleat/internal/process/dedupe_host.py
@@ -28,6 +28,7 @@
     AskAnswered,
     CopyNotTaken,
     DedupeAsk,
+    hash_id,
 )
 
 # An owner's word that comes this long after the deadline finds nobody.
@@ -80,6 +81,7 @@
     def __init__(self, owner: DedupeOwner) -> None:
         """Serve asks through ``owner``."""
         self.owner = owner
+        self.draining = False
         self.origins: dict[str, Origin] = {}
 
     def ask(
@@ -88,11 +90,29 @@
         sender: str,
         now: float,
     ) -> list[HostOutput]:
-        """Take one copy of a call from the ingress at ``sender``."""
+        """Take one copy of a call from the ingress at ``sender``.
+
+        A draining owner begins nothing new, so that the ingress can go on to
+        the next owner; ids that it knows it still answers.
+        """
+        if self.draining and not self.knows(ask):
+            commit = self.owner.commit
+            word = CopyNotTaken(
+                ask.call.call_id,
+                ask.copy_number,
+                commit.node,
+                commit.incarnation,
+            )
+            return [WordForIngress(sender, word)]
         expires_at = ask.call.deadline + ORIGIN_KEPT_S
         self.origins[ask.call.call_id] = Origin(sender, expires_at)
         return self.address(self.owner.begin(ask, now))
 
+    def knows(self, ask: DedupeAsk) -> bool:
+        """Tell whether the id of an ask waits, runs or is remembered."""
+        id_hash = hash_id(ask.call.team, ask.call.idempotency_key)
+        return id_hash in self.owner.runs.memory.entries
+
     def finished(self, call_result: CallResult, now: float) -> list[HostOutput]:
         """Take the result of a run from the gate."""
         call_id = call_result.call_id
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -108,14 +108,13 @@
             'the key was withdrawn while the request was queued',
         )
 
-    def drain(self, now: float) -> list[GateEvent]:
-        """Refuse queued and new calls from now on; running ones finish."""
+    def drain(self) -> None:
+        """Refuse new calls from now on; running and queued ones finish.
+
+        Queued calls were accepted; sending them elsewhere would use up the
+        retries of their requests.
+        """
         self.draining = True
-        return self.refuse_queued(
-            self.queue,
-            Reason.DRAINING,
-            'the target is about to stop',
-        )
 
     def tick(self, now: float) -> list[GateEvent]:
         """Shed late calls and start what fits; call every 10 to 50 ms."""
--- a/src/ebonycleat/internal/process/gate_service.py
+++ b/src/ebonycleat/internal/process/gate_service.py
@@ -229,9 +229,9 @@
         events = self.gate.withdraw(key_digest, now)
         return self.handle_events(events, now)
 
-    def drain(self, now: float) -> list[GateOutput]:
-        """Refuse queued and new calls; running ones finish."""
-        return self.handle_events(self.gate.drain(now), now)
+    def runs_for_dedupe_owner(self) -> bool:
+        """Tell whether a call of the dedupe owner waits or runs."""
+        return DEDUPE_OWNER in self.origins.values()
 
     def tick(self, now: float) -> list[GateOutput]:
         """Shed late calls and start what fits."""
--- a/src/ebonycleat/internal/process/node_core.py
+++ b/src/ebonycleat/internal/process/node_core.py
@@ -42,6 +42,10 @@
 from ebonycleat.internal.process.operator_service import OperatorReply
 from ebonycleat.internal.process.ownership import OWNERSHIP_RECORDS
 from ebonycleat.internal.process.ownership_host import OwnershipHost
+from ebonycleat.internal.process.ownership_sync import (
+    OWNERSHIP_SYNC_MESSAGES,
+    OwnershipSync,
+)
 from ebonycleat.internal.process.started_log import StartedGroup
 from ebonycleat.internal.process.stream_cursor import StreamCursor
 from ebonycleat.internal.process.suspect_memory import (
@@ -72,6 +76,7 @@
     configuration: ConfigurationPart
     members: MembersPart
     ownership: OwnershipHost
+    ownership_sync: OwnershipSync
     call_flow: CallFlow
     cursors: dict[Stream, StreamCursor]
 
@@ -85,6 +90,7 @@
         self.configuration = parts.configuration
         self.members = parts.members
         self.ownership = parts.ownership
+        self.ownership_sync = parts.ownership_sync
         self.call_flow = parts.call_flow
         self.suspects = parts.call_flow.gate_service.suspects.suspects
         self.cursors = parts.cursors
@@ -98,6 +104,7 @@
             *ASK_MESSAGES,
             *GRANT_MESSAGES,
             *LEASE_MESSAGES,
+            *OWNERSHIP_SYNC_MESSAGES,
             *CONFIGURATION_MESSAGES,
             *MEMBER_MESSAGES,
             *SUSPECT_RECORDS,
@@ -202,6 +209,8 @@
             )
         cursor = self.cursors[stream]
         cursor.read_ended(read_result, now)
+        if stream is Stream.OWNERSHIP:
+            self.ownership_sync.read_ended(read_result)
         steps = self.apply_page(stream, read_result, now)
         return self.perform([*steps, *cursor.tick(now)], now)
 
@@ -239,15 +248,11 @@
         return self.perform(steps, now)
 
     def drain(self, now: float) -> list[NodeEffect]:
-        """Take no new work and release all slots; running work goes on."""
+        """Take no new work; accepted work ends, then slots are released."""
         self.draining = True
         self.release_until = now + RELEASE_TIME_S
-        steps = [
-            *self.members.leave(now),
-            *self.call_flow.drain(now),
-            *self.ownership.stop(now),
-        ]
-        return self.perform(steps, now)
+        self.call_flow.drain()
+        return self.perform(self.members.leave(now), now)
 
     def is_drained(self, now: float) -> bool:
         """Tell whether the process may end.
@@ -280,8 +285,12 @@
         live = self.members.take_changes(now)
         if live is not None:
             self.configuration.members_changed(live, now)
+            self.ownership_sync.members_changed(live)
             steps.extend(self.ownership.members_changed(live, now))
+        if self.draining and self.call_flow.may_release_slots():
+            steps.extend(self.ownership.stop(now))
         steps.extend(self.ownership.tick(now))
+        steps.extend(self.ownership_sync.tick(now))
         steps.extend(self.suspects.tick(now))
         steps.extend(self.configuration.tick(now))
         return steps
@@ -310,6 +319,8 @@
                     at_end=page.at_end,
                 )
             case Stream.OWNERSHIP:
+                if not self.ownership_sync.find_snapshot(records, now):
+                    return ()
                 return self.ownership.log_page(
                     read_result.started_at,
                     records,
@@ -354,6 +365,8 @@
         now: float,
     ) -> Iterable[CoreStep]:
         """Hand a message to the part that it is for."""
+        if isinstance(message, OWNERSHIP_SYNC_MESSAGES):
+            return self.ownership_sync.receive(sender, message)
         if isinstance(message, LEASE_MESSAGES):
             return self.ownership.receive(sender, message, now)
         if isinstance(message, SUSPECT_RECORDS):
--- a/src/ebonycleat/internal/process/node_factory.py
+++ b/src/ebonycleat/internal/process/node_factory.py
@@ -44,6 +44,7 @@
     create_ownership_engine,
 )
 from ebonycleat.internal.process.ownership_host import OwnershipHost
+from ebonycleat.internal.process.ownership_sync import OwnershipSync
 from ebonycleat.internal.process.rendezvous import slot_of_team
 from ebonycleat.internal.process.request_metrics import RequestMetrics
 from ebonycleat.internal.process.retry_budget import RetryBudget
@@ -130,6 +131,7 @@
     ) -> None:
         """Build what the other parts share."""
         self.settings = settings
+        self.started_at = now
         self.incarnation = incarnation
         self.randomness = randomness
         self.rng = randomness.choices
@@ -153,6 +155,10 @@
     def build(self) -> NodeCore:
         """Put the node together."""
         identity = self.identity
+        cursors = {
+            stream: StreamCursor(stream, self.rng)
+            for stream in FOLLOWED_STREAMS
+        }
         parts = CoreParts(
             ConfigurationPart(
                 identity.zone,
@@ -166,11 +172,14 @@
                 self.dedupe,
                 identity.service,
             ),
+            OwnershipSync(
+                self.engine,
+                cursors[Stream.OWNERSHIP],
+                self.rng,
+                self.started_at,
+            ),
             self.build_call_flow(),
-            {
-                stream: StreamCursor(stream, self.rng)
-                for stream in FOLLOWED_STREAMS
-            },
+            cursors,
         )
         return NodeCore(identity.id, parts)
 
--- a/src/ebonycleat/internal/process/ownership.py
+++ b/src/ebonycleat/internal/process/ownership.py
@@ -69,9 +69,6 @@
     operation_id: str
 
 
-OWNERSHIP_RECORDS = (Claim, Release, Fence)
-
-
 class Basis(enum.Enum):
     """Why the fold accepted a claim."""
 
@@ -104,6 +101,9 @@
     slots: tuple[tuple[SlotId, SlotState], ...]
 
 
+OWNERSHIP_RECORDS = (Claim, Release, Fence, OwnershipSnapshot)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimAccepted:
     """The slot belongs to the claimant from this offset on."""
@@ -170,6 +170,11 @@
             self._fence(record)
         return NothingChanged()
 
+    def restore(self, snapshot: OwnershipSnapshot) -> None:
+        """Take over the state after a later prefix of the stream."""
+        self.slots = dict(snapshot.slots)
+        self.offset = snapshot.through_offset
+
     def snapshot(self) -> OwnershipSnapshot:
         """Return the whole state, in an order that is the same everywhere."""
         return OwnershipSnapshot(self.offset, tuple(sorted(self.slots.items())))
--- a/src/ebonycleat/internal/process/slot_leases.py
+++ b/src/ebonycleat/internal/process/slot_leases.py
@@ -9,8 +9,10 @@
     Basis,
     ClaimAccepted,
     OwnershipFold,
+    OwnershipSnapshot,
     Released,
     SlotId,
+    SlotState,
 )
 from ebonycleat.internal.process.slot_claims import OwnershipSettings
 
@@ -97,6 +99,24 @@
         self.changes = []
         return changes
 
+    def load_snapshot(self, snapshot: OwnershipSnapshot) -> bool:
+        """Skip to a later state of the stream; tell whether it was later.
+
+        What happened in between to the slots held here is found by
+        comparison: another owner ends a lease, a later epoch renews it.
+        """
+        if snapshot.through_offset <= self.fold.offset:
+            return False
+        self.fold.restore(snapshot)
+        for slot, lease in tuple(self.held.leases.items()):
+            state = self.fold.state_of(slot)
+            if not self._is_mine(state):
+                self._lost(slot)
+            elif state.epoch != lease.epoch:
+                lease.renewed(state.epoch, state.witnesses)
+                self.changes.append(SlotRenewed(slot, state.epoch))
+        return True
+
     def apply(self, offset: int, record: object, now: float) -> None:
         """Apply one record of the ownership stream."""
         outcome = self.fold.apply(offset, record)
@@ -130,6 +150,11 @@
             ),
         )
 
+    def _is_mine(self, state: SlotState) -> bool:
+        owner = (state.owner, state.incarnation)
+        mine = (self.settings.node, self.settings.incarnation)
+        return owner == mine and not state.released
+
     def _lost(self, slot: SlotId) -> None:
         if slot in self.held.leases:
             self.held.lost(slot)
--- a/tests/whole_nodes.py
+++ b/tests/whole_nodes.py
@@ -3,6 +3,7 @@
 import types
 
 from bench.node_world import NodeWorld, Place
+from ebonycleat.internal.process.ownership import OwnershipFold
 from ebonycleat.internal.request.incoming import digest_key
 
 KEY = 'key-of-the-survey-team'
@@ -84,3 +85,9 @@
         for key, count in node.target.runs_by_key.items():
             total[key] = total.get(key, 0) + count
     return max(total.values(), default=0)
+
+
+def ownership_of(world: NodeWorld, node: str) -> OwnershipFold:
+    """Return who owns what, as one node knows it."""
+    core = world.nodes[node].core
+    return core.ownership.engine.fold
