One simulated zone for bench and tests

Cause: the bench and the tests each had a driver for the followers of a zone, and neither let a read wait as the log does.

--- /dev/null
+++ b/bench/configuration_world.py
@@ -0,0 +1,151 @@
+"""Followers of one zone on a paused clock, with a log in memory.
+
+The bench measures traffic with it, and tests check decisions with it.
+"""
+
+import random
+from collections import Counter
+from typing import Any, Final
+
+from ebonycleat.internal.connection.codec import create_codec
+from ebonycleat.internal.connection.log_service import LogPage, LogRecord
+from ebonycleat.internal.process.config_follower import (
+    ConfigurationFollower,
+    FollowerEffect,
+    ReadConfiguration,
+)
+from ebonycleat.internal.process.config_relay import CONFIGURATION_MESSAGES
+from ebonycleat.internal.process.effects import (
+    AppendDone,
+    AppendFailed,
+    AppendToLog,
+    SendToPeer,
+)
+from ebonycleat.internal.version.snapshot import CONFIGURATION_RECORDS
+
+STEP_S: Final = 0.1
+
+_RECORDS: Final = create_codec(*CONFIGURATION_RECORDS)
+_MESSAGES: Final = create_codec(*CONFIGURATION_MESSAGES)
+
+
+class ConfigurationWorld:
+    """A zone; messages arrive at once, reads wait as the log lets them.
+
+    Nodes in ``silent`` are cut off from the log and from their peers.
+    """
+
+    def __init__(self, *nodes: str) -> None:
+        """Start all nodes with an empty log."""
+        self.now = 1.0
+        self.records: list[LogRecord] = []
+        self.first_offset = 1
+        self.is_log_down = False
+        self.waiting: list[tuple[str, ReadConfiguration, float]] = []
+        self.silent: set[str] = set()
+        self.reads: Counter[str] = Counter()
+        self.bytes_sent: Counter[str] = Counter()
+        self.nodes: dict[str, ConfigurationFollower] = {}
+        for node in nodes:
+            self.nodes[node] = self.create_follower(node)
+        self.tell_members()
+
+    def create_follower(self, node: str) -> ConfigurationFollower:
+        """Create a node whose random numbers depend on its name."""
+        return ConfigurationFollower(node, random.Random(node), self.now)
+
+    def start(self, node: str) -> None:
+        """Start one more node, or restart one."""
+        self.nodes[node] = self.create_follower(node)
+        self.tell_members()
+
+    def tell_members(self) -> None:
+        """Let all nodes know each other."""
+        for follower in self.nodes.values():
+            follower.members_changed(tuple(self.nodes))
+
+    def append(self, record: Any) -> int:
+        """Append a record, or bytes as they are."""
+        if not isinstance(record, bytes):
+            record = _RECORDS.encode(record)
+        offset = self.first_offset + len(self.records)
+        self.records.append(LogRecord(offset, record))
+        return offset
+
+    def forget_before(self, offset: int) -> None:
+        """Let the retention time of older records pass."""
+        self.records = self.records[offset - self.first_offset :]
+        self.first_offset = offset
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            for node, follower in self.nodes.items():
+                self.carry_out(node, follower.tick(self.now))
+            waiting = tuple(self.waiting)
+            self.waiting.clear()
+            for node, read, since in waiting:
+                if self.must_wait(read, since):
+                    self.waiting.append((node, read, since))
+                else:
+                    self.reads[node] += 1
+                    self.carry_out(node, self.answer(node, read))
+
+    def must_wait(self, read: ReadConfiguration, since: float) -> bool:
+        """Tell whether the log still waits for a record."""
+        is_end = read.offset == self.first_offset + len(self.records)
+        is_early = self.now - since < read.wait_s
+        return is_end and is_early and not self.is_log_down
+
+    def answer(
+        self,
+        node: str,
+        read: ReadConfiguration,
+    ) -> list[FollowerEffect]:
+        """Answer a read, or fail it."""
+        follower = self.nodes[node]
+        if self.is_log_down or node in self.silent:
+            return follower.log_failed(self.now)
+        start = read.offset - self.first_offset
+        if start < 0:
+            return follower.log_expired(self.first_offset, self.now)
+        found = tuple(self.records[start : start + read.limit])
+        next_offset = read.offset + len(found)
+        at_end = start + len(found) == len(self.records)
+        page = LogPage(found, next_offset, self.first_offset, at_end)
+        return follower.log_answered(read.offset, page, self.now)
+
+    def carry_out(self, node: str, effects: list[FollowerEffect]) -> None:
+        """Carry out effects and what they lead to."""
+        queue = [(node, effect) for effect in effects]
+        while queue:
+            sender, effect = queue.pop(0)
+            if isinstance(effect, ReadConfiguration):
+                self.waiting.append((sender, effect, self.now))
+            elif isinstance(effect, AppendToLog):
+                self.append_for(sender, effect)
+            elif not self.silent.intersection((sender, effect.node)):
+                later = self.deliver(sender, effect)
+                queue.extend((effect.node, one) for one in later)
+
+    def append_for(self, node: str, effect: AppendToLog) -> None:
+        """Append a snapshot unless the log is out of reach."""
+        finished = self.nodes[node].append_finished
+        if self.is_log_down or node in self.silent:
+            finished(AppendFailed(effect.operation_id, False), self.now)
+            return
+        offset = self.append(effect.record)
+        finished(AppendDone(effect.operation_id, offset), self.now)
+
+    def deliver(self, sender: str, effect: SendToPeer) -> list[FollowerEffect]:
+        """Hand a message over as the peer decodes it."""
+        encoded = _MESSAGES.encode(effect.message)
+        self.bytes_sent[sender] += len(encoded)
+        message = _MESSAGES.decode(encoded)
+        return self.nodes[effect.node].peer_message(sender, message, self.now)
+
+
+def copy_message(message: object) -> Any:
+    """Return the message as a peer decodes it."""
+    return _MESSAGES.decode(_MESSAGES.encode(message))
