--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,19 @@
 format: setup
 	$(BIN)/ruff format src tests bench
 
+bench: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.policy
+
+bench-check: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.policy --check
+
+# Four nodes, four targets and a log as processes of this machine.
+demo: setup
+	VENV=$(VENV) bash demo/run.sh
+
+# Writes out/capacity.json; docs/CAPACITY.md is worked out from it.
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf build .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- a/src/ebonycleat/internal/process/call_flow.py
+++ b/src/ebonycleat/internal/process/call_flow.py
@@ -5,40 +5,36 @@
 """
 
 import collections
-import dataclasses
 from collections.abc import Iterable
-from typing import TypeAlias
+from typing import Any
 
 from ebonycleat.internal.connection.messages import (
-    PeerAnswer,
-    PeerCall,
-    PeerCancel,
-    PeerRefusal,
+    split_copy_id,
 )
 from ebonycleat.internal.connection.target_client import TargetResult
+from ebonycleat.internal.process.call_steps import (
+    CallSteps,
+    FlowParts,
+    FlowStep,
+)
 from ebonycleat.internal.process.effects import (
     AnswerRequest,
+    AppendToLog,
     CallTarget,
     NodeEffect,
+    ProbeTarget,
+    ReadLog,
     SendToPeer,
 )
-from ebonycleat.internal.process.gate_service import (
-    OWN_INGRESS,
-    CallResolved,
-    CancelChild,
-    GateOutput,
-    GateService,
+from ebonycleat.internal.process.idempotent_ingress import (
+    create_send,
 )
 from ebonycleat.internal.process.ingress import (
-    CancelCall,
-    Ingress,
-    IngressOutput,
-    PlaceCall,
-    RequestEnded,
     create_open_request,
 )
-from ebonycleat.internal.process.request_metrics import RequestMetrics
-from ebonycleat.internal.request.call import Answer
+from ebonycleat.internal.process.token_desk import (
+    Admitted,
+)
 from ebonycleat.internal.request.call_builder import build_call
 from ebonycleat.internal.request.context import RequestContext
 from ebonycleat.internal.request.incoming import IncomingRequest
@@ -46,25 +42,20 @@
 from ebonycleat.internal.request.refusal import Refusal
 from ebonycleat.internal.version.view import ConfigurationView
 
-FlowStep: TypeAlias = IngressOutput | GateOutput
-CallMessage: TypeAlias = PeerCall | PeerAnswer | PeerRefusal | PeerCancel
-
 
 class CallFlow:
     """The path of calls through one node."""
 
-    def __init__(
-        self,
-        node: str,
-        ingress: Ingress,
-        gate_service: GateService,
-        metrics: RequestMetrics,
-    ) -> None:
+    def __init__(self, node: str, parts: FlowParts) -> None:
         """Connect the parts of ``node``."""
         self.node = node
-        self.ingress = ingress
-        self.gate_service = gate_service
-        self.metrics = metrics
+        self.steps = CallSteps(node, parts)
+        self.ingress = parts.ingress
+        self.sends = parts.sends
+        self.tokens = parts.tokens
+        self.dedupe = parts.dedupe
+        self.gate_service = parts.gate_service
+        self.metrics = parts.metrics
 
     def request_received(
         self,
@@ -82,51 +73,43 @@
             return [AnswerRequest(request.request_id, answer)]
         parent = context if isinstance(context, RequestContext) else None
         opened = create_open_request(built.call, parent, now)
-        return self.settle(self.ingress.start(opened, now), now)
+        if not built.call.idempotent:
+            opened.send = create_send(opened, request.attempt)
+        self.ingress.open(opened)
+        if not built.spends_token:
+            return self.settle([Admitted(opened)], now)
+        return self.settle(self.tokens.reserve(opened, now), now)
 
     def peer_message(
         self,
         sender: str,
-        message: CallMessage,
+        message: Any,
         now: float,
     ) -> list[NodeEffect]:
-        """Take a message about a call from a peer."""
-        match message:
-            case PeerCall():
-                call = dataclasses.replace(
-                    message.call,
-                    deadline=now + message.time_left_s,
-                )
-                steps = self.gate_service.offer(call, sender, now)
-                return self.settle(steps, now)
-            case PeerAnswer():
-                outputs = self.ingress.result_arrived(
-                    message.answer,
-                    message.load,
-                    now,
-                )
-                return self.settle(outputs, now)
-            case PeerRefusal():
-                outputs = self.ingress.result_arrived(
-                    message.refused,
-                    message.load,
-                    now,
-                )
-                return self.settle(outputs, now)
-            case PeerCancel():
-                steps = self.gate_service.cancel(message.call_id, now)
-                return self.settle(steps, now)
+        """Take a message about a call or about tokens from a peer."""
+        return self.settle(self.steps.take_message(sender, message, now), now)
 
     def call_lost(
         self,
-        call_id: str,
+        tracked: str,
         now: float,
         *,
         sent: bool,
     ) -> list[NodeEffect]:
-        """Resolve a call whose link closed."""
-        outputs = self.ingress.call_lost(call_id, now, sent=sent)
-        return self.settle(outputs, now)
+        """Resolve a call, or a copy of one, whose link closed."""
+        call_id, copy_number = split_copy_id(tracked)
+        if copy_number:
+            return self.settle(
+                self.sends.copy_lost(call_id, copy_number, now, sent=sent),
+                now,
+            )
+        if call_id in self.gate_service.forwarded:
+            steps = self.gate_service.forward_lost(call_id, now, sent=sent)
+            return self.settle(steps, now)
+        return self.settle(
+            self.ingress.call_lost(call_id, now, sent=sent),
+            now,
+        )
 
     def target_finished(
         self,
@@ -138,6 +121,11 @@
         steps = self.gate_service.finished(call_id, target_result, now)
         return self.settle(steps, now)
 
+    def target_probed(self, now: float, *, alive: bool) -> list[NodeEffect]:
+        """Take the result of a probe of this node's target."""
+        steps = self.gate_service.target_probed(now, alive=alive)
+        return self.settle(steps, now)
+
     def configuration_changed(
         self,
         view: ConfigurationView,
@@ -157,8 +145,14 @@
         return effects
 
     def tick(self, now: float) -> list[NodeEffect]:
-        """Let retries, deadlines and the queue advance."""
-        steps = (*self.ingress.tick(now), *self.gate_service.tick(now))
+        """Let retries, deadlines, tokens and the queue advance."""
+        steps: list[FlowStep] = [
+            *self.ingress.tick(now),
+            *self.sends.tick(now),
+            *self.tokens.tick(now),
+            *self.dedupe.tick(now),
+            *self.gate_service.tick(now),
+        ]
         return self.settle(steps, now)
 
     def drain(self, now: float) -> list[NodeEffect]:
@@ -179,45 +173,20 @@
         waiting = collections.deque(steps)
         while waiting:
             step = waiting.popleft()
-            if isinstance(step, (CallTarget, AnswerRequest)):
+            if isinstance(step, SendToPeer) and step.node == self.node:
+                waiting += self.steps.take_message(self.node, step.message, now)
+            elif isinstance(step, EFFECTS):
                 effects.append(step)
-            elif isinstance(step, RequestEnded):
-                self.metrics.request_ended(step)
             else:
-                self.pass_on(step, waiting, effects, now)
+                waiting += self.steps.next_steps(step, now)
         return effects
 
-    def pass_on(
-        self,
-        step: PlaceCall | CancelCall | CallResolved | CancelChild,
-        waiting: collections.deque[FlowStep],
-        effects: list[NodeEffect],
-        now: float,
-    ) -> None:
-        """Hand one output to its receiver, here or at a peer."""
-        match step:
-            case PlaceCall(node=node, call=call) if node == self.node:
-                waiting += self.gate_service.offer(call, OWN_INGRESS, now)
-            case PlaceCall(node=node, call=call):
-                time_left_s = call.deadline - now
-                effects.append(SendToPeer(node, PeerCall(call, time_left_s)))
-            case CancelCall(node=node, call_id=call_id) if node == self.node:
-                waiting += self.gate_service.cancel(call_id, now)
-            case CancelCall(node=node, call_id=call_id):
-                effects.append(SendToPeer(node, PeerCancel(call_id)))
-            case CancelChild(request_id=request_id):
-                waiting += self.ingress.cancel(request_id, now)
-            case CallResolved(origin=origin) if origin == OWN_INGRESS:
-                waiting += self.ingress.result_arrived(
-                    step.result,
-                    step.load,
-                    now,
-                )
-            case CallResolved(origin=origin):
-                effects.append(SendToPeer(origin, _message_of(step)))
-
-
-def _message_of(step: CallResolved) -> PeerAnswer | PeerRefusal:
-    if isinstance(step.result, Answer):
-        return PeerAnswer(step.result, step.load)
-    return PeerRefusal(step.result, step.load)
+
+EFFECTS = (
+    AnswerRequest,
+    CallTarget,
+    SendToPeer,
+    AppendToLog,
+    ReadLog,
+    ProbeTarget,
+)
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import Executor, Future
 from typing import Any
@@ -28,6 +29,7 @@
     AppendToLog,
     CallTarget,
     NodeEffect,
+    ProbeTarget,
     ReadLog,
     ReadResult,
     SendToPeer,
@@ -72,14 +74,16 @@
         self.core = core
         self.identity = identity
         self.loop = loop
+        self.wall_clock = time.time
         self.log_service = log_service
         self.target = target
         self.log_threads = threads.log
         self.target_threads = threads.target
         self.waiting: dict[str, Future[OutgoingAnswer]] = {}
-        self.tasks: set[asyncio.Future[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
         self.transport: PeerTransport | None = None
         self.stopping = asyncio.Event()
+        self.stopped = False
 
     def submit(self, request: IncomingRequest) -> Future[OutgoingAnswer]:
         """Start a caller's request; called on worker threads."""
@@ -90,7 +94,15 @@
         request: IncomingRequest,
     ) -> Future[OutgoingAnswer]:
         """Start an operator's request; called on worker threads."""
-        return self.start_on_loop(request, self.core.request_received)
+        issued_at = self.wall_clock()
+        return self.start_on_loop(
+            request,
+            lambda wanted, now: self.core.operator_request(
+                wanted,
+                now,
+                issued_at,
+            ),
+        )
 
     def drain_and_wait(self) -> None:
         """Refuse new work and wait until running work has ended."""
@@ -103,7 +115,9 @@
     async def drain(self, drained: Future[None]) -> None:
         """Drain the core and report when nothing runs any more."""
         self.perform(self.core.drain(self.loop.time()))
-        while self.waiting or not self.core.is_drained():
+        while self.waiting or not self.core.is_drained(
+            self.loop.time(),
+        ):
             await asyncio.sleep(TICK_S)
         drained.set_result(None)
 
@@ -157,6 +171,10 @@
             effects = self.core.call_lost(node, call_id, now, sent=sent)
             self.perform(effects)
 
+    def link_changed(self, node: str, *, reachable: bool) -> None:
+        """Tell the core that a link opened or could not be kept."""
+        self.core.link_changed(node, reachable=reachable)
+
     def perform(self, effects: Iterable[NodeEffect]) -> None:
         """Carry out effects in order."""
         for effect in effects:
@@ -169,6 +187,8 @@
                     self.answer(effect)
                 case AppendToLog():
                     self.spawn(self.append_to_log(effect))
+                case ProbeTarget():
+                    self.spawn(self.probe_target())
                 case ReadLog():
                     self.spawn(self.read_log(effect))
 
@@ -203,6 +223,14 @@
             self.core.target_finished(call.call_id, target_result, now),
         )
 
+    async def probe_target(self) -> None:
+        """Try to connect to the target."""
+        alive = await self.loop.run_in_executor(
+            self.log_threads,
+            self.target.accepts_connections,
+        )
+        self.perform(self.core.target_probed(self.loop.time(), alive=alive))
+
     async def append_to_log(self, effect: AppendToLog) -> None:
         """Append one record on a worker thread."""
         append_result: AppendResult = await self.loop.run_in_executor(
@@ -245,9 +273,18 @@
             ticking = asyncio.create_task(self.tick_until_cancelled())
             async with cancelling([ticking]):
                 await self.stopping.wait()
+            self.stopped = True
+            async with cancelling(self.tasks):
+                await asyncio.sleep(0)
 
     def spawn(self, coroutine: Any) -> None:
-        """Run a coroutine and keep it alive until it ends."""
+        """Run a coroutine and keep it alive until it ends.
+
+        Once the shell stops nothing new is started: its threads are gone.
+        """
+        if self.stopped:
+            coroutine.close()
+            return
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
