--- a/src/ebonycleat/internal/process/dedupe.py
+++ b/src/ebonycleat/internal/process/dedupe.py
@@ -17,6 +17,7 @@
 )
 from ebonycleat.internal.process.dedupe_memory import KEEP_S as SPAN_S
 from ebonycleat.internal.process.dedupe_runs import (
+    NO_ROOM,
     STARTED_UNKNOWN,
     DedupeEvent,
     IdRuns,
@@ -32,7 +33,6 @@
 from ebonycleat.internal.request.call import CallResult, RefusedCall
 from ebonycleat.internal.request.idempotent_send import (
     AskAnswered,
-    CopyNotTaken,
     DedupeAsk,
     hash_id,
 )
@@ -50,11 +50,6 @@
     'the former owner of this id ran without the log, it may have started',
 )
 
-NO_ROOM = refuse_outcome_unknown(
-    Reason.DEDUPE_UNAVAILABLE,
-    'this node cannot remember more ids, send again with the same id',
-)
-
 
 class DedupeOwner:
     """Decides for the ids of the slots that this node holds."""
@@ -83,10 +78,10 @@
             return self.runs.repeat(entry, ask, now)
         tenure = self._tenure_for(ask, now)
         if tenure is None:
-            return [self._not_taken(ask, now)]
+            return [self.runs.not_taken(ask, self.commit, now)]
         if not tenure.loaded:
             if len(tenure.held_back) >= MAX_HELD_BACK:
-                return [self._not_taken(ask, now)]
+                return [self.runs.not_taken(ask, self.commit, now)]
             tenure.held_back.append(ask)
             return []
         return self._decide(ask, tenure, id_hash, now)
@@ -152,7 +147,8 @@
         if tenure is None:
             return []
         events: list[DedupeEvent] = [
-            self._not_taken(held, now) for held in tenure.held_back
+            self.runs.not_taken(held, self.commit, now)
+            for held in tenure.held_back
         ]
         for entry in tuple(self.runs.waiting.values()):
             if entry.slot == slot:
@@ -200,10 +196,11 @@
                 tenure.first_usable(now)
                 tenure.loaded = tenure.never_owned
             events.extend(
-                self._not_taken(late, now) for late in tenure.expired(now)
+                self.runs.not_taken(late, self.commit, now)
+                for late in tenure.expired(now)
             )
-        self.started.expire(now)
         events.extend(self.runs.expire(now))
+        self._forget(now)
         for entry in tuple(self.runs.waiting.values()):
             events.extend(self._release_unlogged(entry, now))
         events.extend(self.commit.next_append(now))
@@ -272,6 +269,15 @@
             return False
         return self.rights.usable(entry.slot, now)
 
+    def _forget(self, now: float) -> None:
+        # In a long outage of the log the queue must not outgrow the memory.
+        self.started.expire(now)
+        for entry in self.runs.memory.expire(now):
+            self.commit.drop(entry.id_hash)
+            tenure = self.tenures.get(entry.slot)
+            if tenure is not None:
+                tenure.unlogged_ids.discard(entry.id_hash)
+
     def _release_unlogged(
         self,
         entry: IdEntry,
@@ -284,17 +290,6 @@
         self.tenures[entry.slot].unlogged_ids.add(entry.id_hash)
         return self.runs.permit(entry, now + RUN_PERMIT_S, now)
 
-    def _not_taken(self, ask: DedupeAsk, now: float) -> DedupeEvent:
-        call_id = ask.call.call_id
-        if self.runs.refused.promise(call_id, ask.copy_number, now):
-            return CopyNotTaken(
-                call_id,
-                ask.copy_number,
-                self.commit.node,
-                self.commit.incarnation,
-            )
-        return _refuse(ask, NO_ROOM)
-
 
 def _refuse(ask: DedupeAsk, refusal: Refusal) -> AskAnswered:
     return answer_ask(ask, RefusedCall(ask.call.call_id, refusal))
--- a/src/ebonycleat/internal/process/dedupe_memory.py
+++ b/src/ebonycleat/internal/process/dedupe_memory.py
@@ -95,10 +95,6 @@
         """Say if no further id can be remembered."""
         return len(self.entries) >= self.limits.max_ids
 
-    def drop(self, entry: IdEntry) -> None:
-        """Forget an id that has certainly not started."""
-        self.entries.pop(entry.id_hash, None)
-
     def settle(self, entry: IdEntry, phase: Phase, now: float) -> None:
         """Move an entry to a settled phase and start its memory span."""
         entry.phase = phase
@@ -123,8 +119,9 @@
             evicted.phase = Phase.UNKNOWN
             evicted.answer = None
 
-    def expire(self, now: float) -> None:
-        """Forget settled ids past the memory span."""
+    def expire(self, now: float) -> list[IdEntry]:
+        """Forget settled ids past the memory span, and return them."""
+        forgotten = []
         while self.expiries and self.expiries[0][0] <= now:
             expires_at, id_hash = self.expiries.popleft()
             entry = self.entries.get(id_hash)
@@ -132,7 +129,8 @@
                 continue
             if entry.phase in SETTLED_PHASES:
                 self._forget_answer(id_hash)
-                self.entries.pop(id_hash)
+                forgotten.append(self.entries.pop(id_hash))
+        return forgotten
 
     def _forget_answer(self, id_hash: bytes) -> None:
         self.answer_bytes -= self.answer_sizes.pop(id_hash, 0)
--- a/src/ebonycleat/internal/process/dedupe_runs.py
+++ b/src/ebonycleat/internal/process/dedupe_runs.py
@@ -12,6 +12,7 @@
     RefusedCopies,
 )
 from ebonycleat.internal.process.effects import AppendToLog
+from ebonycleat.internal.process.started_log import GroupCommit
 from ebonycleat.internal.request.call import Answer, Call, CallResult
 from ebonycleat.internal.request.call import RefusedCall as Refused
 from ebonycleat.internal.request.idempotent_send import (
@@ -47,6 +48,11 @@
     'a request with this id has started, its answer is not known',
 )
 
+NO_ROOM = refuse_outcome_unknown(
+    Reason.DEDUPE_UNAVAILABLE,
+    'this node cannot remember more ids, send again with the same id',
+)
+
 
 def answer_ask(ask: DedupeAsk, result: CallResult) -> AskAnswered:
     """Address a result to one of the calls that asked for the id."""
@@ -97,6 +103,23 @@
             entry.asks[ask.call.call_id] = ask
         return []
 
+    def not_taken(
+        self,
+        ask: DedupeAsk,
+        commit: GroupCommit,
+        now: float,
+    ) -> DedupeEvent:
+        """Promise never to run a copy, if there is room for the promise."""
+        call_id = ask.call.call_id
+        if self.refused.promise(call_id, ask.copy_number, now):
+            return CopyNotTaken(
+                call_id,
+                ask.copy_number,
+                commit.node,
+                commit.incarnation,
+            )
+        return _refuse(ask, NO_ROOM)
+
     def permit(
         self,
         entry: IdEntry,
@@ -161,7 +184,7 @@
         return [self._refuse_unrun(entry, ask, reason, now) for ask in asks]
 
     def expire(self, now: float) -> list[DedupeEvent]:
-        """Answer calls past their deadline, forget what is too old."""
+        """Answer calls past their deadline."""
         events: list[DedupeEvent] = []
         for entry in tuple(self.waiting.values()):
             times = [ask.call.deadline for ask in entry.asks.values()]
@@ -169,7 +192,6 @@
                 events.extend(self.refuse_entry(entry, Reason.DEADLINE, now))
         for entry in tuple(self.runs.values()):
             events.extend(self._expire_run(entry, now))
-        self.memory.expire(now)
         self.refused.expire(now)
         return events
 
--- a/src/ebonycleat/internal/process/started_log.py
+++ b/src/ebonycleat/internal/process/started_log.py
@@ -6,8 +6,8 @@
 groups, at most once in an interval.
 """
 
-import collections
 import dataclasses
+import itertools
 import math
 from collections.abc import Iterable
 
@@ -84,7 +84,8 @@
         self.incarnation = incarnation
         self.service = service
         self.interval_s = interval_s
-        self.queue: collections.deque[bytes] = collections.deque()
+        # Keys of a dictionary: each id once, in order.
+        self.queue: dict[bytes, None] = {}
         self.group: AppendToLog | None = None
         self.awaiting = False
         self.failed = False
@@ -93,7 +94,11 @@
 
     def add(self, id_hash: bytes) -> None:
         """Queue one id; it leaves only when the log has confirmed it."""
-        self.queue.append(id_hash)
+        self.queue.setdefault(id_hash)
+
+    def drop(self, id_hash: bytes) -> None:
+        """Take back an id that nobody needs to know of any more."""
+        self.queue.pop(id_hash, None)
 
     def due_at(self) -> float:
         """Return when the next append may leave, infinity if none waits."""
@@ -142,14 +147,16 @@
 
     def _make_group(self) -> AppendToLog:
         self.groups_made += 1
-        count = min(len(self.queue), MAX_GROUP_IDS)
+        hashes = tuple(itertools.islice(self.queue, MAX_GROUP_IDS))
+        for leaving in hashes:
+            self.queue.pop(leaving)
         operation_id = f'{self.node}/{self.incarnation}/{self.groups_made}'
         record = StartedGroup(
             operation_id=operation_id,
             node=self.node,
             incarnation=self.incarnation,
             service=self.service,
-            id_hashes=b''.join(self.queue.popleft() for _ in range(count)),
+            id_hashes=b''.join(hashes),
         )
         return AppendToLog(Stream.STARTED, record, operation_id)
 
--- a/tests/cover/test_dedupe_owner.py
+++ b/tests/cover/test_dedupe_owner.py
@@ -217,6 +217,23 @@
     assert bench.owner.runs.memory.answer_bytes == 0
 
 
+def test_a_long_outage_of_the_log_does_not_fill_the_memory():
+    """Guards against a queue for the log that grows with the outage."""
+    bench = make_bench()
+    bench.rights.flag = True
+    append = bench.owner.begin(make_ask('first'), 1)[0]
+    bench.owner.append_result(AppendFailed(append.operation_id, True), 1)
+    bench.owner.begin(make_ask('id'), 1.1)
+    assert bench.owner.may_dispatch('id/1', 1.1)
+    bench.owner.finished('id/1', Answer('id/1', 200), 1.2)
+    assert bench.owner.needs_unlogged_flag(SLOT, 2)
+    bench.owner.tick(KEEP_S + 2)
+    assert not bench.owner.commit.queue
+    assert not bench.owner.tenures[SLOT].unlogged_ids - {
+        hash_id('survey', 'first'),
+    }
+
+
 def test_a_full_memory_refuses_and_does_not_say_not_run():
     """Guards against forgetting a started id to make room."""
     bench = make_bench(limits=DedupeLimits(max_ids=1))
