Admission: callers hear an open level while the queue is short

Cause: levels heard from a gate whose queue was already short kept callers from filling it, and refused requests of teams inside their rate. Change: the level sent with answers is open unless calls wait longer than the target delay. Critical calls follow levels at a smaller margin than others, because they have room of their own and crowded one target.

--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -50,7 +50,7 @@
     @property
     def admission_level(self) -> int:
         """Level to send with answers and heartbeats."""
-        return self.signals.level.level
+        return self.signals.advertised_level
 
     def set_team_weights(self, weights: Mapping[str, float]) -> None:
         """Share the target by these weights, for example team rates."""
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -1,6 +1,7 @@
 """What a gate has seen lately, as the signals that its decisions use."""
 
 from ebonycleat.internal.process.admission_level import (
+    OPEN_LEVEL,
     AdmissionLevel,
     position_of,
     target_delay_s,
@@ -31,6 +32,11 @@
         self.waits_since: float | None = None
         self.is_delayed = False
 
+    @property
+    def advertised_level(self) -> int:
+        """Level for callers: with a short queue the gate takes anything."""
+        return self.level.level if self.is_delayed else OPEN_LEVEL
+
     def admits(self, entry: QueuedCall) -> bool:
         """Admit below the level, and anything while the queue is short."""
         position = position_of(entry.call, entry.surplus)
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -19,7 +19,7 @@
     Member,
     TargetRecords,
 )
-from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.request.refusal import (
     Reason,
     Refusal,
@@ -31,9 +31,13 @@
 """Above this the own zone's choice is compared with other zones'."""
 
 OTHER_ZONE_PENALTY = 1.1
-RISK_MARGIN = 64
+RISK_MARGIN = 128
 """Positions this close below a level may be refused by the next one."""
 
+CRITICAL_RISK_MARGIN = 64
+"""Critical calls have a part of each queue to themselves and can wait; when
+they all follow the level, they crowd one target."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteRequest:
@@ -130,7 +134,9 @@
         """
         near_level = self.levels.level_of(near.node, now)
         far_level = self.levels.level_of(far.node, now)
-        is_risky = position_of(call) + RISK_MARGIN >= near_level
+        is_critical = call.priority is Priority.CRITICAL
+        margin = CRITICAL_RISK_MARGIN if is_critical else RISK_MARGIN
+        is_risky = position_of(call) + margin >= near_level
         return far if is_risky and far_level > near_level else near
 
     def is_saturated(self, member: Member, now: float) -> bool:
