--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -40,7 +40,7 @@
             name: FleetNode(self, name) for name in sorted(shape.zone_of)
         }
         self.member_of = {
-            name: Member(name, zone, shape.services)
+            name: Member(name, zone, shape.services_at(name))
             for name, zone in shape.zone_of.items()
         }
         self.sent: list[tuple[str, SendToPeer]] | None = None
@@ -129,7 +129,7 @@
 
     def _highest_part(self, zone: str, team: str) -> tuple[float, float]:
         parts = [
-            node.parts[zone][team]
+            node.parts[zone].get(team, (0, 0))
             for node in self.nodes.values()
             if node.zone == zone
         ]
--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -14,6 +14,7 @@
 )
 from ebonycleat.internal.process.budget_owner import BudgetOwner
 from ebonycleat.internal.process.effects import (
+    AppendDone,
     AppendResult,
     AppendToLog,
     Effect,
@@ -47,7 +48,7 @@
             self.name,
             self.zone,
             self.incarnation,
-            shape.services,
+            shape.services_at(self.name),
             shape.slots_per_scope,
         )
         self.engine = create_ownership_engine(settings, self.now())
@@ -158,6 +159,8 @@
     def append_answered(self, outcome: AppendResult) -> None:
         """Hand the result of an append to the engine."""
         self.carry_out(self.engine.append_result(outcome, self.now()))
+        if isinstance(outcome, AppendDone):
+            self.read_log()
 
     def admit(
         self,
@@ -196,10 +199,15 @@
             self.wake_at = wake_at
             delay_s = max(wake_at - self.now(), 0) / self.clock_rate
             # A little late, so that rounding cannot make it too early.
-            self.later(delay_s + 1e-6, self.tick_holder)
+            self.later(delay_s + 1e-6, self.tick_holder, wake_at)
+
+    def tick_holder(self, planned_at: float) -> None:
+        """Run the holder's periodic work, unless an earlier tick was planned.
 
-    def tick_holder(self) -> None:
-        """Run the periodic work of the holder."""
+        Ticks that were overtaken must not plan others: they would multiply.
+        """
+        if planned_at != self.wake_at:
+            return
         self.wake_at = math.inf
         self.holder.tick(self.now())
         self.settle_holder()
--- a/bench/fleet_shape.py
+++ b/bench/fleet_shape.py
@@ -16,9 +16,13 @@
     slots_per_scope: int
     tick_s: float = 0.1
     log_poll_s: float = 0.25
-    services: tuple[str, ...] = (SERVICE,)
+    service_of: dict[str, str] = dataclasses.field(default_factory=dict)
     clock_spread: float = 0
 
+    def services_at(self, node: str) -> tuple[str, ...]:
+        """Name the service of a node's target."""
+        return (self.service_of.get(node, SERVICE),)
+
     @property
     def zones(self) -> list[str]:
         """All zones in a fixed order."""
--- a/src/ebonycleat/internal/connection/lease_messages.py
+++ b/src/ebonycleat/internal/connection/lease_messages.py
@@ -39,10 +39,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """An owner asks a witness to vouch for its slots."""
+    """An owner asks a witness to vouch for its slots.
+
+    ``list_sequence`` names the heartbeat that carried the whole list; when
+    it is not this one, ``held`` is empty and the witness repeats that list.
+    """
 
     incarnation: int
     sequence: int
+    list_sequence: int
     held: tuple[HeldSlot, ...]
 
 
--- a/src/ebonycleat/internal/process/held_slots.py
+++ b/src/ebonycleat/internal/process/held_slots.py
@@ -4,11 +4,9 @@
 are gone, and releases hand slots over on a planned stop.
 """
 
-import dataclasses
 import itertools
 
 from ebonycleat.internal.connection.lease_messages import (
-    Heartbeat,
     HeartbeatAck,
     HeldSlot,
 )
@@ -18,14 +16,13 @@
     AppendResult,
     AppendToLog,
     Effect,
-    SendToPeer,
 )
 from ebonycleat.internal.process.lease import (
     HEARTBEAT_S,
-    HOLD_S,
     PROMISE_S,
     Lease,
 )
+from ebonycleat.internal.process.lease_heartbeats import LeaseHeartbeats
 from ebonycleat.internal.process.ownership import (
     DEDUPE,
     Basis,
@@ -49,15 +46,6 @@
 SAFE_AT_ONCE = frozenset((Basis.FIRST, Basis.RELEASED))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SentHeartbeat:
-    """What an ack to this heartbeat will vouch for."""
-
-    witness: str
-    sent_at: float
-    slots: tuple[SlotId, ...]
-
-
 class HeldSlots:
     """Leases of one node."""
 
@@ -65,10 +53,11 @@
         """Hold nothing."""
         self.settings = settings
         self.members: tuple[Member, ...] = ()
+        self.alive: frozenset[str] = frozenset()
+        self.proposed: dict[SlotId, tuple[str, ...]] = {}
         self.leases: dict[SlotId, Lease] = {}
         self.stopping = False
-        self.sequence = 0
-        self.sent: dict[int, SentHeartbeat] = {}
+        self.heartbeats = LeaseHeartbeats(settings.incarnation)
         self.next_heartbeat_at = float('-inf')
         self.next_append_at: dict[SlotId, float] = {}
         self.unlogged_services: set[str] = set()
@@ -108,6 +97,12 @@
         for lease in self.leases.values():
             lease.stopped = True
 
+    def members_changed(self, members: tuple[Member, ...]) -> None:
+        """Propose witnesses anew."""
+        self.members = members
+        self.alive = frozenset(member.node for member in members)
+        self.proposed.clear()
+
     def tick(self, now: float) -> list[Effect]:
         """Send what is due: heartbeats and renewals, or releases."""
         if self.stopping:
@@ -124,15 +119,14 @@
 
     def acked(self, witness: str, ack: HeartbeatAck) -> None:
         """Count an ack for the slots of its heartbeat."""
-        sent = self.sent.get(ack.sequence)
-        own = ack.incarnation == self.settings.incarnation
-        if sent is None or not own or sent.witness != witness:
+        sent = self.heartbeats.take_acked(witness, ack)
+        if sent is None:
             return
-        for slot in sent.slots:
-            lease = self.leases.get(slot)
+        for held in sent.held:
+            lease = self.leases.get(held.slot)
             if lease is None:
                 continue
-            if slot in ack.refused:
+            if held.slot in ack.refused:
                 lease.refused_by_witness(witness)
             else:
                 lease.heard_from_witness(witness, sent.sent_at, ack.sequence)
@@ -161,38 +155,21 @@
 
     def _heartbeats(self, now: float) -> list[Effect]:
         by_witness: dict[str, list[HeldSlot]] = {}
+        last_sequence = self.heartbeats.sequence
         for slot, lease in self.leases.items():
-            lease.change_unlogged(self.is_unlogged(slot, now), self.sequence)
+            lease.change_unlogged(self.is_unlogged(slot, now), last_sequence)
             held = HeldSlot(slot, lease.epoch, lease.unlogged)
             for witness in lease.all_witnesses():
                 by_witness.setdefault(witness, []).append(held)
-        self._forget_old_heartbeats(now)
-        return [
-            self._heartbeat(addressee, by_witness[addressee], now)
-            for addressee in sorted(by_witness)
-        ]
-
-    def _heartbeat(
-        self,
-        witness: str,
-        held: list[HeldSlot],
-        now: float,
-    ) -> SendToPeer:
-        self.sequence += 1
-        slots = tuple(item.slot for item in held)
-        self.sent[self.sequence] = SentHeartbeat(witness, now, slots)
-        heartbeat = Heartbeat(
-            self.settings.incarnation,
-            self.sequence,
-            tuple(held),
-        )
-        return SendToPeer(witness, heartbeat)
+        return self.heartbeats.beat(by_witness, now)
 
-    def _forget_old_heartbeats(self, now: float) -> None:
-        for sequence, sent in tuple(self.sent.items()):
-            if sent.sent_at + HOLD_S > now:
-                break
-            self.sent.pop(sequence)
+    def _propose(self, slot: SlotId) -> tuple[str, ...]:
+        # Ranking is too dear to be repeated for each slot at each tick.
+        proposed = self.proposed.get(slot)
+        if proposed is None:
+            proposed = choose_witnesses(slot, self.settings.node, self.members)
+            self.proposed[slot] = proposed
+        return proposed
 
     def _renew(self, lease: Lease, now: float) -> list[Effect]:
         slot = lease.slot
@@ -202,7 +179,7 @@
         )
         if now < self.next_append_at.get(slot, 0):
             return []
-        witnesses = choose_witnesses(slot, self.settings.node, self.members)
+        witnesses = self._propose(slot)
         if not lapsed and not self._needs_renewal(lease, witnesses):
             return []
         if lapsed:
@@ -231,8 +208,7 @@
             return True
         if proposed == lease.witnesses:
             return False
-        alive = {member.node for member in self.members}
-        gone = not alive.issuperset(lease.witnesses)
+        gone = not self.alive.issuperset(lease.witnesses)
         more = len(proposed) > len(lease.witnesses)
         return gone or more or self.settings.node in lease.witnesses
 
--- a/src/ebonycleat/internal/process/ownership_engine.py
+++ b/src/ebonycleat/internal/process/ownership_engine.py
@@ -70,7 +70,7 @@
     ) -> list[Effect]:
         """Take note of the nodes that are alive as far as this node knows."""
         self.claims.members_changed(members)
-        self.held.members = self.claims.members
+        self.held.members_changed(self.claims.members)
         return self.tick(now)
 
     def log_page(
--- a/src/ebonycleat/internal/process/slot_claims.py
+++ b/src/ebonycleat/internal/process/slot_claims.py
@@ -46,6 +46,9 @@
 # Claims without support say "unlogged", so support is tried for longer than
 # any promise lasts.
 UNSUPPORTED_AFTER_S = 2 * PROMISE_S
+# Witnesses that did not support by then are cut off rather than bound.
+EAGER_S = 10.0
+PATIENT_ASK_S = 2.0
 RETRY_AFTER_REFUSED_S = 0.3
 RETRY_AFTER_UNKNOWN_S = 1.5
 # The log takes several hundred appends/s from the whole fleet.
@@ -75,7 +78,7 @@
     votes: dict[str, bool] = dataclasses.field(default_factory=dict)
     operation_id: str = ''
     retry_at: float = 0
-    asked_at: float = float('-inf')
+    next_ask_at: float = float('-inf')
 
 
 class SlotClaims:
@@ -113,8 +116,8 @@
             claim = self._compose_claim(slot, attempt, now)
             if claim is not None:
                 claims.append(self._send_claim(attempt, claim, now))
-            elif now >= attempt.asked_at + HEARTBEAT_S:
-                attempt.asked_at = now
+            elif now >= attempt.next_ask_at:
+                attempt.next_ask_at = now + _ask_pause_s(now - attempt.since)
                 for witness in self.fold.state_of(slot).witnesses:
                     asked.setdefault(witness, []).append(
                         AskedSlot(slot, attempt.epoch),
@@ -244,3 +247,7 @@
         attempt.operation_id = claim.operation_id
         attempt.retry_at = now + RETRY_AFTER_UNKNOWN_S
         return AppendToLog(Stream.OWNERSHIP, claim, claim.operation_id)
+
+
+def _ask_pause_s(waited_s: float) -> float:
+    return HEARTBEAT_S if waited_s < EAGER_S else PATIENT_ASK_S
--- a/src/ebonycleat/internal/process/team_queue.py
+++ b/src/ebonycleat/internal/process/team_queue.py
@@ -34,8 +34,9 @@
 # Demand covered ahead of need. Below one token nothing is fetched ahead, so
 # teams with small bursts have no tokens stranded at idle nodes.
 PREFETCH_S = 0.05
-# Spent tokens fill the burst until they are reported.
-REPORT_DELAY_S = 0.03
+# Spent tokens fill the burst until they are reported; busy teams report with
+# their next ask, long before this.
+REPORT_DELAY_S = 0.1
 RETURN_CHECK_S = 0.05
 # More calls than this cannot all be served within the wait.
 MAX_WAITERS = 64
@@ -240,9 +241,9 @@
 
     def _return_and_report(self, now: float) -> None:
         if now >= self.return_check_at:
-            self.tokens.return_surplus(self._prefetch(now), now)
             self.return_check_at = math.inf
-            self.report_due_at = now
+            if self.tokens.return_surplus(self._prefetch(now), now):
+                self.report_due_at = now
             if self.tokens.free(now):
                 self.return_check_at = now + RETURN_CHECK_S
         if now >= self.report_due_at:
--- a/src/ebonycleat/internal/process/team_tokens.py
+++ b/src/ebonycleat/internal/process/team_tokens.py
@@ -118,16 +118,21 @@
             if now >= grant.expires_at:
                 self.grants.pop(grant.grant_id)
 
-    def return_surplus(self, keep: int, now: float) -> None:
-        """Mark free tokens as returned, but for those soon needed."""
-        surplus = self.free(now) - keep
+    def return_surplus(self, keep: int, now: float) -> int:
+        """Mark free tokens as returned, but for those soon needed.
+
+        Returns how many there were.
+        """
+        surplus = max(self.free(now) - keep, 0)
+        left = surplus
         for grant in self.grants.values():
             idle = now >= grant.received_at + IDLE_RETURN_S
-            if surplus > 0 and idle and now < grant.expires_at:
-                returned = min(grant.free, surplus)
+            if left and idle and now < grant.expires_at:
+                returned = min(grant.free, left)
                 grant.free -= returned
                 grant.returned += returned
-                surplus -= returned
+                left -= returned
+        return surplus - left
 
     def take_reports(self, owner: str) -> tuple[GrantReport, ...]:
         """Report what an owner does not know yet, and drop used grants."""
--- a/src/ebonycleat/internal/process/token_bucket.py
+++ b/src/ebonycleat/internal/process/token_bucket.py
@@ -133,25 +133,20 @@
 ) -> dict[str, tuple[float, int]]:
     """Divide a team's rate and burst over zones; the parts sum to the whole.
 
-    Bursts are whole tokens, because a zone with less than one token of burst
-    could never give one. A zone without burst gets no rate either.
-    """
-    bursts = _divide_whole(burst, weights)
-    served = sum(weights[zone] for zone, part in bursts.items() if part)
-    return {
-        zone: (rate_per_s * weights[zone] / served if part else 0, part)
-        for zone, part in bursts.items()
-    }
-
+    Bursts are whole tokens, because less than one token can never be given.
+    A zone whose part of the burst is zero gives nothing and its rate is
+    lost, so a configuration with such a zone should be rejected.
 
-def _divide_whole(total: int, weights: dict[str, float]) -> dict[str, int]:
+    When the whole grows, no part shrinks (d'Hondt's method). So while nodes
+    still have different versions, the parts in use never sum to more than
+    the larger whole.
+    """
     whole = sum(weights.values())
-    shares = {zone: total * part / whole for zone, part in weights.items()}
-    parts = {zone: math.floor(share) for zone, share in shares.items()}
-    by_remainder = sorted(
-        weights,
-        key=lambda zone: (parts[zone] > 0, parts[zone] - shares[zone], zone),
-    )
-    for zone in by_remainder[: total - sum(parts.values())]:
-        parts[zone] += 1
-    return parts
+    shares = {zone: weight / whole for zone, weight in weights.items()}
+    parts = {zone: math.floor(burst * shares[zone]) for zone in weights}
+    while sum(parts.values()) < burst:
+        quotients = [
+            (share / (parts[zone] + 1), zone) for zone, share in shares.items()
+        ]
+        parts[max(quotients)[1]] += 1
+    return {zone: (rate_per_s * shares[zone], parts[zone]) for zone in weights}
--- a/src/ebonycleat/internal/process/witness.py
+++ b/src/ebonycleat/internal/process/witness.py
@@ -21,6 +21,9 @@
 from ebonycleat.internal.process.lease import PROMISE_S
 from ebonycleat.internal.process.ownership import OwnershipFold, SlotId
 
+HeldList = tuple[HeldSlot, ...]
+ListName = tuple[int, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promise:
@@ -41,6 +44,7 @@
         self.acknowledges_after: int | None = None
         self.promises: dict[SlotId, Promise] = {}
         self.supported_epochs: dict[SlotId, int] = {}
+        self.lists: dict[str, tuple[ListName, HeldList]] = {}
         self.last_sequences: dict[str, tuple[int, int]] = {}
 
     def log_was_read_to_its_end(self) -> None:
@@ -57,15 +61,19 @@
         """Promise what can be promised, and refuse the other slots.
 
         Returns None for a heartbeat that was overtaken by a later one of the
-        same owner: its ``unlogged`` flags may be out of date.
+        same owner, as its ``unlogged`` flags may be out of date, and for one
+        that names a list that this node does not know.
         """
         sequence = (heartbeat.incarnation, heartbeat.sequence)
         if sequence <= self.last_sequences.get(owner, (-1, -1)):
             return None
         self.last_sequences[owner] = sequence
+        held_list = self._find_list(owner, heartbeat)
+        if held_list is None:
+            return None
         refused = tuple(
             held.slot
-            for held in heartbeat.held
+            for held in held_list
             if not self._promise(owner, held, now)
         )
         return HeartbeatAck(heartbeat.incarnation, heartbeat.sequence, refused)
@@ -94,6 +102,18 @@
             unlogged = unlogged or promise.unlogged
         return SupportedSlot(slot, epoch, unlogged)
 
+    def _find_list(
+        self,
+        owner: str,
+        heartbeat: Heartbeat,
+    ) -> HeldList | None:
+        name = (heartbeat.incarnation, heartbeat.list_sequence)
+        if heartbeat.list_sequence == heartbeat.sequence:
+            self.lists[owner] = (name, heartbeat.held)
+            return heartbeat.held
+        known_name, held = self.lists.get(owner, ((0, 0), ()))
+        return held if known_name == name else None
+
     def _promise(self, owner: str, held: HeldSlot, now: float) -> bool:
         slot, epoch, unlogged = held
         state = self.fold.state_of(slot)
