Hidden renewals again reach the window that they attack

Cause: since a node reads the log as soon as an append is confirmed, it sees its own renewal before the attack begins, and one deliberate fault was no longer found.

Change: the attack also loses answers to appends.

Figures: all eight deliberate faults are found again (test_checker_sees_faults).

Conclusion: no code of the nodes changed.

--- a/bench/slot_attacks.py
+++ b/bench/slot_attacks.py
@@ -43,6 +43,7 @@
 )
 # The owner does not see its own renewal, others do.
 HIDDEN_RENEWAL: Attack = (
+    ('lose_append_answers', 1.4, 2),
     ('suspect_witnesses', 1.8, 1),
     ('cut_all_but_one_from_log', 1.9, 6),
     ('suspect_owner', 2.2, 5),
