The crash test shows that suspects must not run side by side

Cause: nothing showed that the simulated fleet needs the rule. Conclusion: the simulation is harsh enough.

--- a/tests/nocover/test_crash_suspects.py
+++ b/tests/nocover/test_crash_suspects.py
@@ -8,6 +8,7 @@
 
 from ebonycleat import Call, Priority, Reason, Refusal
 from ebonycleat.internal.process.crash_suspects import (
+    FATAL_DEATHS,
     REFUSED_S,
     Admission,
     CrashSuspects,
@@ -25,6 +26,7 @@
     SuspectMemory,
     TargetDied,
 )
+from ebonycleat.internal.request.refusal import refuse_not_run
 
 NODES = ('a', 'b', 'c', 'd')
 
@@ -129,14 +131,7 @@
         self.nodes[name].received(record, self.now)
 
 
-@pytest.mark.parametrize('log_works', [True, False])
-@pytest.mark.parametrize('seed', range(20))
-def test_at_most_two_targets_die_of_a_request_sent_twenty_times(
-    seed,
-    log_works,
-):
-    """Guards against F7: the request reaches all nodes, also at once."""
-    fleet = Fleet(seed, log_works)
+def send_among_innocents(fleet):
     innocents = [make_call(f'i-{number}', bytes(2)) for number in range(20)]
     innocents.extend(
         make_call(f'j-{number}', str(number).encode()) for number in range(200)
@@ -151,9 +146,40 @@
         start = fleet.rng.choice((1.02, 1.1, 1.1 + number / 10))
         fleet.after(start, fleet.offer, NODES[number % 4], crash)
     fleet.run()
+    return {call.call_id for call in innocents}
+
+
+@pytest.mark.parametrize('log_works', [True, False])
+@pytest.mark.parametrize('seed', range(20))
+def test_at_most_two_targets_die_of_a_request_sent_twenty_times(
+    seed,
+    log_works,
+):
+    """Guards against F7: the request reaches all nodes, also at once."""
+    fleet = Fleet(seed, log_works)
+    innocents = send_among_innocents(fleet)
     assert fleet.deaths == 2
     assert fleet.refused == {b'crash'}
-    assert fleet.answered == {call.call_id for call in innocents}
+    assert fleet.answered == innocents
+
+
+def admit_suspects_like_others(node, call, live_nodes, now):
+    mark = fingerprint(call)
+    if len(node.memory.deaths_of(mark, now)) >= FATAL_DEATHS:
+        return refuse_not_run(Reason.CRASH_SUSPECT)
+    node.running[call.call_id] = mark
+    return Admission.RUN
+
+
+def test_the_fleet_sees_it_when_suspects_run_side_by_side(monkeypatch):
+    """Guards against a simulation too mild to need the suspects' order."""
+    monkeypatch.setattr(CrashSuspects, 'admit', admit_suspects_like_others)
+    harmed = 0
+    for seed in range(20):
+        fleet = Fleet(seed)
+        innocents = send_among_innocents(fleet)
+        harmed += fleet.deaths > 2 or fleet.answered != innocents
+    assert harmed >= 10
 
 
 def test_records_in_any_order_give_the_same_decision():
