A refused attempt is never what runs, though it may wait

Cause: a delayed attempt that had been answered NOT_RUN joined a newer attempt which waited for the log; when the newer one's deadline passed, the call was run on behalf of the refused attempt. Change: a permit is given only to a call whose attempt and copy were not refused; a unit test and the schedule that showed it.

--- a/src/ebonycleat/internal/process/dedupe_runs.py
+++ b/src/ebonycleat/internal/process/dedupe_runs.py
@@ -126,10 +126,14 @@
         expires_at: float,
         now: float,
     ) -> list[DedupeEvent]:
-        """Let a waiting id run, as a call that still has time."""
+        """Let a waiting id run, as a call that still has time.
+
+        A copy or an attempt that was refused before may wait for the answer,
+        but the run is never made on its behalf.
+        """
         entry.vouched = True
         for ask in entry.asks.values():
-            if ask.call.deadline > now:
+            if ask.call.deadline > now and not self.was_refused(entry, ask):
                 self.waiting.pop(entry.id_hash, None)
                 entry.phase = Phase.PERMITTED
                 entry.runner = ask.call.call_id
@@ -139,6 +143,12 @@
                 return [RunCall(ask.call, entry.slot)]
         return self.refuse_entry(entry, Reason.DEADLINE, now)
 
+    def was_refused(self, entry: IdEntry, ask: DedupeAsk) -> bool:
+        """Say if NOT_RUN was said of this copy or of this attempt."""
+        if 0 < ask.attempt <= entry.attempt:
+            return True
+        return self.refused.covers(ask.call.call_id, ask.copy_number)
+
     def dispatch(self, entry: IdEntry, now: float) -> bool:
         """Mark a permitted id as running, unless its permit is too old."""
         if entry.phase is not Phase.PERMITTED or now > entry.expires_at:
--- a/tests/cover/test_dedupe_owner.py
+++ b/tests/cover/test_dedupe_owner.py
@@ -256,6 +256,20 @@
     assert [type(event) for event in fresh] == [AppendToLog]
 
 
+def test_a_refused_attempt_may_wait_but_is_not_what_runs():
+    """Regression, seed 203843: an attempt ran that was said not to."""
+    bench = make_bench()
+    append = bench.owner.begin(make_ask('id', 2, attempt=2), 1)[0]
+    bench.confirm(append, 1.01)
+    refused = RefusedCall('id/2', refuse_not_run(Reason.QUEUE_FULL))
+    bench.owner.finished('id/2', refused, 1.02)
+    append = bench.owner.begin(make_ask('id', 3, 3, deadline=3), 2)[0]
+    late = make_ask('id', 1, 1)
+    assert bench.owner.begin(late, 2.1) == []
+    events = bench.confirm(append, 3.5)
+    assert set(outcomes(events)) == {Outcome.NOT_RUN}
+
+
 def test_a_copy_for_a_former_epoch_is_not_taken_then_or_later():
     """Guards against a delayed copy that runs under a later tenure."""
     bench = make_bench()
--- a/tests/nocover/test_dedupe_schedules.py
+++ b/tests/nocover/test_dedupe_schedules.py
@@ -25,6 +25,12 @@
         assert not verdict.violations, f'seed {seed}'
 
 
+def test_schedules_that_once_failed_stay_repaired():
+    """Guards against the return of faults that larger counts found."""
+    for seed in (203843,):
+        assert not run_schedule(seed).violations
+
+
 def test_the_schedules_reach_every_kind_of_word():
     """Guards against schedules so harsh or mild that they prove nothing."""
     verdicts = [run_schedule(seed) for seed in range(40)]
