Admission: judge the delay by calls that the level admits

Cause: calls of the team over its share wait behind all others until they expire; counted into the delay, they lowered the level for teams that did not wait at all. Change: the level follows the delay of waiting calls below it only.

--- a/src/ebonycleat/internal/process/admission_level.py
+++ b/src/ebonycleat/internal/process/admission_level.py
@@ -83,13 +83,15 @@
         """Count one call that was dispatched."""
         self.started += 1
 
+    def is_due(self, now: float) -> bool:
+        """Whether the window is over."""
+        return now >= self.window_until
+
     def update(self, delay_s: float, service_s: float, now: float) -> None:
-        """Close the window when it is over.
+        """Close the window.
 
         Between half the target delay and the target the level stays.
         """
-        if now < self.window_until:
-            return
         # An empty queue needs no long look: the level is too low.
         window_s = service_s if delay_s else 0
         self.window_until = now + max(SHORTEST_WINDOW_S, window_s)
--- a/src/ebonycleat/internal/process/fair_queue.py
+++ b/src/ebonycleat/internal/process/fair_queue.py
@@ -28,7 +28,8 @@
 class QueuedCall:
     """A waiting call; a start after ``latest_start`` misses its deadline.
 
-    ``cost`` is in units of an average call.
+    ``cost`` is in units of an average call; ``position`` is its place in
+    the order of shedding.
     """
 
     call: Call
@@ -36,6 +37,7 @@
     latest_start: float
     cost: float = 1
     surplus: bool = False
+    position: int = 0
 
     @property
     def rank(self) -> int:
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -39,12 +39,20 @@
 
     def admits(self, entry: QueuedCall) -> bool:
         """Admit below the level, and anything while the queue is short."""
-        position = position_of(entry.call, entry.surplus)
-        if self.is_delayed and position >= self.level.level:
+        if self.is_delayed and entry.position >= self.level.level:
             return False
-        self.level.count(position)
+        self.level.count(entry.position)
         return True
 
+    def count_admissible(self) -> int:
+        """Waiting calls below the level.
+
+        Those above it wait until they expire; lowering the level for them
+        would refuse calls that do not wait at all.
+        """
+        level = self.level.level
+        return sum(entry.position < level for entry in self.queue)
+
     def delay_s(self, allowed: int) -> float:
         """Seconds that the queue takes to empty at the present limit."""
         backlog_s = len(self.queue) * self.service_times.overall_s
@@ -54,8 +62,11 @@
         """Move the admission level and notice standing overload."""
         delay_s = self.delay_s(allowed)
         service_s = self.service_times.overall_s
-        self.level.update(delay_s, service_s, now)
         self.is_delayed = delay_s > target_delay_s(service_s)
+        if self.level.is_due(now):
+            waiting = self.count_admissible()
+            admissible_s = waiting * service_s / max(1, allowed)
+            self.level.update(admissible_s, service_s, now)
         if self.queue.oldest_wait(now) <= STANDING_WAIT_S:
             self.waits_since = None
         elif self.waits_since is None:
@@ -81,9 +92,11 @@
         Critical calls never count as surplus: they are shed last.
         """
         is_over = self.shares.is_over(call.team, now)
+        surplus = is_over and call.priority is not Priority.CRITICAL
         return QueuedCall(
             call=call,
             queued_at=now,
             latest_start=self.latest_start(call, now),
-            surplus=is_over and call.priority is not Priority.CRITICAL,
+            surplus=surplus,
+            position=position_of(call, surplus),
         )
