Capacity budget per role, worked out from the measured slopes

Every line multiplies slopes by the sizes of the design, for today's fleet and for full size, next to its limit. Numbers that the design does not give are fields of Fleet and named as assumptions.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
 import pathlib
 import sys
 
+from bench.capacity_budget import FULL_SIZE, TODAY, print_budget
 from bench.capacity_bytes import bytes_subjects
 from bench.capacity_fit import Slope, measure_slope
 from bench.capacity_links import link_subjects
@@ -34,7 +35,7 @@
 
 def main() -> int:
     """Measure everything."""
-    slopes = []
+    slopes: list[Slope] = []
     sys.stdout.write(f'{HEADER}\n')
     subjects = (
         *bytes_subjects(),
@@ -45,9 +46,13 @@
     for subject in subjects:
         found = measure_slope(subject)
         sys.stdout.write(f'{describe_slope(found)}\n')
-        slopes.append(dataclasses.asdict(found))
+        slopes.append(found)
+    costs = {found.name: found for found in slopes}
+    for fleet in (TODAY, FULL_SIZE):
+        print_budget(costs, fleet, sys.stdout.write)
+    described = [dataclasses.asdict(found) for found in slopes]
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
-    OUTPUT.write_text(json.dumps(slopes, indent=1), encoding='utf-8')
+    OUTPUT.write_text(json.dumps(described, indent=1), encoding='utf-8')
     return 0
 
 
--- a/bench/capacity_actions.py
+++ b/bench/capacity_actions.py
@@ -24,7 +24,7 @@
 from ebonycleat.internal.process.gate import create_gate
 from ebonycleat.internal.process.lease import LeaseQueries
 from ebonycleat.internal.process.ownership import Basis, SlotId
-from ebonycleat.internal.process.rendezvous import Member
+from ebonycleat.internal.process.rendezvous import Member, choose_witnesses
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.process.slot_claims import (
     OwnershipSettings,
@@ -37,6 +37,8 @@
 Action: TypeAlias = Callable[[], object]
 
 ZONE = samples.ZONES[0]
+# 64 slots for each of 2,400 services and 31 zones, over 17,000 nodes.
+OWNED_SLOTS = 9
 RUN = RunOutcome(RunResult.SUCCEEDED, 0.01)
 
 
@@ -205,6 +207,21 @@
     return lambda: held.tick(0.1)
 
 
+def renew_slots(members: int) -> Action:
+    """A tick of a node that owns nine slots, without a renewal."""
+    held = states.build_held_slots(OWNED_SLOTS)
+    held.members = tuple(
+        Member(samples.node_name(number), ZONE) for number in range(members)
+    )
+    for lease in held.leases.values():
+        lease.witnesses = choose_witnesses(
+            lease.slot,
+            held.settings.node,
+            held.members,
+        )
+    return functools.partial(held.tick, 10)
+
+
 def hear(size: int) -> Action:
     """Promise all slots of one heartbeat."""
     book = states.make_witness_book()
--- a/bench/capacity_bytes.py
+++ b/bench/capacity_bytes.py
@@ -3,21 +3,16 @@
 import functools
 from collections.abc import Callable
 
+from bench import capacity_messages as messages
 from bench import capacity_samples as samples
 from bench.capacity_fit import Subject
 from bench.capacity_states import make_heartbeat
 from ebonycleat.internal.connection.codec import create_codec
 from ebonycleat.internal.connection.grant_messages import (
     GRANT_MESSAGES,
-    GrantAsk,
-    GrantGiven,
-    GrantReport,
 )
 from ebonycleat.internal.connection.lease_messages import (
     LEASE_MESSAGES,
-    AskedSlot,
-    HeartbeatAck,
-    SupportAsk,
 )
 from ebonycleat.internal.connection.log_service import LogRecord
 from ebonycleat.internal.connection.messages import (
@@ -27,7 +22,10 @@
     PeerCall,
     Ping,
 )
-from ebonycleat.internal.process.membership_messages import Announcement
+from ebonycleat.internal.process.membership_messages import (
+    Announcement,
+    HubDigest,
+)
 from ebonycleat.internal.process.config_relay import (
     CONFIGURATION_MESSAGES,
     ConfigurationPage,
@@ -49,6 +47,7 @@
     ChangeSet,
     Claim,
     HistogramPart,
+    HubDigest,
     Release,
     Snapshot,
     StartedGroup,
@@ -67,11 +66,17 @@
         _subject('PeerAnswer', 'body byte', _peer_answer, BODY_SIZES),
         _subject('Ping', 'doubling of its number', _ping),
         _subject('Heartbeat', 'slot', make_heartbeat),
-        _subject('HeartbeatAck', 'refused slot', _heartbeat_ack, (0, 1, 8)),
-        _subject('SupportAsk', 'slot', _support_ask),
-        _subject('GrantAsk', 'report', _grant_ask, (0, 1, 8)),
-        _subject('GrantGiven', 'doubling of its tokens', _grant_given),
+        _subject(
+            'HeartbeatAck', 'refused slot', messages.heartbeat_ack, (0, 1, 8)
+        ),
+        _subject('SupportAsk', 'slot', messages.support_ask),
+        _subject('GrantAsk', 'report', messages.grant_ask, (0, 1, 8)),
+        _subject('GrantGiven', 'doubling of its tokens', messages.grant_given),
         _subject('ConfigurationPage', 'record', _configuration_page),
+        _subject('HubDigest of beats', 'beat', messages.digest_of_beats),
+        _subject(
+            'HubDigest of summaries', 'summary', messages.digest_of_summaries
+        ),
         _subject('record Announcement', 'node', _announcement),
         _subject('record Claim', 'doubling of its number', _claim),
         _subject('record Release', 'doubling of its epoch', _release),
@@ -110,33 +115,6 @@
     return Ping(size)
 
 
-def _heartbeat_ack(size: int) -> HeartbeatAck:
-    slots = tuple(samples.make_slot(number) for number in range(size))
-    return HeartbeatAck(1_780_000_000_000, 100_000, slots)
-
-
-def _support_ask(size: int) -> SupportAsk:
-    return SupportAsk(
-        tuple(
-            AskedSlot(samples.make_slot(number), number + 1)
-            for number in range(size)
-        ),
-    )
-
-
-def _grant_ask(size: int) -> GrantAsk:
-    reports = tuple(
-        GrantReport(f'100000.{number}', 12, 0) for number in range(size)
-    )
-    ask_id = f'{samples.node_name(1)}/1780000000000/100000'
-    return GrantAsk(ask_id, samples.node_name(1), 'team-00001', 5, reports)
-
-
-def _grant_given(size: int) -> GrantGiven:
-    ask_id = f'{samples.node_name(1)}/1780000000000/100000'
-    return GrantGiven(ask_id, '100000.100', 'team-00001', size, 0.987654)
-
-
 def _configuration_page(size: int) -> ConfigurationPage:
     records = tuple(
         LogRecord(
--- a/bench/capacity_fleet_actions.py
+++ b/bench/capacity_fleet_actions.py
@@ -31,11 +31,15 @@
 
 
 def make_core(fleet: int) -> NodeCore:
-    """A node that has heard of so many others and has settled."""
+    """A node that knows a fleet, and hears the members of its own zone."""
     randomness = NodeRandom(random.Random(1), random.Random(2))
     core = create_node_core(SETTINGS, 1, randomness, STARTED_AT)
+    table = core.members.membership.table
     for number in range(fleet):
-        core.members.members.apply(samples.make_announcement(number))
+        announcement = samples.make_announcement(number)
+        table.announced(announcement)
+        if announcement.zone == ZONE:
+            table.heard(samples.make_member_heartbeat(number), STARTED_AT)
     core.slow_tick(STARTED_AT)
     core.slow_tick(STARTED_AT)
     return core
@@ -59,13 +63,13 @@
 
 
 def membership_change(fleet: int) -> Action:
-    """The slow tick after one node has joined."""
+    """The slow tick after one node has announced itself."""
     core = make_core(fleet)
-    core.members.members.apply(samples.make_announcement(fleet))
+    core.members.membership.table.announced(samples.make_announcement(fleet))
     return functools.partial(core.slow_tick, STARTED_AT + 0.1)
 
 
 def members_of_service(fleet: int) -> Action:
-    """What the ingress asks for each call that it places."""
-    members = make_core(fleet).members.members
-    return functools.partial(members.members_of, SERVICE, STARTED_AT)
+    """What the ingress asks for the first call after each slow tick."""
+    directory = make_core(fleet).members.directory
+    return functools.partial(directory.look_up, SERVICE, STARTED_AT)
--- a/bench/capacity_samples.py
+++ b/bench/capacity_samples.py
@@ -5,7 +5,9 @@
 from ebonycleat.internal.process.gate_events import GateLoad
 from ebonycleat.internal.process.membership_messages import (
     Announcement,
+    MemberHeartbeat,
     MemberState,
+    ZoneSummary,
 )
 from ebonycleat.internal.process.ownership import BUDGET, Claim, SlotId
 from ebonycleat.internal.request.call import Answer, Call, Priority
@@ -93,6 +95,27 @@
     )
 
 
+def make_member_heartbeat(number: int) -> MemberHeartbeat:
+    """The heartbeat of the member of the same number."""
+    return MemberHeartbeat(
+        node=node_name(number),
+        incarnation=1_780_000_000_000 + number,
+        number=1,
+        state=MemberState.UP,
+        queued=3,
+        running=30,
+        slots=45,
+        admission_level=640,
+    )
+
+
+def make_zone_summary(number: int) -> ZoneSummary:
+    """A service as the hub of its zone sums it up."""
+    sample = tuple(node_name(number + place) for place in range(3))
+    zone = ZONES[number % len(ZONES)]
+    return ZoneSummary(zone, f'service-{number:04d}', 7, 0.733, sample)
+
+
 def make_slot(number: int) -> SlotId:
     """A budget slot; those of other zones follow after 64."""
     return SlotId(BUDGET, ZONES[number // 64 % len(ZONES)], number)
--- a/bench/capacity_time.py
+++ b/bench/capacity_time.py
@@ -60,6 +60,12 @@
         _subject(
             'owner: rank members', 'member', actions.rank_members, ZONE_SIZES
         ),
+        _subject(
+            'owner: tick with 9 slots',
+            'member',
+            actions.renew_slots,
+            ZONE_SIZES,
+        ),
         _subject('node: fast tick', 'tick', fleet_actions.fast_ticks, COUNTS),
         _subject('node: slow tick', 'member', fleet_actions.slow_tick, FLEETS),
         _subject(
--- a/src/ebonycleat_tools/log_standin.py
+++ b/src/ebonycleat_tools/log_standin.py
@@ -24,6 +24,7 @@
 from ebonycleat.internal.process.log_setup import set_up_logging
 from ebonycleat.internal.process.settings import (
     MIB,
+    ByteLimit,
     IpAddress,
     Port,
     PositiveInt,
@@ -92,7 +93,7 @@
 
     listen: LogListenSettings = LogListenSettings()
     log: LogFaults = LogFaults()
-    max_record_bytes: PositiveInt = MIB // 2
+    max_record_bytes: ByteLimit = 16 * MIB
     seed: Count = 1
 
 
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -4,8 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bench.capacity_budget import FULL_SIZE, LIMITS, TODAY, budget_lines
 from bench.capacity_bytes import bytes_subjects
-from bench.capacity_fit import Subject, fit_line, measure_slope
+from bench.capacity_fit import Slope, Subject, fit_line, measure_slope
 from bench.capacity_links import link_subjects
 from bench.capacity_memory import memory_subjects
 from bench.capacity_time import processor_time_us, time_subjects
@@ -68,3 +69,21 @@
         lambda: next(instants),
     )
     assert spent_us == pytest.approx(3e6)
+
+
+@pytest.mark.parametrize('fleet', [TODAY, FULL_SIZE])
+def test_the_budget_uses_only_slopes_that_are_measured(fleet):
+    """Guards against a budget line whose slope was renamed."""
+    subjects = [
+        *bytes_subjects(),
+        *memory_subjects(),
+        *link_subjects(),
+        *time_subjects(),
+    ]
+    costs = {
+        subject.name: Slope(subject.name, '', '', (), 1, 1, 0)
+        for subject in subjects
+    }
+    lines = list(budget_lines(costs, fleet))
+    assert {line.resource for line in lines} == set(LIMITS)
+    assert all(line.amount > 0 for line in lines)
