An operator's fence reaches the ownership stream

Cause: 'fence node' stood in the configuration only, and nothing wrote the record that frees the slots of a lost node. Change: one live node writes the fence until it covers all slots; fences that a starting node finds in its first view are left alone. Figures: with a whole zone lost, no slot of it was fenced before; all are fenced 8 s after the command now. Conclusion: the last resort of the ownership design works.

--- /dev/null
+++ b/src/ebonycleat/internal/process/fence_duty.py
@@ -0,0 +1,85 @@
+"""Carries an operator's ``fence`` from the configuration to the owners.
+
+The ownership stream alone decides who owns a slot, so the operator's word
+must stand there too. One node writes it, repeatedly until it took effect.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.process.config_relay import rank_nodes
+from ebonycleat.internal.process.effects import AppendToLog
+from ebonycleat.internal.process.ownership import Fence, OwnershipFold
+from ebonycleat.internal.process.rendezvous import Member
+from ebonycleat.internal.version.view import ConfigurationView
+
+REPEAT_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class PendingFence:
+    """A fence that does not cover all slots of its node yet."""
+
+    record: Fence
+    append_at: float = 0
+
+
+class FenceDuty:
+    """Fences of one node, as it sees them appear in the configuration.
+
+    Fences that stood in the first view are old: a later VM of the same name
+    may own slots by now.
+    """
+
+    def __init__(self, node: str, fold: OwnershipFold) -> None:
+        """Know of no fence yet."""
+        self.node = node
+        self.fold = fold
+        self.known: dict[str, int] | None = None
+        self.pending: dict[str, PendingFence] = {}
+        self.live: tuple[str, ...] = ()
+
+    def members_changed(self, live: Sequence[Member]) -> None:
+        """Take note of the live nodes."""
+        self.live = tuple(member.node for member in live)
+
+    def configuration_changed(self, view: ConfigurationView) -> None:
+        """Note the fences that are new in a view."""
+        fenced = dict(view.fenced.pairs())
+        known = fenced if self.known is None else self.known
+        for node, offset in fenced.items():
+            if known.get(node) != offset:
+                operation_id = f'fence-{node}-{offset}'
+                record = Fence(node, self.fold.offset, operation_id)
+                self.pending[node] = PendingFence(record)
+        self.known = fenced
+
+    def tick(self, now: float) -> list[AppendToLog]:
+        """Append what has not taken effect, if this node is the writer."""
+        effects: list[AppendToLog] = []
+        for node, pending in tuple(self.pending.items()):
+            if not self.is_needed(pending.record):
+                self.pending.pop(node)
+            elif now >= pending.append_at and self.is_writer(node):
+                pending.append_at = now + REPEAT_S
+                record = pending.record
+                effects.append(
+                    AppendToLog(Stream.OWNERSHIP, record, record.operation_id),
+                )
+        return effects
+
+    def is_needed(self, record: Fence) -> bool:
+        """Tell whether a slot of the node is not fenced yet."""
+        return any(
+            state.owner == record.node
+            and state.epoch <= record.through_epoch
+            and not (state.fenced or state.released)
+            for state in self.fold.slots.values()
+        )
+
+    def is_writer(self, fenced_node: str) -> bool:
+        """Tell whether this node writes; all live nodes choose the same."""
+        others = [node for node in self.live if node != fenced_node]
+        ranked = rank_nodes('fence', others or [self.node])
+        return ranked[0] == self.node
--- a/src/ebonycleat/internal/process/node_core.py
+++ b/src/ebonycleat/internal/process/node_core.py
@@ -34,6 +34,7 @@
     ReadResult,
     StreamExpired,
 )
+from ebonycleat.internal.process.fence_duty import FenceDuty
 from ebonycleat.internal.process.members_part import (
     MEMBER_MESSAGES,
     MEMBER_RECORDS,
@@ -92,6 +93,7 @@
         self.ownership = parts.ownership
         self.ownership_sync = parts.ownership_sync
         self.call_flow = parts.call_flow
+        self.fences = FenceDuty(node, parts.ownership.engine.fold)
         self.suspects = parts.call_flow.gate_service.suspects.suspects
         self.cursors = parts.cursors
         self.append_streams: dict[str, Stream] = {}
@@ -286,11 +288,13 @@
         if live is not None:
             self.configuration.members_changed(live, now)
             self.ownership_sync.members_changed(live)
+            self.fences.members_changed(live)
             steps.extend(self.ownership.members_changed(live, now))
         if self.draining and self.call_flow.may_release_slots():
             steps.extend(self.ownership.stop(now))
         steps.extend(self.ownership.tick(now))
         steps.extend(self.ownership_sync.tick(now))
+        steps.extend(self.fences.tick(now))
         steps.extend(self.suspects.tick(now))
         steps.extend(self.configuration.tick(now))
         return steps
@@ -392,6 +396,7 @@
         view = self.configuration.take_new_view()
         if view is not None:
             self.members.configuration_changed(view)
+            self.fences.configuration_changed(view)
             changed = self.call_flow.configuration_changed(view, now)
             effects.extend(changed)
         return effects
--- a/tests/nocover/test_whole_nodes.py
+++ b/tests/nocover/test_whole_nodes.py
@@ -317,3 +317,22 @@
     ]
     world.run(3)
     assert {world.status(one) for one in asked} == {200}
+
+
+def test_a_fence_frees_the_slots_of_a_zone_that_is_lost_for_good():
+    """Guards against slots that wait for witnesses who never come back.
+
+    Zone b is lost with all its nodes, so nobody is left to support a claim
+    to its budget slots; the operator's word replaces the witnesses.
+    """
+    world = create_world()
+    for name in ('map-b', 'claims-b'):
+        world.nodes[name].kill()
+    world.run(8)
+    for number, name in enumerate(('map-b', 'claims-b')):
+        world.operate('map-a', f'fence node {name}', f'fence{number}')
+    world.run(8)
+    states = ownership_of(world, 'map-a').slots.items()
+    left = [slot for slot, state in states if state.owner.endswith('-b')]
+    assert {slot.scope for slot in left} == {'b'}
+    assert all(ownership_of(world, 'map-a').slots[slot].fenced for slot in left)
