A gain ends a tenure whose loss was not reported

Cause: slot_gained took any claim for a held slot for a renewal. When the report of a loss came late, ids that another owner had run in between could run again; the stand-in for ownership also gave a renewal before its gain. Change: a renewal is a gain with the same first epoch, any other ends the held tenure first; the stand-in keeps the order of the log. Conclusion: the owner does not rely on the report of a loss.

--- a/bench/dedupe_node.py
+++ b/bench/dedupe_node.py
@@ -89,15 +89,19 @@
         self.unflagged.pop(tenure.slot, None)
         self.node.carry_out(self.node.owner.slot_gained(tenure, now))
 
-    def renewed(self, tenure: Tenure) -> None:
+    def renewed(self, tenure: Tenure, former_epoch: int) -> None:
         """Learn that a renewal was accepted; the slot was never lost."""
         held = self.rights.held.get(tenure.slot)
-        if held is not None and held.epoch < tenure.epoch:
-            held.epoch = tenure.epoch
-            held.acknowledged_flag = False
-            self.node.carry_out(
-                self.node.owner.slot_gained(tenure, self.node.clock.now)
-            )
+        if held is None or held.epoch != former_epoch:
+            # The log is read in order, so the gain would have come first.
+            self.gain(tenure)
+            return
+        held.epoch = tenure.epoch
+        held.acknowledged_flag = False
+        now = self.node.clock.now
+        first_epoch = self.node.owner.tenures[tenure.slot].first_epoch
+        same = dataclasses.replace(tenure, first_epoch=first_epoch)
+        self.node.carry_out(self.node.owner.slot_gained(same, now))
 
     def lose(self, slot: int, epoch: int) -> None:
         """Learn that another node owns the slot."""
--- a/bench/dedupe_ownership.py
+++ b/bench/dedupe_ownership.py
@@ -119,7 +119,7 @@
             unlogged=truth.unlogged,
             never_owned=False,
         )
-        self._tell(node, 0.01, node.slots.renewed, tenure)
+        self._tell(node, 0.01, node.slots.renewed, tenure, former.epoch)
         self._announce(
             slot, SentCopy(node.name, truth.incarnation, truth.epoch)
         )
--- a/src/ebonycleat/internal/process/dedupe.py
+++ b/src/ebonycleat/internal/process/dedupe.py
@@ -133,13 +133,19 @@
         tenure: Tenure,
         now: float,
     ) -> list[DedupeEvent]:
-        """Begin a tenure; for a slot that is held it renews the epoch."""
+        """Begin a tenure, or renew the held one of the same first epoch.
+
+        With another first epoch somebody else may have owned the slot in
+        between, so the held tenure ends even if its loss was not reported.
+        """
+        events: list[DedupeEvent] = []
         held = self.tenures.get(tenure.slot)
-        if held is None:
-            self.tenures[tenure.slot] = tenure
-        else:
+        if held is not None and held.first_epoch == tenure.first_epoch:
             held.epoch = tenure.epoch
-        return self.tick(now)
+        else:
+            events.extend(self.slot_lost(tenure.slot, now))
+            self.tenures[tenure.slot] = tenure
+        return events + self.tick(now)
 
     def slot_lost(self, slot: int, now: float) -> list[DedupeEvent]:
         """End a tenure; ids that ran here stay known."""
--- a/tests/cover/test_dedupe_owner.py
+++ b/tests/cover/test_dedupe_owner.py
@@ -270,6 +270,19 @@
     assert set(outcomes(events)) == {Outcome.NOT_RUN}
 
 
+def test_a_gain_ends_a_tenure_whose_loss_was_not_reported():
+    """Regression, seed 210791: another owner had run the id in between."""
+    bench = make_bench()
+    append = bench.owner.begin(make_ask('id', deadline=2), 1)[0]
+    bench.owner.append_result(AppendFailed(append.operation_id, True), 1)
+    assert outcomes(bench.owner.tick(3)[:1]) == [Outcome.NOT_RUN]
+    bench.owner.slot_gained(Tenure(SLOT, 9, 9, False, False), 4)
+    page = (StartedGroup('b/1/1', 'b', 1, 'payment', hash_id('survey', 'id')),)
+    bench.owner.started_page(page, 5, 5, at_end=True)
+    again = dataclasses.replace(make_ask('id', 2, 2), epoch=9)
+    assert outcomes(bench.owner.begin(again, 6)) == [Outcome.UNKNOWN]
+
+
 def test_a_copy_for_a_former_epoch_is_not_taken_then_or_later():
     """Guards against a delayed copy that runs under a later tenure."""
     bench = make_bench()
--- a/tests/nocover/test_dedupe_schedules.py
+++ b/tests/nocover/test_dedupe_schedules.py
@@ -27,7 +27,7 @@
 
 def test_schedules_that_once_failed_stay_repaired():
     """Guards against the return of faults that larger counts found."""
-    for seed in (203843,):
+    for seed in (203843, 210791):
         assert not run_schedule(seed).violations
 
 
