--- a/bench/policy_layer.py
+++ b/bench/policy_layer.py
@@ -251,7 +251,7 @@
             call_id=call_id,
             retry_allowance=part,
         )
-        node.router.note_sent(choice)
+        node.router.note_sent(choice, node.clock.now)
         take_reply = partial(self.take_reply, choice, sent, node.clock.now)
         node.carrier.send(node.place.zone, choice, sent, self, take_reply)
 
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -89,7 +89,12 @@
         ]
         if not admitting:
             return refuse_not_run(Reason.SHED, 'overload: retry later')
-        return self.choose_near(request.call, admitting, now)
+        answering = [
+            member
+            for member in admitting
+            if not self.records.of(member.node).is_silent(now)
+        ]
+        return self.choose_near(request.call, answering or admitting, now)
 
     def choose_near(
         self,
@@ -151,9 +156,9 @@
         """Expected time at the target; lower is better."""
         return self.records.of(member.node).score(member.load, now)
 
-    def note_sent(self, member: Member) -> None:
+    def note_sent(self, member: Member, now: float) -> None:
         """Count an attempt sent to a member."""
-        self.records.of(member.node).note_sent()
+        self.records.of(member.node).note_sent(now)
 
     def note_answer(
         self,
--- a/src/ebonycleat/internal/process/target_record.py
+++ b/src/ebonycleat/internal/process/target_record.py
@@ -20,6 +20,10 @@
 FIRST_LATENCY_S = 0.01
 LATENCY_GAIN = 0.125
 IDLE_SCORE = 0.1
+OVERDUE_GAPS = 4
+"""Few gaps between independent answers are longer than 4 mean gaps."""
+
+SHORTEST_SILENCE_S = 0.05
 
 
 class Ejection:
@@ -73,10 +77,13 @@
         self.unreached_in_row = 0
         self.latency_s: float = FIRST_LATENCY_S
         self.closed_until: float = 0
+        self.silent_since: float = 0
         self.ejection = Ejection(FIRST_EJECTION_S, LONGEST_EJECTION_S)
 
-    def note_sent(self) -> None:
+    def note_sent(self, now: float) -> None:
         """Count a call on its way."""
+        if not self.in_flight:
+            self.silent_since = now
         self.in_flight += 1
         if self.heard:
             self.heard.sent_since += 1
@@ -88,6 +95,7 @@
     def note_load(self, load: GateLoad, now: float) -> None:
         """Keep the load that came with an answer or a refusal."""
         self.unreached_in_row = 0
+        self.silent_since = now
         self.heard = Heard(load, now)
         if load.draining:
             self.closed_until = now + DRAINING_VALID_S
@@ -113,6 +121,16 @@
         """Whether its node said lately that it is stopping or down."""
         return now < self.closed_until
 
+    def is_silent(self, now: float) -> bool:
+        """Whether answers are overdue, long before the link is given up.
+
+        With several calls on their way one answer is due soon.
+        """
+        if not self.in_flight:
+            return False
+        due_s = self.latency_s * OVERDUE_GAPS / self.in_flight
+        return now - self.silent_since > max(due_s, SHORTEST_SILENCE_S)
+
     def occupancy(self, announced: GateLoad | None, now: float) -> float:
         """Calls at the target relative to its limit, as far as known."""
         heard = self.heard
--- a/tests/cover/test_router.py
+++ b/tests/cover/test_router.py
@@ -37,12 +37,12 @@
 
 
 def fail(router: Router, member: Member, reached: bool, now: float) -> None:
-    router.note_sent(member)
+    router.note_sent(member, now)
     router.note_failure(member, reached, now)
 
 
 def hear(router: Router, member: Member, running: int, now: float) -> None:
-    router.note_sent(member)
+    router.note_sent(member, now)
     router.note_answer(member, make_load(running), 0.01, now)
 
 
@@ -79,7 +79,7 @@
         fail(router, MEMBERS[0], reached=True, now=0)
     assert chosen_nodes(router, 4.9) == {'a2'}
     assert 'a1' in chosen_nodes(router, 5.1)
-    router.note_sent(MEMBERS[0])
+    router.note_sent(MEMBERS[0], 5.1)
     assert chosen_nodes(router, 5.1) == {'a2'}
     router.note_failure(MEMBERS[0], reached=True, now=5.2)
     assert chosen_nodes(router, 15) == {'a2'}
@@ -108,6 +108,19 @@
     assert 'a1' in chosen_nodes(router, 3.4)
 
 
+def test_silent_target_is_avoided_while_others_answer() -> None:
+    """Guards against sending on to a lost VM until its link is closed."""
+    router = make_router()
+    for _ in range(4):
+        router.note_sent(MEMBERS[0], 0)
+    assert 'a1' in chosen_nodes(router, 0.04)
+    assert chosen_nodes(router, 0.1) == {'a2'}
+    router.note_sent(MEMBERS[1], 0)
+    for other in MEMBERS[2:]:
+        router.note_sent(other, 0)
+    assert 'a1' in chosen_nodes(router, 0.2)
+
+
 def test_draining_targets_get_nothing_new() -> None:
     """Guards against new work for a target that is leaving."""
     router = make_router()
