--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -127,3 +127,24 @@
     trial = only(gate.offer(make_call('3'), 0.3))
     assert isinstance(trial, Dispatch)
     assert not gate.offer(make_call('4'), 0.3)
+
+
+def test_team_over_its_share_stands_behind_others_but_for_critical() -> None:
+    """Guards against one team's normal calls pushing out low ones."""
+    gate = make_gate(queue_limit=60)
+    gate.set_team_weights({'a': 1, 'b': 1})
+    gate.offer(make_call('first', team='b'), 0)
+    call_id = 'first'
+    for number in range(20):
+        gate.offer(make_call(f'a-{number}'), 0)
+        event = only(gate.finished(call_id, DONE, 0))
+        call_id = event.call.call_id
+    gate.offer(make_call('a-normal'), 0)
+    gate.offer(make_call('b-low', Priority.LOW, team='b'), 0)
+    gate.offer(make_call('a-top', Priority.CRITICAL), 0)
+    order = []
+    for _ in range(3):
+        event = only(gate.finished(call_id, DONE, 0))
+        call_id = event.call.call_id
+        order.append(call_id)
+    assert order == ['a-top', 'b-low', 'a-normal']
--- /dev/null
+++ b/tests/cover/test_policy_benchmark.py
@@ -0,0 +1,30 @@
+"""The benchmark's runs are repeatable, and misses are reported."""
+
+from bench.policy_figures import Figure, table_of
+from bench.policy_retries import most_tries, run_failing
+from bench.policy_sites import RETRY_LIMIT, Variant
+
+
+def test_tries_at_the_targets_of_a_deep_chain_stay_within_the_limit() -> None:
+    """Guards against retries multiplying over the hops of a chain."""
+    failing = run_failing(Variant.LAYER, 0.5, seed=3)
+    assert 1 < most_tries(failing) <= 1 + RETRY_LIMIT
+
+
+def test_same_seed_gives_the_same_run() -> None:
+    """Guards against figures that nobody can reproduce."""
+    runs = [run_failing(Variant.LAYER, 0.5, seed=4) for _ in range(2)]
+    starts = [
+        [place.target.started_at for place in world.places.values()]
+        for world in runs
+    ]
+    assert starts[0] == starts[1]
+
+
+def test_missed_bound_is_shown() -> None:
+    """Guards against a check that passes whatever was measured."""
+    low = Figure('s', 'layer', 'share', 0.9, at_least=0.95)
+    high = Figure('s', 'layer', 'share', 0.9, at_most=0.5)
+    assert not low.is_met
+    assert not high.is_met
+    assert table_of([low, high]).count('MISSED') == 2
--- a/tests/cover/test_request_context.py
+++ b/tests/cover/test_request_context.py
@@ -9,6 +9,11 @@
     RequestContext,
     create_context_registry,
 )
+from ebonycleat.internal.request.refusal import (
+    Outcome,
+    Reason,
+    refuse_not_run,
+)
 from tests.cover.policy_calls import make_call
 
 
@@ -52,6 +57,22 @@
     assert not registry.close(text).retries_unused
 
 
+def test_refusal_further_down_is_told_as_such_with_the_time_waited() -> None:
+    """Guards against blaming a sound target for its dependency."""
+    registry = make_registry()
+    text = registry.open(make_call('1'))
+    context = registry.resolve(text, 0)
+    assert isinstance(context, RequestContext)
+    context.start_child('c', 1)
+    context.end_child('c', 3)
+    context.note_refused_deeper(refuse_not_run(Reason.NO_TARGET))
+    closed = registry.close(text)
+    assert closed.waited_s == 2
+    assert closed.refused_deeper is not None
+    assert closed.refused_deeper.reason is Reason.DEPENDENCY_FAILED
+    assert closed.refused_deeper.outcome is Outcome.UNKNOWN
+
+
 def test_registry_is_bounded_and_expires() -> None:
     """Guards against memory growing with calls that never end."""
     registry = make_registry(capacity=2)
--- a/tests/cover/test_retry_policy.py
+++ b/tests/cover/test_retry_policy.py
@@ -67,6 +67,15 @@
     assert isinstance(decide(refuse_not_run(reason)), GiveUp)
 
 
+def test_overload_further_down_is_not_retried_from_above() -> None:
+    """Guards against repeating the work of all hops before the overload."""
+    deeper = refuse_outcome_unknown(Reason.SHED)
+    assert isinstance(decide(deeper), GiveUp)
+    assert isinstance(decide(refuse_not_run(Reason.SHED)), RetryAt)
+    failed = refuse_outcome_unknown(Reason.DEPENDENCY_FAILED)
+    assert isinstance(decide(failed), RetryAt)
+
+
 def test_no_retry_after_the_deadline_or_without_allowance() -> None:
     """Guards against work that nobody waits for or that was not paid."""
     refusal = refuse_not_run(Reason.SHED)
