Target stand-in obeys the deadline header that a node sends

A node tells its target the time left in Ebonycleat-Deadline-Ms; the stand-in knew only Ebonycleat-Timeout-Ms, which callers send to a node, so that work behind a node ran on past its deadline.

--- a/src/ebonycleat_tools/target_calls.py
+++ b/src/ebonycleat_tools/target_calls.py
@@ -10,6 +10,8 @@
 
 CONTEXT_HEADER = 'ebonycleat-context'
 TIMEOUT_HEADER = 'ebonycleat-timeout-ms'
+# What a node tells its target; callers say TIMEOUT_HEADER to a node.
+DEADLINE_HEADER = 'ebonycleat-deadline-ms'
 KEY_HEADER = 'idempotency-key'
 REASON_HEADER = 'Ebonycleat-Reason'
 
@@ -86,11 +88,13 @@
 
 
 def read_timeout_s(headers: Mapping[str, str]) -> float:
-    """Seconds that the caller still waits, by its header."""
-    text = headers.get(TIMEOUT_HEADER, '')
-    if not (text.isascii() and text.isdigit()):
-        return LONGEST_RUN_S
-    return min(int(text) / MS_PER_S, LONGEST_RUN_S)
+    """Seconds that the caller still waits, by either header."""
+    left_s: float = LONGEST_RUN_S
+    for name in (DEADLINE_HEADER, TIMEOUT_HEADER):
+        text = headers.get(name, '')
+        if text.isascii() and text.isdigit():
+            left_s = min(left_s, int(text) / MS_PER_S)
+    return left_s
 
 
 def _describe(call: CallOn, status: int, reason: str) -> dict[str, Any]:
--- a/tests/cover/test_target_standin.py
+++ b/tests/cover/test_target_standin.py
@@ -104,9 +104,13 @@
     assert codes == [CRASH_EXIT_CODE]
 
 
-def test_work_ends_at_the_deadline_of_the_caller():
+@pytest.mark.parametrize(
+    'name',
+    ['Ebonycleat-Deadline-Ms', 'Ebonycleat-Timeout-Ms'],
+)
+def test_work_ends_at_the_deadline_of_the_caller(name):
     """Guards against slots held for callers that no longer wait."""
-    headers = (('Ebonycleat-Timeout-Ms', '1'),)
+    headers = ((name, '1'),)
     with target_with(mean_s=LONG_S) as client:
         assert send(client, headers=headers).status == 504
         assert stats(client)['counts']['out_of_time'] == 1
