Deeper refusals, waiting time of targets, and shorter modules on the path

Cause: a target that waited for a slow dependency looked slow itself, and one whose further call was refused looked broken. Change: contexts count the time in which a target waits for its own calls, and a target that fails after a refused call hands that refusal on.

--- a/src/ebonycleat/internal/process/call_steps.py
+++ b/src/ebonycleat/internal/process/call_steps.py
@@ -34,13 +34,15 @@
     SendToPeer,
 )
 from ebonycleat.internal.process.gate_events import GateLoad
-from ebonycleat.internal.process.gate_service import (
-    DEDUPE_OWNER,
-    OWN_INGRESS,
+from ebonycleat.internal.process.gate_outputs import (
     CallResolved,
     CancelChild,
     ForwardCall,
     GateOutput,
+)
+from ebonycleat.internal.process.gate_service import (
+    DEDUPE_OWNER,
+    OWN_INGRESS,
     GateService,
 )
 from ebonycleat.internal.process.idempotent_ingress import (
--- a/src/ebonycleat/internal/process/gate_service.py
+++ b/src/ebonycleat/internal/process/gate_service.py
@@ -8,7 +8,6 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
-from typing import TypeAlias
 
 from ebonycleat.internal.connection.target_client import (
     FailureKind,
@@ -19,15 +18,18 @@
 from ebonycleat.internal.process.crash_suspects import Admission, RunAt
 from ebonycleat.internal.process.effects import (
     CallTarget,
-    Effect,
-    ProbeTarget,
 )
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_events import (
     GateEvent,
-    GateLoad,
     Refuse,
 )
+from ebonycleat.internal.process.gate_outputs import (
+    CallResolved,
+    CancelChild,
+    ForwardCall,
+    GateOutput,
+)
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.process.suspect_host import SuspectHost
 from ebonycleat.internal.request.call import (
@@ -36,7 +38,10 @@
     CallResult,
     RefusedCall,
 )
-from ebonycleat.internal.request.context import ContextRegistry
+from ebonycleat.internal.request.context import (
+    ClosedContext,
+    ContextRegistry,
+)
 from ebonycleat.internal.request.refusal import (
     Outcome,
     Reason,
@@ -49,25 +54,6 @@
 DEDUPE_OWNER = '#dedupe-owner'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallResolved:
-    """The result of a call for the node that sent it.
-
-    ``origin`` is the peer's node id, or empty for this node's own ingress.
-    """
-
-    origin: str
-    result: CallResult
-    load: GateLoad
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelChild:
-    """Cancel a request that the target made and no longer waits for."""
-
-    request_id: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
     """A call at the target, since ``started_at`` in seconds."""
@@ -76,18 +62,6 @@
     context: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardCall:
-    """Let another node run a suspect; the result comes back here."""
-
-    node: str
-    call: Call
-
-
-GateOutput: TypeAlias = (
-    CallTarget | CallResolved | CancelChild | ForwardCall | ProbeTarget | Effect
-)
-
 FORWARD_MARK = '>'
 
 RIGHT_LOST = refuse_not_run(
@@ -149,15 +123,15 @@
         run = self.runs.pop(call_id, None)
         if run is None:
             return []
-        outcome = RunOutcome(classify_run(target_result), now - run.started_at)
-        events = self.gate.finished(call_id, outcome, now)
         closed = self.contexts.close(run.context)
-        judged = self.judge_run(call_id, target_result, now)
-        call_result = self.call_result(
-            call_id,
-            target_result,
-            closed.retries_unused,
+        outcome = RunOutcome(
+            classify_run(target_result),
+            now - run.started_at,
+            closed.waited_s,
         )
+        events = self.gate.finished(call_id, outcome, now)
+        judged = self.judge_run(call_id, target_result, now)
+        call_result = self.call_result(call_id, target_result, closed)
         return [
             *judged,
             self.resolved(call_result, now),
@@ -310,19 +284,27 @@
         self,
         call_id: str,
         target_result: TargetResult,
-        retries_unused: int,
+        closed: ClosedContext,
     ) -> CallResult:
-        """Translate the target's result into the result of the call."""
-        if isinstance(target_result, TargetAnswer):
-            return Answer(
-                call_id,
-                target_result.status,
-                target_result.headers,
-                target_result.body,
-                retries_unused,
-            )
-        refusal = target_result.as_refusal(self.zone)
-        return RefusedCall(call_id, refusal, retries_unused)
+        """Translate the target's result into the result of the call.
+
+        A target that fails because a call of its own was refused hands on
+        that refusal, so that nobody takes the target itself for broken.
+        """
+        unused = closed.retries_unused
+        if isinstance(target_result, TargetFailure):
+            refusal = target_result.as_refusal(self.zone)
+            return RefusedCall(call_id, refusal, unused)
+        is_failure = target_result.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_failure and closed.refused_deeper is not None:
+            return RefusedCall(call_id, closed.refused_deeper, unused)
+        return Answer(
+            call_id,
+            target_result.status,
+            target_result.headers,
+            target_result.body,
+            unused,
+        )
 
 
 def refuse_call(call: Call, refusal: Refusal) -> RefusedCall:
--- a/src/ebonycleat/internal/process/ingress.py
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -193,7 +193,7 @@
             return self.failed(request, choice, now)
         if not self.spend_token(request, now):
             return self.refuse(request, TOKEN_EXPIRED, now)
-        self.router.note_sent(choice)
+        self.router.note_sent(choice, now)
         return [PlaceCall(choice.node, request.next_attempt(choice, now))]
 
     def choose(
@@ -305,7 +305,9 @@
         unused = request.ledger.close()
         if request.parent is not None:
             request.parent.ledger.refund(request.request_id, unused)
-            request.parent.children.discard(request.request_id)
+            request.parent.end_child(request.request_id, now)
+            if isinstance(call_result, RefusedCall):
+                request.parent.note_refused_deeper(call_result.refusal)
         answer = render_result(request.request_id, call_result)
         latency_s = now - request.arrived_at
         return [
@@ -344,5 +346,5 @@
     if parent is None:
         return OpenRequest(call, RetryLedger(call.retry_allowance), now)
     allowance = parent.ledger.hand_down(call.call_id)
-    parent.children.add(call.call_id)
+    parent.start_child(call.call_id, now)
     return OpenRequest(call, RetryLedger(allowance), now, parent)
