Operators' request bodies that nest too deeply are answered

Cause: a body with an unknown field of 100,000 nested lists raised RecursionError on the event loop, before the operator's key was checked. Change: read_operator_request answers it as invalid; the second pair of functions for the same purpose in operator_messages is removed, and its tests now use those of operator_http. Conclusion: no body from outside raises there.

--- a/src/ebonycleat/internal/connection/operator_messages.py
+++ b/src/ebonycleat/internal/connection/operator_messages.py
@@ -2,12 +2,8 @@
 
 import dataclasses
 import enum
-import types
-from http import HTTPStatus
 from typing import Final
 
-import msgspec
-
 from ebonycleat.internal.version.records import Rejected
 from ebonycleat.internal.version.view import (
     KeyInForce,
@@ -116,25 +112,3 @@
     nodes: tuple[NodeRow, ...] = ()
     refusals: tuple[CountRow, ...] = ()
     history: tuple[ChangeRow, ...] = ()
-
-
-def read_operator_request(body: bytes) -> OperatorRequest | OperatorAnswer:
-    """Decode a request; a body that is none gives the answer to it."""
-    try:
-        return msgspec.json.decode(body, type=OperatorRequest)
-    except (msgspec.DecodeError, RecursionError) as error:
-        detail = f'the body is not a request: {error}'
-        return OperatorAnswer(AnswerStatus.INVALID, detail)
-
-
-def write_operator_answer(answer: OperatorAnswer) -> tuple[HTTPStatus, bytes]:
-    """Encode an answer; clients decide by the body, people by the status."""
-    status = _HTTP_STATUS.get(answer.status, HTTPStatus.OK)
-    return status, msgspec.json.encode(answer)
-
-
-_HTTP_STATUS: Final = types.MappingProxyType({
-    AnswerStatus.INVALID: HTTPStatus.BAD_REQUEST,
-    AnswerStatus.UNAUTHORISED: HTTPStatus.UNAUTHORIZED,
-    AnswerStatus.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
-})
--- a/src/ebonycleat/internal/request/operator_http.py
+++ b/src/ebonycleat/internal/request/operator_http.py
@@ -28,7 +28,11 @@
     """Decode a request, or return the answer that says what is wrong."""
     try:
         return msgspec.json.decode(body, type=OperatorRequest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         return OperatorAnswer(AnswerStatus.INVALID, f'not a request: {error}')
 
 
--- a/tests/cover/test_operator_service.py
+++ b/tests/cover/test_operator_service.py
@@ -7,14 +7,16 @@
     AnswerStatus,
     OperatorAnswer,
     OperatorRequest,
-    read_operator_request,
-    write_operator_answer,
 )
 from ebonycleat.internal.process.effects import AppendDone, AppendFailed
 from ebonycleat.internal.process.operator_service import (
     APPEND_REPEAT_S,
     OperatorReply,
 )
+from ebonycleat.internal.request.operator_http import (
+    read_operator_request,
+    render_operator_answer,
+)
 from ebonycleat.internal.version.records import RejectionReason
 from tests.configuration_records import digest_of
 from tests.operator_node import CREATE, KIM, Facts, OperatorNode
@@ -187,13 +189,20 @@
     assert node.ask('shwo teams').status is AnswerStatus.INVALID
 
 
-@pytest.mark.parametrize('body', [b'', b'{}', b'[' * 100_000, b'{"text":1}'])
+DEEP = b'[' * 100_000
+DEEP_FIELD = b'{"text":"help","more":%s' % DEEP
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{}', DEEP, b'{"text":1}', DEEP_FIELD],
+)
 def test_a_body_that_is_no_request_gets_an_answer(body):
     """Guards against a traceback caused by a body from outside."""
     answer = read_operator_request(body)
-    status, encoded = write_operator_answer(answer)
-    assert status == 400
-    assert msgspec.json.decode(encoded, type=OperatorAnswer) == answer
+    rendered = render_operator_answer(answer)
+    assert rendered.status == 400
+    assert msgspec.json.decode(rendered.body, type=OperatorAnswer) == answer
 
 
 def test_requests_and_answers_survive_a_round_trip():
@@ -209,5 +218,5 @@
         f'dry run {CREATE}',
     ):
         answer = node.ask(text)
-        encoded = write_operator_answer(answer)[1]
+        encoded = render_operator_answer(answer).body
         assert msgspec.json.decode(encoded, type=OperatorAnswer) == answer
