Log lines for changes of state, statsd flushes, idle connections kept

Cause: the node counted but never sent its counters, logged nothing that explains them, and cheroot closed all but 10 idle connections of callers, so hundreds of connected callers would have connected again for each request. Change: one line per change of state, counters flushed each second, 8,192 idle connections kept; streams and codecs have their own modules. Conclusion: operators can see why a counter moved.

--- a/src/ebonycleat/internal/process/http_server.py
+++ b/src/ebonycleat/internal/process/http_server.py
@@ -43,6 +43,9 @@
 # that the loop stopped, which callers must not wait for.
 ANSWER_WAIT_S = 75.0
 ACCEPT_QUEUE_LENGTH = 2048
+# The server closes idle connections beyond this; its default of 10 would
+# make hundreds of connected callers connect again for each request.
+IDLE_CONNECTIONS = 8192
 
 
 class CallerPort(abc.ABC):
@@ -192,6 +195,7 @@
         request_queue_size=ACCEPT_QUEUE_LENGTH,
         server_name='ebonycleat',
     )
+    server.keep_alive_conn_limit = IDLE_CONNECTIONS
     server.max_request_body_size = application.limits.body_bytes * 2
     return server
 
--- a/src/ebonycleat/internal/process/members_part.py
+++ b/src/ebonycleat/internal/process/members_part.py
@@ -146,7 +146,6 @@
 
     def take_changes(self, now: float) -> tuple[SlotMember, ...] | None:
         """Return the live members once after they changed."""
-        self.membership.take_changes()
         live = tuple(
             SlotMember(
                 member.announcement.node,
--- a/src/ebonycleat/internal/process/node_core.py
+++ b/src/ebonycleat/internal/process/node_core.py
@@ -4,60 +4,40 @@
 with the time, outputs are effects.
 """
 
-import dataclasses
 from collections.abc import Iterable
 from typing import Any, TypeAlias
 
-from ebonycleat.internal.connection.codec import create_codec
-from ebonycleat.internal.connection.errors import MalformedMessage
-from ebonycleat.internal.connection.grant_messages import GRANT_MESSAGES
 from ebonycleat.internal.connection.lease_messages import LEASE_MESSAGES
 from ebonycleat.internal.connection.log_service import Stream
-from ebonycleat.internal.connection.messages import (
-    ASK_MESSAGES,
-    CALL_MESSAGES,
-    LINK_MESSAGES,
-)
 from ebonycleat.internal.connection.target_client import TargetResult
-from ebonycleat.internal.process.call_flow import CallFlow
 from ebonycleat.internal.process.call_steps import FlowStep
 from ebonycleat.internal.process.config_follower import ReadConfiguration
 from ebonycleat.internal.process.config_relay import CONFIGURATION_MESSAGES
-from ebonycleat.internal.process.configuration_part import ConfigurationPart
 from ebonycleat.internal.process.effects import (
     AnswerRequest,
     AppendResult,
     AppendToLog,
     NodeEffect,
-    PageRead,
     ReadLog,
     ReadResult,
-    StreamExpired,
 )
 from ebonycleat.internal.process.fence_duty import FenceDuty
 from ebonycleat.internal.process.members_part import (
     MEMBER_MESSAGES,
-    MEMBER_RECORDS,
-    MembersPart,
 )
 from ebonycleat.internal.process.operator_service import OperatorReply
-from ebonycleat.internal.process.ownership import OWNERSHIP_RECORDS
-from ebonycleat.internal.process.ownership_host import OwnershipHost
 from ebonycleat.internal.process.ownership_sync import (
     OWNERSHIP_SYNC_MESSAGES,
-    OwnershipSync,
 )
-from ebonycleat.internal.process.started_log import StartedGroup
-from ebonycleat.internal.process.stream_cursor import StreamCursor
-from ebonycleat.internal.process.suspect_memory import (
-    SuspectsCleared,
-    TargetDied,
+from ebonycleat.internal.process.streams_part import CoreParts, StreamsPart
+from ebonycleat.internal.process.wire_codecs import (
+    SUSPECT_RECORDS,
+    create_peer_codec,
 )
 from ebonycleat.internal.request.incoming import IncomingRequest
 from ebonycleat.internal.request.operator_http import render_operator_answer
 from ebonycleat.internal.request.outgoing import render_refusal
 from ebonycleat.internal.request.refusal import Reason, refuse_not_run
-from ebonycleat.internal.version.snapshot import CONFIGURATION_RECORDS
 
 # Ownership, membership and configuration advance in steps of this length;
 # calls and tokens at every tick.
@@ -65,23 +45,9 @@
 # A planned stop must end although the log is down.
 RELEASE_TIME_S = 3.0
 
-SUSPECT_RECORDS = (TargetDied, SuspectsCleared)
-
 CoreStep: TypeAlias = FlowStep | ReadLog | ReadConfiguration | OperatorReply
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CoreParts:
-    """The parts of a node, each the one owner of its state."""
-
-    configuration: ConfigurationPart
-    members: MembersPart
-    ownership: OwnershipHost
-    ownership_sync: OwnershipSync
-    call_flow: CallFlow
-    cursors: dict[Stream, StreamCursor]
-
-
 class NodeCore:
     """Decisions of one node; holds no socket, thread or clock."""
 
@@ -95,29 +61,13 @@
         self.call_flow = parts.call_flow
         self.fences = FenceDuty(node, parts.ownership.engine.fold)
         self.suspects = parts.call_flow.gate_service.suspects.suspects
-        self.cursors = parts.cursors
-        self.append_streams: dict[str, Stream] = {}
+        self.state_changes = parts.state_changes
+        self.streams = StreamsPart(parts)
         self.slow_tick_at: float = 0
         self.draining = False
         self.release_until: float = 0
-        self.peer_codec = create_codec(
-            *LINK_MESSAGES,
-            *CALL_MESSAGES,
-            *ASK_MESSAGES,
-            *GRANT_MESSAGES,
-            *LEASE_MESSAGES,
-            *OWNERSHIP_SYNC_MESSAGES,
-            *CONFIGURATION_MESSAGES,
-            *MEMBER_MESSAGES,
-            *SUSPECT_RECORDS,
-        )
-        self.log_codec = create_codec(
-            *CONFIGURATION_RECORDS,
-            *MEMBER_RECORDS,
-            *OWNERSHIP_RECORDS,
-            StartedGroup,
-            *SUSPECT_RECORDS,
-        )
+        self.peer_codec = create_peer_codec()
+        self.log_codec = self.streams.codec
 
     def request_received(
         self,
@@ -209,12 +159,7 @@
                 self.configuration.log_read(read_result, now),
                 now,
             )
-        cursor = self.cursors[stream]
-        cursor.read_ended(read_result, now)
-        if stream is Stream.OWNERSHIP:
-            self.ownership_sync.read_ended(read_result)
-        steps = self.apply_page(stream, read_result, now)
-        return self.perform([*steps, *cursor.tick(now)], now)
+        return self.perform(self.streams.read_ended(read_result, now), now)
 
     def append_finished(
         self,
@@ -222,24 +167,7 @@
         now: float,
     ) -> list[NodeEffect]:
         """Take the result of an append."""
-        operation_id = append_result.operation_id
-        match self.append_streams.pop(operation_id, None):
-            case Stream.CONFIGURATION:
-                steps: Iterable[CoreStep] = self.configuration.append_finished(
-                    append_result,
-                    now,
-                )
-            case Stream.OWNERSHIP:
-                steps = self.ownership.append_result(append_result, now)
-            case Stream.STARTED:
-                steps = self.call_flow.dedupe.append_result(append_result, now)
-            case Stream.SUSPECTS:
-                self.suspects.append_result(append_result, now)
-                return []
-            case _:
-                self.members.append_finished(append_result, now)
-                return []
-        return self.perform(steps, now)
+        return self.perform(self.streams.append_ended(append_result, now), now)
 
     def tick(self, now: float) -> list[NodeEffect]:
         """Let everything that waits for time advance; call it each 10 ms."""
@@ -252,6 +180,7 @@
     def drain(self, now: float) -> list[NodeEffect]:
         """Take no new work; accepted work ends, then slots are released."""
         self.draining = True
+        self.state_changes.note('draining')
         self.release_until = now + RELEASE_TIME_S
         self.call_flow.drain()
         return self.perform(self.members.leave(now), now)
@@ -280,10 +209,12 @@
     def slow_tick(self, now: float) -> list[CoreStep]:
         """Let control advance."""
         steps: list[CoreStep] = []
-        for cursor in self.cursors.values():
-            steps.extend(cursor.tick(now))
+        steps.extend(self.streams.tick(now))
         load = self.call_flow.gate_service.gate.load(now)
         steps.extend(self.members.tick(load, now))
+        self.state_changes.note_members(
+            self.members.membership.take_changes(),
+        )
         live = self.members.take_changes(now)
         if live is not None:
             self.configuration.members_changed(live, now)
@@ -299,69 +230,6 @@
         steps.extend(self.configuration.tick(now))
         return steps
 
-    def apply_page(
-        self,
-        stream: Stream,
-        read_result: ReadResult,
-        now: float,
-    ) -> Iterable[CoreStep]:
-        """Hand the records of one page to the part that follows them."""
-        if isinstance(read_result, StreamExpired):
-            return self.records_lost(stream, now)
-        if not isinstance(read_result, PageRead):
-            return ()
-        page = read_result.page
-        records = [
-            (record.offset, self.decode_record(record.payload))
-            for record in page.records
-        ]
-        match stream:
-            case Stream.MEMBERS:
-                return self.members.take_records(
-                    records,
-                    now,
-                    at_end=page.at_end,
-                )
-            case Stream.OWNERSHIP:
-                if not self.ownership_sync.find_snapshot(records, now):
-                    return ()
-                return self.ownership.log_page(
-                    read_result.started_at,
-                    records,
-                    now,
-                    at_end=page.at_end,
-                )
-            case Stream.STARTED:
-                return self.call_flow.dedupe.started_page(
-                    (record for _, record in records),
-                    read_result.started_at,
-                    now,
-                    at_end=page.at_end,
-                )
-            case Stream.SUSPECTS:
-                for _, record in records:
-                    self.take_suspects(record, now)
-        return ()
-
-    def take_suspects(self, record: object, now: float) -> None:
-        """Take a record about crash suspects, from the log or a peer."""
-        if isinstance(record, SUSPECT_RECORDS):
-            self.suspects.received(record, now)
-
-    def records_lost(self, stream: Stream, now: float) -> Iterable[CoreStep]:
-        """Go on after the log has forgotten records not read here."""
-        if stream is Stream.STARTED:
-            self.call_flow.dedupe.started_records_lost(now)
-        return ()
-
-    def decode_record(self, payload: bytes) -> object:
-        """Decode a record; an unreadable one is None and changes nothing."""
-        try:
-            decoded: object = self.log_codec.decode(payload)
-        except MalformedMessage:
-            return None
-        return decoded
-
     def take_message(
         self,
         sender: str,
@@ -374,7 +242,7 @@
         if isinstance(message, LEASE_MESSAGES):
             return self.ownership.receive(sender, message, now)
         if isinstance(message, SUSPECT_RECORDS):
-            self.take_suspects(message, now)
+            self.suspects.received(message, now)
             return ()
         if isinstance(message, MEMBER_MESSAGES):
             return self.members.receive(message, now)
@@ -391,10 +259,14 @@
         effects: list[NodeEffect] = []
         for effect in self.call_flow.settle(self.translate(steps), now):
             if isinstance(effect, AppendToLog):
-                self.append_streams[effect.operation_id] = effect.stream
+                self.streams.append_started(effect)
             effects.append(effect)
         view = self.configuration.take_new_view()
         if view is not None:
+            self.state_changes.note(
+                'configuration in force',
+                version=view.version,
+            )
             self.members.configuration_changed(view)
             self.fences.configuration_changed(view)
             changed = self.call_flow.configuration_changed(view, now)
--- a/src/ebonycleat/internal/process/node_factory.py
+++ b/src/ebonycleat/internal/process/node_factory.py
@@ -36,7 +36,7 @@
     MemberState,
 )
 from ebonycleat.internal.process.metrics import create_metrics
-from ebonycleat.internal.process.node_core import CoreParts, NodeCore
+from ebonycleat.internal.process.node_core import NodeCore
 from ebonycleat.internal.process.operator_answers import NodeFacts
 from ebonycleat.internal.process.operator_service import OperatorService
 from ebonycleat.internal.process.ownership_engine import (
@@ -53,7 +53,9 @@
 from ebonycleat.internal.process.settings import NodeSettings, join_address
 from ebonycleat.internal.process.slot_claims import OwnershipSettings
 from ebonycleat.internal.process.started_log import GroupCommit
+from ebonycleat.internal.process.state_changes import StateChanges
 from ebonycleat.internal.process.stream_cursor import StreamCursor
+from ebonycleat.internal.process.streams_part import CoreParts
 from ebonycleat.internal.process.suspect_host import SuspectHost
 from ebonycleat.internal.process.token_desk import TokenDesk
 from ebonycleat.internal.request.context import create_context_registry
@@ -132,6 +134,7 @@
         """Build what the other parts share."""
         self.settings = settings
         self.started_at = now
+        self.state_changes = StateChanges()
         self.incarnation = incarnation
         self.randomness = randomness
         self.rng = randomness.choices
@@ -171,6 +174,7 @@
                 self.budgets,
                 self.dedupe,
                 identity.service,
+                self.state_changes,
             ),
             OwnershipSync(
                 self.engine,
@@ -180,6 +184,7 @@
             ),
             self.build_call_flow(),
             cursors,
+            self.state_changes,
         )
         return NodeCore(identity.id, parts)
 
--- a/src/ebonycleat/internal/process/ownership_host.py
+++ b/src/ebonycleat/internal/process/ownership_host.py
@@ -16,6 +16,7 @@
     SlotLost,
     SlotRenewed,
 )
+from ebonycleat.internal.process.state_changes import StateChanges
 
 OwnershipStep: TypeAlias = Effect | HostOutput
 
@@ -29,12 +30,14 @@
         budgets: BudgetOwner,
         dedupe: DedupeHost,
         service: str,
+        state_changes: StateChanges,
     ) -> None:
         """Connect the engine of a node whose target serves ``service``."""
         self.engine = engine
         self.budgets = budgets
         self.dedupe = dedupe
         self.service = service
+        self.state_changes = state_changes
         self.unlogged = False
 
     def log_page(
@@ -91,6 +94,7 @@
         unlogged = self.dedupe.needs_unlogged_flag(now)
         if unlogged != self.unlogged:
             self.unlogged = unlogged
+            self.state_changes.note('ids run unlogged', unlogged=unlogged)
             effects += self.engine.set_unlogged(
                 self.service,
                 flag=unlogged,
@@ -106,7 +110,9 @@
     ) -> list[OwnershipStep]:
         """Tell budgets and dedupe what the engine gained and lost."""
         steps: list[OwnershipStep] = list(effects)
-        for change in self.engine.take_changes():
+        changes = self.engine.take_changes()
+        self.state_changes.note_ownership(changes)
+        for change in changes:
             steps.extend(self.apply_change(change, now))
         return steps
 
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -40,6 +40,7 @@
 )
 from ebonycleat.internal.process.log_calls import append_once, read_once
 from ebonycleat.internal.process.node_core import NodeCore
+from ebonycleat.internal.process.state_changes import write_lines
 from ebonycleat.internal.request.call import Call
 from ebonycleat.internal.request.incoming import (
     IncomingRequest,
@@ -48,6 +49,7 @@
 from ebonycleat.internal.request.target_headers import headers_for_target
 
 TICK_S = 0.02
+FLUSH_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,7 @@
         self.waiting: dict[str, Future[OutgoingAnswer]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.transport: PeerTransport | None = None
+        self.flush_at: float = 0
         self.stopping = asyncio.Event()
         self.stopped = False
 
@@ -257,7 +260,12 @@
     async def tick_until_cancelled(self) -> None:
         """Let time-driven decisions happen."""
         while True:
-            self.perform(self.core.tick(self.loop.time()))
+            now = self.loop.time()
+            self.perform(self.core.tick(now))
+            write_lines(self.core.state_changes.take())
+            if now >= self.flush_at:
+                self.flush_at = now + FLUSH_INTERVAL_S
+                self.core.call_flow.metrics.metrics.flush()
             await asyncio.sleep(TICK_S)
 
     async def run(self, host: str, port: int, started: Future[int]) -> None:
--- /dev/null
+++ b/src/ebonycleat/internal/process/streams_part.py
@@ -0,0 +1,175 @@
+"""The streams of the log that a node follows, and its appends to them.
+
+Each record goes to the one part that follows its stream.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import TypeAlias
+
+from ebonycleat.internal.connection.errors import MalformedMessage
+from ebonycleat.internal.connection.log_service import Stream
+from ebonycleat.internal.process.call_flow import CallFlow
+from ebonycleat.internal.process.call_steps import FlowStep
+from ebonycleat.internal.process.configuration_part import (
+    ConfigurationPart,
+    ConfigurationStep,
+)
+from ebonycleat.internal.process.effects import (
+    AppendResult,
+    AppendToLog,
+    PageRead,
+    ReadLog,
+    ReadResult,
+    StreamExpired,
+)
+from ebonycleat.internal.process.members_part import MembersPart
+from ebonycleat.internal.process.ownership_host import OwnershipHost
+from ebonycleat.internal.process.ownership_sync import OwnershipSync
+from ebonycleat.internal.process.state_changes import StateChanges
+from ebonycleat.internal.process.stream_cursor import StreamCursor
+from ebonycleat.internal.process.wire_codecs import (
+    SUSPECT_RECORDS,
+    create_log_codec,
+)
+
+StreamStep: TypeAlias = FlowStep | ReadLog | ConfigurationStep
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CoreParts:
+    """The parts of a node, each the one owner of its state."""
+
+    configuration: ConfigurationPart
+    members: MembersPart
+    ownership: OwnershipHost
+    ownership_sync: OwnershipSync
+    call_flow: CallFlow
+    cursors: dict[Stream, StreamCursor]
+    state_changes: StateChanges
+
+
+class StreamsPart:
+    """Reads and appends of one node, by stream."""
+
+    def __init__(self, parts: CoreParts) -> None:
+        """Hand records to ``parts``."""
+        self.configuration = parts.configuration
+        self.members = parts.members
+        self.ownership = parts.ownership
+        self.ownership_sync = parts.ownership_sync
+        self.dedupe = parts.call_flow.dedupe
+        self.suspects = parts.call_flow.gate_service.suspects.suspects
+        self.cursors = parts.cursors
+        self.append_streams: dict[str, Stream] = {}
+        self.codec = create_log_codec()
+
+    def tick(self, now: float) -> Iterable[StreamStep]:
+        """Start the reads that are due."""
+        for cursor in self.cursors.values():
+            yield from cursor.tick(now)
+
+    def read_ended(
+        self,
+        read_result: ReadResult,
+        now: float,
+    ) -> list[StreamStep]:
+        """Apply what a read found, and read on."""
+        stream = read_result.wanted.stream
+        cursor = self.cursors[stream]
+        cursor.read_ended(read_result, now)
+        if stream is Stream.OWNERSHIP:
+            self.ownership_sync.read_ended(read_result)
+        steps = self.apply_page(stream, read_result, now)
+        return [*steps, *cursor.tick(now)]
+
+    def append_started(self, effect: AppendToLog) -> None:
+        """Remember which stream an append is for."""
+        self.append_streams[effect.operation_id] = effect.stream
+
+    def append_ended(
+        self,
+        append_result: AppendResult,
+        now: float,
+    ) -> Iterable[StreamStep]:
+        """Take the result of an append."""
+        operation_id = append_result.operation_id
+        match self.append_streams.pop(operation_id, None):
+            case Stream.CONFIGURATION:
+                return self.configuration.append_finished(append_result, now)
+            case Stream.OWNERSHIP:
+                return self.ownership.append_result(append_result, now)
+            case Stream.STARTED:
+                return self.dedupe.append_result(append_result, now)
+            case Stream.SUSPECTS:
+                self.suspects.append_result(append_result, now)
+            case _:
+                self.members.append_finished(append_result, now)
+        return ()
+
+    def apply_page(
+        self,
+        stream: Stream,
+        read_result: ReadResult,
+        now: float,
+    ) -> Iterable[StreamStep]:
+        """Hand the records of one page to the part that follows them."""
+        if isinstance(read_result, StreamExpired):
+            return self.records_lost(stream, now)
+        if not isinstance(read_result, PageRead):
+            return ()
+        page = read_result.page
+        records = [
+            (record.offset, self.decode_record(record.payload))
+            for record in page.records
+        ]
+        match stream:
+            case Stream.MEMBERS:
+                return self.members.take_records(
+                    records,
+                    now,
+                    at_end=page.at_end,
+                )
+            case Stream.OWNERSHIP:
+                if not self.ownership_sync.find_snapshot(records, now):
+                    return ()
+                return self.ownership.log_page(
+                    read_result.started_at,
+                    records,
+                    now,
+                    at_end=page.at_end,
+                )
+            case Stream.STARTED:
+                return self.dedupe.started_page(
+                    (record for _, record in records),
+                    read_result.started_at,
+                    now,
+                    at_end=page.at_end,
+                )
+            case Stream.SUSPECTS:
+                self.take_suspects(records, now)
+        return ()
+
+    def take_suspects(
+        self,
+        records: Iterable[tuple[int, object]],
+        now: float,
+    ) -> None:
+        """Hand records about crash suspects on."""
+        for _, record in records:
+            if isinstance(record, SUSPECT_RECORDS):
+                self.suspects.received(record, now)
+
+    def records_lost(self, stream: Stream, now: float) -> Iterable[StreamStep]:
+        """Go on after the log has forgotten records not read here."""
+        if stream is Stream.STARTED:
+            self.dedupe.started_records_lost(now)
+        return ()
+
+    def decode_record(self, payload: bytes) -> object:
+        """Decode a record; an unreadable one is None and changes nothing."""
+        try:
+            decoded: object = self.codec.decode(payload)
+        except MalformedMessage:
+            return None
+        return decoded
--- /dev/null
+++ b/src/ebonycleat/internal/process/wire_codecs.py
@@ -0,0 +1,53 @@
+"""All classes that nodes exchange, and those that stand in the log."""
+
+from ebonycleat.internal.connection.codec import MessageCodec, create_codec
+from ebonycleat.internal.connection.grant_messages import GRANT_MESSAGES
+from ebonycleat.internal.connection.lease_messages import LEASE_MESSAGES
+from ebonycleat.internal.connection.messages import (
+    ASK_MESSAGES,
+    CALL_MESSAGES,
+    LINK_MESSAGES,
+)
+from ebonycleat.internal.process.config_relay import CONFIGURATION_MESSAGES
+from ebonycleat.internal.process.members_part import (
+    MEMBER_MESSAGES,
+    MEMBER_RECORDS,
+)
+from ebonycleat.internal.process.ownership import OWNERSHIP_RECORDS
+from ebonycleat.internal.process.ownership_sync import (
+    OWNERSHIP_SYNC_MESSAGES,
+)
+from ebonycleat.internal.process.started_log import StartedGroup
+from ebonycleat.internal.process.suspect_memory import (
+    SuspectsCleared,
+    TargetDied,
+)
+from ebonycleat.internal.version.snapshot import CONFIGURATION_RECORDS
+
+SUSPECT_RECORDS = (TargetDied, SuspectsCleared)
+
+
+def create_peer_codec() -> MessageCodec:
+    """Build the codec of the links between nodes."""
+    return create_codec(
+        *LINK_MESSAGES,
+        *CALL_MESSAGES,
+        *ASK_MESSAGES,
+        *GRANT_MESSAGES,
+        *LEASE_MESSAGES,
+        *OWNERSHIP_SYNC_MESSAGES,
+        *CONFIGURATION_MESSAGES,
+        *MEMBER_MESSAGES,
+        *SUSPECT_RECORDS,
+    )
+
+
+def create_log_codec() -> MessageCodec:
+    """Build the codec of the records in the log."""
+    return create_codec(
+        *CONFIGURATION_RECORDS,
+        *MEMBER_RECORDS,
+        *OWNERSHIP_RECORDS,
+        StartedGroup,
+        *SUSPECT_RECORDS,
+    )
