--- a/src/ebonycleat/internal/process/ownership_engine.py
+++ b/src/ebonycleat/internal/process/ownership_engine.py
@@ -14,12 +14,15 @@
     SupportAsk,
     SupportGiven,
 )
+from ebonycleat.internal.connection.log_service import Stream
 from ebonycleat.internal.process.effects import (
     AppendResult,
+    AppendToLog,
     Effect,
     SendToPeer,
 )
 from ebonycleat.internal.process.ownership import (
+    Fence,
     OwnershipFold,
     OwnershipSnapshot,
     create_ownership_fold,
@@ -113,6 +116,11 @@
         self.held.append_result(outcome)
         return []
 
+    def fence(self, node: str, operation_id: str) -> list[Effect]:
+        """Write an operator's word that a node is gone for good."""
+        record = Fence(node, self.fold.offset, operation_id)
+        return [AppendToLog(Stream.OWNERSHIP, record, operation_id)]
+
     def stop(self, now: float) -> list[Effect]:
         """Stop using all slots and release them; ``tick`` retries.
 
