A draining owner records its promise before it says 'not taken'

Cause: a draining dedupe owner told ingresses that a copy was not taken without noting it, so a copy held back from before could have made that false. Change: the word comes from the memory of refused copies.

--- a/src/ebonycleat/internal/process/dedupe_host.py
+++ b/src/ebonycleat/internal/process/dedupe_host.py
@@ -96,14 +96,9 @@
         the next owner; ids that it knows it still answers.
         """
         if self.draining and not self.knows(ask):
-            commit = self.owner.commit
-            word = CopyNotTaken(
-                ask.call.call_id,
-                ask.copy_number,
-                commit.node,
-                commit.incarnation,
-            )
-            return [WordForIngress(sender, word)]
+            runs = self.owner.runs
+            word = runs.not_taken(ask, self.owner.commit, now)
+            return self.address_to(sender, word)
         expires_at = ask.call.deadline + ORIGIN_KEPT_S
         self.origins[ask.call.call_id] = Origin(sender, expires_at)
         return self.address(self.owner.begin(ask, now))
@@ -207,9 +202,15 @@
                 continue
             origin = self.origins.get(event.call_id)
             if origin is not None:
-                outputs.append(WordForIngress(origin.node, event))
+                outputs.extend(self.address_to(origin.node, event))
         return outputs
 
+    def address_to(self, node: str, event: DedupeEvent) -> list[HostOutput]:
+        """Make the word for the ingress at one node."""
+        if isinstance(event, (RunCall, AppendToLog)):
+            return [event]
+        return [WordForIngress(node, event)]
+
 
 def message_of_word(
     word: OwnerWord,
