--- a/tests/cover/test_ownership_fold.py
+++ b/tests/cover/test_ownership_fold.py
@@ -1,11 +1,13 @@
 """The fold decides owners; guards against claims that must not succeed."""
 
+from ebonycleat.internal.connection.codec import create_codec
 from ebonycleat.internal.process.ownership import (
     BUDGET,
     Basis,
     Claim,
     ClaimRejected,
     Fence,
+    OwnershipSnapshot,
     Release,
     SlotId,
     create_ownership_fold,
@@ -90,3 +92,15 @@
     for reader in (fold, later):
         reader.apply(6, claim('b', 5, supporters=('w1', 'w2')))
     assert later.snapshot() == fold.snapshot()
+
+
+def test_records_survive_the_codec():
+    codec = create_codec(Claim, Release, Fence, OwnershipSnapshot)
+    records = (
+        claim('a', 0, supporters=('w1',)),
+        Release(SLOT, 5, 'a'),
+        Fence('a', 5, 'f1'),
+        owned_fold().snapshot(),
+    )
+    for record in records:
+        assert codec.decode(codec.encode(record)) == record
