--- /dev/null
+++ b/bench/policy_hop.py
@@ -0,0 +1,177 @@
+"""All attempts of one call, decided by the real router and retry policy."""
+
+import abc
+import dataclasses
+from collections.abc import Callable
+from functools import partial
+from typing import TypeAlias
+
+from bench.policy_clock import PausedClock
+
+from ebonycleat.internal.process.gate_events import GateLoad
+from ebonycleat.internal.process.retry_budget import RetryBudget
+from ebonycleat.internal.process.retry_policy import (
+    FailedAttempt,
+    RetryAt,
+    RetryPolicy,
+)
+from ebonycleat.internal.process.router import RouteRequest, Router
+from ebonycleat.internal.process.target_records import Member
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.ledger import RetryLedger
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_outcome_unknown,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HopReply:
+    """Answer of one attempt; ``load`` is None when the node is silent."""
+
+    refusal: Refusal | None
+    unused: int
+    load: GateLoad | None
+
+
+Reply: TypeAlias = Callable[[HopReply], None]
+HopDone: TypeAlias = Callable[[Refusal | None], None]
+
+
+class HopNode(abc.ABC):
+    """The node that makes the attempts."""
+
+    clock: PausedClock
+    router: Router
+    budget: RetryBudget
+    policy: RetryPolicy
+
+    @abc.abstractmethod
+    def members_of(self, service: str) -> list[Member]:
+        """Members of a service."""
+
+    @abc.abstractmethod
+    def send(
+        self,
+        member: Member,
+        call: Call,
+        chain: tuple[str, ...],
+        take_reply: Reply,
+    ) -> None:
+        """Carry one attempt to a member and its reply back."""
+
+
+class Hop:
+    """All attempts of one call from one node to one service."""
+
+    def __init__(
+        self,
+        node: HopNode,
+        call: Call,
+        chain: tuple[str, ...],
+        ledger: RetryLedger,
+        done: HopDone,
+    ) -> None:
+        """Prepare; a timer answers at the deadline."""
+        self.node = node
+        self.call = call
+        self.chain = chain
+        self.ledger = ledger
+        self.done: HopDone | None = done
+        self.attempts = 0
+        self.refused_zones: frozenset[str] = frozenset()
+        self.failed_nodes: frozenset[str] = frozenset()
+        clock = node.clock
+        clock.after(call.deadline - clock.now, self.time_out)
+
+    def time_out(self) -> None:
+        """Answer at the deadline if nothing else did."""
+        self.finish(refuse_outcome_unknown(Reason.DEADLINE))
+
+    def finish(self, refusal: Refusal | None) -> None:
+        """Answer once."""
+        done = self.done
+        self.done = None
+        if done:
+            done(refusal)
+
+    def attempt(self) -> None:
+        """Place one attempt and send it."""
+        if self.done is None:
+            return
+        node = self.node
+        self.attempts += 1
+        members = node.members_of(self.call.service)
+        choice = node.router.choose(
+            RouteRequest(
+                self.call,
+                members,
+                self.refused_zones,
+                self.failed_nodes,
+            ),
+            node.clock.now,
+        )
+        if isinstance(choice, Refusal):
+            self.retry_or_give_up(choice)
+            return
+        call_id = f'{self.call.call_id}{self.attempts}'
+        part = self.ledger.hand_down(call_id)
+        sent = dataclasses.replace(
+            self.call,
+            call_id=call_id,
+            retry_allowance=part,
+        )
+        node.router.note_sent(choice, node.clock.now)
+        take_reply = partial(self.take_reply, choice, sent, node.clock.now)
+        node.send(choice, sent, self.chain, take_reply)
+
+    def take_reply(
+        self,
+        member: Member,
+        sent: Call,
+        sent_at: float,
+        reply: HopReply,
+    ) -> None:
+        """Learn from the end of an attempt, then finish or try again."""
+        now = self.node.clock.now
+        router = self.node.router
+        refusal = reply.refusal
+        if reply.load is None:
+            router.note_failure(member, reached=False, now=now)
+            self.ledger.forget(sent.call_id)
+        else:
+            self.ledger.refund(sent.call_id, reply.unused)
+            if refusal is None:
+                router.note_answer(member, reply.load, now - sent_at, now)
+                self.node.budget.note_success(self.call.service, now)
+            elif refusal.reason is Reason.TARGET_FAILED:
+                router.note_failure(member, reached=True, now=now)
+            else:
+                router.note_refused(member, reply.load, now)
+        if refusal is None:
+            self.finish(None)
+            return
+        if refusal.reason in {Reason.TARGET_FAILED, Reason.CONNECTION_LOST}:
+            self.failed_nodes |= {member.node}
+        self.retry_or_give_up(refusal)
+
+    def retry_or_give_up(self, refusal: Refusal) -> None:
+        """Ask the policy."""
+        if self.done is None:
+            return
+        node = self.node
+        members = node.members_of(self.call.service)
+        failed = FailedAttempt(
+            self.call,
+            refusal,
+            self.attempts,
+            self.refused_zones,
+            frozenset(member.zone for member in members),
+        )
+        decision = node.policy.decide(failed, self.ledger, node.clock.now)
+        if isinstance(decision, RetryAt):
+            self.refused_zones = decision.avoid_zones
+            node.clock.after(decision.delay_s, self.attempt)
+        else:
+            self.finish(decision.refusal)
