Whole bursts per zone, changed teams settled, queue of twice the slots

Change: bursts are divided into whole tokens that sum to the team's; the budget owner learns which teams changed; the default queue is twice the slots; a failed probe of the target holds trial calls back.

--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -58,7 +58,7 @@
             running_shell(shell, settings.peers.address, settings.peers.port),
         )
         limits = HttpLimits(
-            settings.target.slots + settings.queue.length,
+            settings.target.slots + settings.queue_length(),
             settings.callers.max_body_bytes,
         )
         application = HttpApplication(shell, limits)
--- a/src/ebonycleat/internal/process/call_flow.py
+++ b/src/ebonycleat/internal/process/call_flow.py
@@ -50,6 +50,8 @@
         """Connect the parts of ``node``."""
         self.node = node
         self.steps = CallSteps(node, parts)
+        self.teams_in_force: frozenset[str] = frozenset()
+        self.applied_version = 0
         self.ingress = parts.ingress
         self.sends = parts.sends
         self.tokens = parts.tokens
@@ -133,9 +135,9 @@
     ) -> list[NodeEffect]:
         """Apply a new version to queued calls and to the gate."""
         gate = self.gate_service.gate
-        gate.set_team_weights({
-            name: team.rate_per_s for name, team in view.teams.pairs()
-        })
+        weights = {name: team.rate_per_s for name, team in view.teams.pairs()}
+        gate.set_team_weights(weights)
+        self.tokens.owner.parts_changed(self.changed_teams(view), now)
         digests = {entry.call.key_digest for entry in gate.queue}
         effects: list[NodeEffect] = []
         for digest in sorted(digests - {''}):
@@ -144,6 +146,19 @@
                 effects += self.settle(steps, now)
         return effects
 
+    def changed_teams(self, view: ConfigurationView) -> list[str]:
+        """List the teams that differ from the view applied last."""
+        changed = {
+            name
+            for name, team in view.teams.pairs()
+            if team.changed_at > self.applied_version
+        }
+        teams = frozenset(name for name, _ in view.teams.pairs())
+        gone = self.teams_in_force - teams
+        self.teams_in_force = teams
+        self.applied_version = view.version
+        return sorted(changed | gone)
+
     def tick(self, now: float) -> list[NodeEffect]:
         """Let retries, deadlines, tokens and the queue advance."""
         steps: list[FlowStep] = [
--- a/src/ebonycleat/internal/process/gate_service.py
+++ b/src/ebonycleat/internal/process/gate_service.py
@@ -155,6 +155,8 @@
 
     def target_probed(self, now: float, *, alive: bool) -> list[GateOutput]:
         """Take the result of a probe of the target."""
+        if not alive:
+            self.gate.limit.note_probe_failed(now)
         return [
             *self.suspects.target_probed(now, alive=alive),
             *self.offer_held(now),
--- a/src/ebonycleat/internal/process/node_factory.py
+++ b/src/ebonycleat/internal/process/node_factory.py
@@ -5,6 +5,8 @@
 """
 
 import dataclasses
+import functools
+import math
 import random
 
 from ebonycleat.internal.connection.log_service import Stream
@@ -57,10 +59,14 @@
 from ebonycleat.internal.process.stream_cursor import StreamCursor
 from ebonycleat.internal.process.streams_part import CoreParts
 from ebonycleat.internal.process.suspect_host import SuspectHost
+from ebonycleat.internal.process.token_bucket import divide_over_zones
 from ebonycleat.internal.process.token_desk import TokenDesk
 from ebonycleat.internal.request.context import create_context_registry
+from ebonycleat.internal.version.records import Weights
+from ebonycleat.internal.version.view import UnknownTeam
 
 CONTEXTS_PER_SLOT = 4
+PARTS_KEPT = 8192
 FOLLOWED_STREAMS = (
     Stream.MEMBERS,
     Stream.OWNERSHIP,
@@ -211,9 +217,16 @@
         )
 
     def part_of_zone(self, team: str) -> tuple[float, float]:
-        """Rate and burst of a team in this zone, as they are in force."""
-        part = self.follower.view.zone_part(team, self.identity.zone)
-        return part.rate_per_s, part.burst
+        """Rate and whole burst of a team in this zone, as in force."""
+        found = self.follower.view.team(team)
+        if isinstance(found, UnknownTeam):
+            return 0, 0
+        return zone_part_of(
+            self.identity.zone,
+            found.rate_per_s,
+            found.burst,
+            found.zone_weights,
+        )
 
     def build_dedupe(self) -> DedupeHost:
         """Build the dedupe owner."""
@@ -283,7 +296,7 @@
         zone = self.identity.zone
         slots = self.settings.target.slots
         return GateService(
-            create_gate(slots, self.settings.queue.length, zone, self.rng),
+            create_gate(slots, self.settings.queue_length(), zone, self.rng),
             create_context_registry(
                 slots * CONTEXTS_PER_SLOT,
                 self.randomness.secrets,
@@ -307,6 +320,19 @@
     return NodeBuilder(settings, incarnation, randomness, now).build()
 
 
+# Owners ask for the part of a team with each grant that they give.
+@functools.lru_cache(maxsize=PARTS_KEPT)
+def zone_part_of(
+    zone: str,
+    rate_per_s: float,
+    burst: float,
+    weights: Weights,
+) -> tuple[float, float]:
+    """Rate and whole burst of one zone; zeros for a zone without weight."""
+    parts = divide_over_zones(rate_per_s, math.floor(burst), dict(weights))
+    return parts.get(zone, (0, 0))
+
+
 def _announcement_of(settings: NodeSettings, incarnation: int) -> Announcement:
     identity = settings.node
     return Announcement(
--- a/src/ebonycleat/internal/process/settings.py
+++ b/src/ebonycleat/internal/process/settings.py
@@ -10,6 +10,7 @@
 from ebonycleat.internal.process.settings_file import Check
 
 MIB = 1048576
+SLOTS_TO_QUEUE = 2
 
 _HOST_PORT = re.compile(r'\[?([0-9a-fA-F.:]+?)\]?:([0-9]{1,5})')
 _NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z'
@@ -161,9 +162,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class QueueSettings:
-    """Bound of the gate's queue, in requests."""
+    """Bound of the gate's queue, in requests; without it twice the slots."""
 
-    length: PositiveInt = 256
+    length: PositiveInt | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -204,6 +205,14 @@
     statsd: StatsdSettings | None = None
     logging: LoggingSettings = LoggingSettings()
 
+    def queue_length(self) -> int:
+        """Requests that may wait for the target.
+
+        A surge finds the slots taken, and the second half of the queue is
+        left to critical calls.
+        """
+        return self.queue.length or SLOTS_TO_QUEUE * self.target.slots
+
     def __post_init__(self) -> None:
         """Refuse combinations that no single key shows to be wrong."""
         digests = {operator.key_digest for operator in self.operators}
