Shell and demo split by job

Change: blocking work has its own class, the demo's claims their own module. Conclusion: no change of behaviour.

--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -35,9 +35,9 @@
 from ebonycleat.internal.process.settings import NodeSettings
 from ebonycleat.internal.process.shell import (
     NodeShell,
-    ShellThreads,
     running_shell,
 )
+from ebonycleat.internal.process.worker_threads import ShellThreads
 
 logger = logging.getLogger(__name__)
 
--- a/src/ebonycleat/internal/process/shell.py
+++ b/src/ebonycleat/internal/process/shell.py
@@ -6,12 +6,11 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import functools
 import logging
 import time
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import Executor, Future
+from concurrent.futures import Future
 from typing import Any
 
 from ebonycleat.internal.connection.link import cancelling
@@ -40,6 +39,10 @@
 from ebonycleat.internal.process.log_calls import append_once, read_once
 from ebonycleat.internal.process.node_core import NodeCore
 from ebonycleat.internal.process.state_changes import write_lines
+from ebonycleat.internal.process.worker_threads import (
+    ShellThreads,
+    WorkerThreads,
+)
 from ebonycleat.internal.request.incoming import (
     IncomingRequest,
     OutgoingAnswer,
@@ -52,14 +55,6 @@
 FLUSH_INTERVAL_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShellThreads:
-    """Threads for blocking calls; log reads wait, so they have their own."""
-
-    log: Executor
-    target: Executor
-
-
 class NodeShell(PeerListener, CallerPort):
     """Carries out what the core decides; all state stays in the core."""
 
@@ -79,14 +74,12 @@
         self.wall_clock = time.time
         self.log_service = log_service
         self.target = target
-        self.log_threads = threads.log
-        self.target_threads = threads.target
+        self.threads = WorkerThreads(loop, threads, self.perform)
         self.waiting: dict[str, Future[OutgoingAnswer]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.transport: PeerTransport | None = None
         self.flush_at: float = 0
         self.stopping = asyncio.Event()
-        self.stopped = False
 
     def submit(self, request: IncomingRequest) -> Future[OutgoingAnswer]:
         """Start a caller's request; called on worker threads."""
@@ -223,20 +216,20 @@
             call.deadline - now,
         )
         report = functools.partial(self.core.target_finished, call.call_id)
-        self.run_on_thread(self.target_threads, work, report)
+        self.threads.run(self.threads.target, work, report)
 
     def probe_target(self) -> None:
         """Try to connect to the target."""
-        self.run_on_thread(
-            self.log_threads,
+        self.threads.run(
+            self.threads.log,
             self.target.accepts_connections,
             lambda alive, now: self.core.target_probed(now, alive=alive),
         )
 
     def append_to_log(self, effect: AppendToLog) -> None:
         """Encode and append one record on a worker thread."""
-        self.run_on_thread(
-            self.log_threads,
+        self.threads.run(
+            self.threads.log,
             functools.partial(
                 append_once,
                 self.log_service,
@@ -248,8 +241,8 @@
 
     def read_log(self, effect: ReadLog) -> None:
         """Read one page on a worker thread and give it to the core."""
-        self.run_on_thread(
-            self.log_threads,
+        self.threads.run(
+            self.threads.log,
             functools.partial(
                 read_once,
                 self.log_service,
@@ -259,45 +252,6 @@
             self.core.log_read,
         )
 
-    def run_on_thread(
-        self,
-        threads: Executor,
-        work: Callable[[], Any],
-        report: Callable[[Any, float], list[NodeEffect]],
-    ) -> None:
-        """Run blocking work on a thread, then report its result on the loop.
-
-        A task and a future for each call would cost three more turns of the
-        loop, and each turn may wait for a thread that holds the interpreter.
-        """
-        if not self.stopped:
-            threads.submit(self.work_and_report, work, report)
-
-    def work_and_report(
-        self,
-        work: Callable[[], Any],
-        report: Callable[[Any, float], list[NodeEffect]],
-    ) -> None:
-        """Do the work and hand its result to the loop; runs on a thread."""
-        try:
-            outcome = work()
-        except Exception:
-            # The calls report their failures as results; anything else is a
-            # fault of this program, and the request ends at its deadline.
-            logger.exception('a worker thread failed')
-            return
-        # The loop is closed when the node stops before its threads do.
-        with contextlib.suppress(RuntimeError):
-            self.loop.call_soon_threadsafe(self.take_report, report, outcome)
-
-    def take_report(
-        self,
-        report: Callable[[Any, float], list[NodeEffect]],
-        outcome: object,
-    ) -> None:
-        """Give the result of work on a thread to the core."""
-        self.perform(report(outcome, self.loop.time()))
-
     async def tick_until_cancelled(self) -> None:
         """Let time-driven decisions happen."""
         while True:
@@ -322,7 +276,7 @@
             ticking = asyncio.create_task(self.tick_until_cancelled())
             async with cancelling([ticking]):
                 await self.stopping.wait()
-            self.stopped = True
+            self.threads.stopped = True
             async with cancelling(self.tasks):
                 await asyncio.sleep(0)
 
@@ -331,7 +285,7 @@
 
         Once the shell stops nothing new is started: its threads are gone.
         """
-        if self.stopped:
+        if self.threads.stopped:
             coroutine.close()
             return
         task = self.loop.create_task(coroutine)
--- a/src/ebonycleat_tools/demo.py
+++ b/src/ebonycleat_tools/demo.py
@@ -21,6 +21,7 @@
 from ebonycleat.internal.process.settings import Name, PeerAddress
 from ebonycleat.internal.request.incoming import digest_key
 from ebonycleat.internal.request.refusal import Reason
+from ebonycleat_tools.demo_claims import Claim, table_of
 from ebonycleat_tools.demo_client import DemoClient, NodeUnreachable
 from ebonycleat_tools.load import write_reports
 from ebonycleat_tools.load_plan import LoadPlan, read_key
@@ -62,15 +63,6 @@
     load: LoadPlan
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
-    """One line of the table: what was claimed, and what was seen."""
-
-    claim: str
-    seen: str
-    holds: bool
-
-
 class Demo:
     """One run; fills in the claims as it goes."""
 
@@ -326,16 +318,6 @@
             thread.join()
 
 
-def table_of(claims: Sequence[Claim]) -> str:
-    """Render the claims as a table."""
-    width = max(len(claim.claim) for claim in claims)
-    return '\n'.join(
-        f'{"ok  " if claim.holds else "FAIL"}  '
-        f'{claim.claim.ljust(width)}  {claim.seen}'
-        for claim in claims
-    )
-
-
 def start(settings: DemoSettings) -> int:
     """Run the demo; the exit code is 0 if every claim held."""
     set_up_logging('ERROR', 'demo')
