A refusal at the door does not deny an earlier run of the same id

Cause: a draining node, a full one, or one that refuses a withdrawn key said 'not run' of a re-sent Idempotency-Key whose first send had run elsewhere. Found by reading the refusals against the promise. Change: such refusals are 'unknown' unless the caller declares its first send; one function renders all of them. Conclusion: every refusal of an id now states only what is certain.

--- a/src/ebonycleat/internal/process/call_flow.py
+++ b/src/ebonycleat/internal/process/call_flow.py
@@ -38,7 +38,7 @@
 from ebonycleat.internal.request.call_builder import build_call
 from ebonycleat.internal.request.context import RequestContext
 from ebonycleat.internal.request.incoming import IncomingRequest
-from ebonycleat.internal.request.outgoing import render_refusal
+from ebonycleat.internal.request.outgoing import refuse_request
 from ebonycleat.internal.request.refusal import Refusal
 from ebonycleat.internal.version.view import ConfigurationView
 
@@ -71,7 +71,7 @@
         built = build_call(request, view, context, now)
         if isinstance(built, Refusal):
             self.metrics.count_early_refusal(built)
-            answer = render_refusal(request.request_id, built)
+            answer = refuse_request(request, built)
             return [AnswerRequest(request.request_id, answer)]
         parent = context if isinstance(context, RequestContext) else None
         opened = create_open_request(built.call, parent, now)
--- a/src/ebonycleat/internal/process/http_server.py
+++ b/src/ebonycleat/internal/process/http_server.py
@@ -24,7 +24,7 @@
     OutgoingAnswer,
     create_incoming_request,
 )
-from ebonycleat.internal.request.outgoing import render_refusal
+from ebonycleat.internal.request.outgoing import refuse_request, render_refusal
 from ebonycleat.internal.request.refusal import (
     Reason,
     Refusal,
@@ -108,13 +108,24 @@
         request_id = uuid.uuid4().hex
         if environment['PATH_INFO'] == HEALTH_PATH:
             return self.port.health()
+        # Without its body, which may be too large to be read at all.
+        request = create_incoming_request(
+            request_id,
+            environment['REQUEST_METHOD'],
+            # The raw form: PATH_INFO has lost the percent encoding.
+            environment['REQUEST_URI'],
+            _headers(environment),
+            b'',
+        )
         if not self.free_places.acquire(blocking=False):
-            return render_refusal(request_id, _SATURATED)
+            return refuse_request(request, _SATURATED)
         with self.place_freed():
-            request = self.read_request(request_id, environment)
-            if isinstance(request, Refusal):
-                return render_refusal(request_id, request)
-            return self.wait_for_answer(request)
+            body = self.read_body(environment)
+            if isinstance(body, Refusal):
+                return refuse_request(request, body)
+            return self.wait_for_answer(
+                dataclasses.replace(request, body=body),
+            )
 
     @contextlib.contextmanager
     def place_freed(self) -> Iterator[None]:
@@ -124,12 +135,8 @@
         finally:
             self.free_places.release()
 
-    def read_request(
-        self,
-        request_id: str,
-        environment: Environment,
-    ) -> IncomingRequest | Refusal:
-        """Read the request; refuse a body that is too large or cut off."""
+    def read_body(self, environment: Environment) -> bytes | Refusal:
+        """Read the body; refuse one that is too large or cut off."""
         length = int(environment.get('CONTENT_LENGTH') or 0)
         if length > self.limits.body_bytes:
             return refuse_not_run(
@@ -137,17 +144,12 @@
                 f'the body has {length} bytes; '
                 f'send at most {self.limits.body_bytes}',
             )
-        body = environment['wsgi.input'].read(length) if length else b''
-        if len(body) != length:
-            return refuse_not_run(Reason.BAD_REQUEST, 'the body is cut off')
-        return create_incoming_request(
-            request_id,
-            environment['REQUEST_METHOD'],
-            # The raw form: PATH_INFO has lost the percent encoding.
-            environment['REQUEST_URI'],
-            _headers(environment),
-            body,
-        )
+        if not length:
+            return b''
+        body: bytes = environment['wsgi.input'].read(length)
+        if len(body) == length:
+            return body
+        return refuse_not_run(Reason.BAD_REQUEST, 'the body is cut off')
 
     def wait_for_answer(self, request: IncomingRequest) -> OutgoingAnswer:
         """Hand the request to the loop and wait."""
--- a/src/ebonycleat/internal/process/node_core.py
+++ b/src/ebonycleat/internal/process/node_core.py
@@ -36,7 +36,7 @@
 )
 from ebonycleat.internal.request.incoming import IncomingRequest
 from ebonycleat.internal.request.operator_http import render_operator_answer
-from ebonycleat.internal.request.outgoing import render_refusal
+from ebonycleat.internal.request.outgoing import refuse_request
 from ebonycleat.internal.request.refusal import Reason, refuse_not_run
 
 # Ownership, membership and configuration advance in steps of this length;
@@ -91,7 +91,7 @@
                 'this node has not read its configuration yet',
                 retry_after_s=1,
             )
-        answer = render_refusal(request.request_id, refusal)
+        answer = refuse_request(request, refusal)
         return [AnswerRequest(request.request_id, answer)]
 
     def operator_request(
--- a/src/ebonycleat/internal/request/outgoing.py
+++ b/src/ebonycleat/internal/request/outgoing.py
@@ -1,5 +1,6 @@
 """Answers in the form that callers see them."""
 
+import dataclasses
 import json
 import math
 
@@ -8,14 +9,19 @@
     CallResult,
     HeaderPairs,
 )
-from ebonycleat.internal.request.incoming import OutgoingAnswer
-from ebonycleat.internal.request.refusal import Refusal
+from ebonycleat.internal.request.incoming import (
+    IncomingRequest,
+    OutgoingAnswer,
+)
+from ebonycleat.internal.request.refusal import Outcome, Refusal
 
 REQUEST_ID_HEADER = 'Ebonycleat-Request-Id'
 REASON_HEADER = 'Ebonycleat-Reason'
 OUTCOME_HEADER = 'Ebonycleat-Outcome'
 RETRY_AFTER_HEADER = 'Retry-After'
 
+FIRST_ATTEMPT_TEXT = '1'
+
 # Headers that describe one connection or that the front sets itself.
 HOP_HEADERS = frozenset((
     'connection',
@@ -49,6 +55,21 @@
     return OutgoingAnswer(answer.status, tuple(headers), answer.body)
 
 
+def refuse_request(
+    request: IncomingRequest,
+    refusal: Refusal,
+) -> OutgoingAnswer:
+    """Refuse a request before anything was done for it.
+
+    An earlier send of the same Idempotency-Key may have run, unless the
+    caller says that this is its first; then "not run" would be a guess.
+    """
+    is_repeat = request.attempt != FIRST_ATTEMPT_TEXT
+    if request.idempotency_key and is_repeat:
+        refusal = dataclasses.replace(refusal, outcome=Outcome.UNKNOWN)
+    return render_refusal(request.request_id, refusal)
+
+
 def render_refusal(request_id: str, refusal: Refusal) -> OutgoingAnswer:
     """Render a refusal with its reason and outcome in headers and body."""
     body = {
--- a/tests/nocover/test_whole_nodes.py
+++ b/tests/nocover/test_whole_nodes.py
@@ -336,3 +336,26 @@
     left = [slot for slot, state in states if state.owner.endswith('-b')]
     assert {slot.scope for slot in left} == {'b'}
     assert all(ownership_of(world, 'map-a').slots[slot].fenced for slot in left)
+
+
+@pytest.mark.parametrize(
+    ('headers', 'outcome'),
+    [({}, 'unknown'), ({'ebonycleat_attempt': '1'}, 'not-run')],
+)
+def test_a_refusal_at_the_door_does_not_deny_an_earlier_run(headers, outcome):
+    """Guards against "not run" for an id that ran through another node.
+
+    The node that drains, or the withdrawn key, says nothing about sends
+    that went elsewhere before.
+    """
+    world = create_world()
+    first = post_claim(world, 'map-a', 'same')
+    world.run(1)
+    leaving = world.nodes['claims-b']
+    leaving.perform(leaving.core.drain(world.clock.now))
+    again = post_claim(world, 'claims-b', 'same', **headers)
+    change(world, f'withdraw key {digest_key(KEY)}')
+    later = post_claim(world, 'map-a', 'same', **headers)
+    assert world.status(first) == 200
+    assert world.header(again, 'Ebonycleat-Outcome') == outcome
+    assert world.header(later, 'Ebonycleat-Outcome') == outcome
