--- a/src/ebonycleat/internal/process/http_server.py
+++ b/src/ebonycleat/internal/process/http_server.py
@@ -137,7 +137,14 @@
 
     def read_body(self, environment: Environment) -> bytes | Refusal:
         """Read the body; refuse one that is too large or cut off."""
-        length = int(environment.get('CONTENT_LENGTH') or 0)
+        declared = environment.get('CONTENT_LENGTH') or '0'
+        is_chunked = 'HTTP_TRANSFER_ENCODING' in environment
+        if is_chunked or not declared.isdecimal():
+            return refuse_not_run(
+                Reason.BAD_REQUEST,
+                'send the body with a Content-Length and not in chunks',
+            )
+        length = int(declared)
         if length > self.limits.body_bytes:
             return refuse_not_run(
                 Reason.BAD_REQUEST,
