The front is grafted onto cherrypy's tree, as the design says

Cause: the design page says that the WSGI application is grafted; the code handed it to the server directly. Change: the node grafts it onto cherrypy's tree. Conclusion: page and code agree; page handlers stay out of the path.

--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -63,10 +63,16 @@
             settings.target.slots + settings.queue_length(),
             settings.callers.max_body_bytes,
         )
-        application = HttpApplication(shell, limits)
+        # Grafted, so that cherrypy's page handlers take no part in calls.
+        cherrypy.tree.graft(HttpApplication(shell, limits), '')
         callers = settings.callers
         stack.enter_context(
-            serving_http(application, callers.address, callers.port),
+            serving_http(
+                cherrypy.tree,
+                limits,
+                callers.address,
+                callers.port,
+            ),
         )
         yield shell
 
--- a/src/ebonycleat/internal/process/http_server.py
+++ b/src/ebonycleat/internal/process/http_server.py
@@ -34,6 +34,10 @@
 
 Environment: TypeAlias = dict[str, Any]
 StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
+WsgiApplication: TypeAlias = Callable[
+    [Environment, StartResponse],
+    Iterable[bytes],
+]
 
 OPERATOR_PATH = '/-/ebonycleat/operator'
 HEALTH_PATH = '/-/ebonycleat/health'
@@ -172,7 +176,8 @@
 
 @contextlib.contextmanager
 def serving_http(
-    application: HttpApplication,
+    application: WsgiApplication,
+    limits: HttpLimits,
     host: str,
     port: int,
 ) -> Iterator[int]:
@@ -180,7 +185,7 @@
 
     Yields the bound port. Raises ``OSError`` when the address is taken.
     """
-    server = create_http_server(application, host, port)
+    server = create_http_server(application, limits, host, port)
     server.prepare()
     thread = threading.Thread(target=server.serve, name='http-accept')
     thread.start()
@@ -192,7 +197,8 @@
 
 
 def create_http_server(
-    application: HttpApplication,
+    application: WsgiApplication,
+    limits: HttpLimits,
     host: str,
     port: int,
 ) -> Any:
@@ -200,12 +206,12 @@
     server = wsgi.Server(
         (host, port),
         application,
-        numthreads=application.limits.concurrent_requests + SPARE_THREADS,
+        numthreads=limits.concurrent_requests + SPARE_THREADS,
         request_queue_size=ACCEPT_QUEUE_LENGTH,
         server_name='ebonycleat',
     )
     server.keep_alive_conn_limit = IDLE_CONNECTIONS
-    server.max_request_body_size = application.limits.body_bytes * 2
+    server.max_request_body_size = limits.body_bytes * 2
     return server
 
 
