--- /dev/null
+++ b/src/ebonycleat/commands/mesh_node.py
@@ -0,0 +1,96 @@
+"""``ebonycleat-mesh-node``: the process beside a target on the platform.
+
+Without arguments it reads the settings file that the platform names in the
+environment. Parsing of arguments is imported only if there are any: it takes
+more memory than the node itself.
+"""
+
+import asyncio
+import gc
+import os
+import pathlib
+import random
+import signal
+import sys
+
+from ebonycleat.internal.process.decision_log import create_output_stream
+from ebonycleat.internal.process.log_setup import set_up_logging
+from ebonycleat.internal.process.loop_thread import BoottimeEventLoop
+from ebonycleat.internal.process.mesh_node import MeshNode, create_mesh_node
+from ebonycleat.internal.process.mesh_runner import run_mesh_node
+from ebonycleat.internal.process.mesh_settings import MeshSettings
+from ebonycleat.internal.process.settings_file import WrongSettings
+from ebonycleat.platform import (
+    SETTINGS_VARIABLE,
+    create_platform_ports,
+    load_platform_settings,
+)
+
+EXIT_DONE = 0
+EXIT_WRONG_USE = 2
+LOG_LEVEL = 'INFO'
+
+GARBAGE_THRESHOLD = 50_000
+"""Objects between two collections: requests leave few cycles behind, and a
+collection of everything would stop all calls for milliseconds."""
+
+
+def start(path: pathlib.Path) -> int:
+    """Run a node until the process is told to stop."""
+    settings = load_platform_settings(path)
+    set_up_logging(LOG_LEVEL, settings.node, create_output_stream())
+    gc.set_threshold(GARBAGE_THRESHOLD)
+    gc.freeze()
+    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
+        runner.run(_run_node(settings, path))
+    return EXIT_DONE
+
+
+async def _run_node(settings: MeshSettings, path: pathlib.Path) -> None:
+    loop = asyncio.get_running_loop()
+    node = create_mesh_node(
+        settings,
+        create_platform_ports(settings),
+        random.Random(random.SystemRandom().getrandbits(64)),
+        loop.time,
+    )
+    loop.add_signal_handler(signal.SIGTERM, node.stopping.set)
+    loop.add_signal_handler(signal.SIGINT, node.stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    node.tools.log.note_always(
+        'node starts',
+        zone=settings.zone,
+        service=settings.service,
+        address=node.address,
+    )
+    await run_mesh_node(node)
+
+
+def _reload(node: MeshNode, path: pathlib.Path) -> None:
+    """Adopt changed settings; wrong ones leave the present in force."""
+    try:
+        settings = load_platform_settings(path)
+    except WrongSettings as wrong:
+        node.tools.log.note_always('settings not reloaded', problems=str(wrong))
+        return
+    node.adopt_settings(settings)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; returns its exit code."""
+    arguments = sys.argv[1:] if argv is None else argv
+    named = os.environ.get(SETTINGS_VARIABLE)
+    if arguments or not named:
+        # Only people give arguments; the platform gives none.
+        from ebonycleat.commands.mesh_node_options import run_with_options
+
+        return run_with_options(start, arguments, named)
+    try:
+        return start(pathlib.Path(named))
+    except WrongSettings as wrong:
+        sys.stderr.write(f'{wrong}\n')
+        return EXIT_WRONG_USE
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/ebonycleat/commands/mesh_node_options.py
@@ -0,0 +1,86 @@
+"""Command line of ``ebonycleat-mesh-node``, for people."""
+
+import dataclasses
+import pathlib
+import sys
+from collections.abc import Callable, Sequence
+from typing import Annotated
+
+import cappa
+
+from ebonycleat.internal.process.command_line import (
+    EXIT_DONE,
+    EXIT_INTERRUPTED,
+    EXIT_WRONG_USE,
+    parse_options,
+)
+from ebonycleat.internal.process.settings_file import WrongSettings
+from ebonycleat.platform import SETTINGS_VARIABLE, load_platform_settings
+
+PROGRAM_NAME = 'ebonycleat-mesh-node'
+
+
+@dataclasses.dataclass(frozen=True)
+class MeshNodeOptions:
+    """Options on the command line."""
+
+    settings: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            long='--settings',
+            help='JSON file of the platform with the settings',
+        ),
+    ] = None
+    check_settings: Annotated[
+        bool,
+        cappa.Arg(
+            long='--check-settings',
+            help='check the settings file and exit',
+        ),
+    ] = False
+
+
+def run_with_options(
+    start: Callable[[pathlib.Path], int],
+    arguments: Sequence[str],
+    named: str | None,
+) -> int:
+    """Parse the arguments and do what they say; returns the exit code."""
+    try:
+        options = parse_options(
+            MeshNodeOptions,
+            PROGRAM_NAME,
+            'The process beside one target on the platform.',
+            arguments,
+        )
+    except cappa.Exit as leave:
+        return leave.code if isinstance(leave.code, int) else EXIT_WRONG_USE
+    path = options.settings
+    if path is None and named:
+        path = pathlib.Path(named)
+    if path is None:
+        sys.stderr.write(
+            f'give --settings FILE, or name the file in the environment '
+            f'variable {SETTINGS_VARIABLE}\n',
+        )
+        return EXIT_WRONG_USE
+    try:
+        return _run(start, path, only_check=options.check_settings)
+    except WrongSettings as wrong:
+        sys.stderr.write(f'{wrong}\n')
+        return EXIT_WRONG_USE
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+
+
+def _run(
+    start: Callable[[pathlib.Path], int],
+    path: pathlib.Path,
+    *,
+    only_check: bool,
+) -> int:
+    if not only_check:
+        return start(path)
+    load_platform_settings(path)
+    sys.stdout.write(f'{path}: the settings can be used\n')
+    return EXIT_DONE
--- /dev/null
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -0,0 +1,103 @@
+"""HTTP/1.1 messages as the loop's server and client exchange them."""
+
+import dataclasses
+import http
+import types
+from collections.abc import Iterable
+
+from ebonycleat.internal.request.call import HeaderPairs
+
+# Headers that describe one connection; the sender of each hop sets its own.
+HOP_HEADERS = frozenset((
+    'connection',
+    'content-length',
+    'expect',
+    'keep-alive',
+    'proxy-authenticate',
+    'proxy-authorization',
+    'proxy-connection',
+    'te',
+    'trailer',
+    'transfer-encoding',
+    'upgrade',
+))
+
+BODILESS_STATUSES = frozenset((204, 304))
+FIRST_FINAL_STATUS = 200
+
+_PHRASES = types.MappingProxyType({
+    status.value: status.phrase for status in http.HTTPStatus
+})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One whole request; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: HeaderPairs
+    body: bytes
+    keep_alive: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """One whole answer without the headers of its connection."""
+
+    status: int
+    headers: HeaderPairs = ()
+    body: bytes = b''
+
+
+def find_header(headers: HeaderPairs, name: str) -> str:
+    """Text of the first header with this lower-case name, or nothing."""
+    for found, text in headers:
+        if found == name:
+            return text
+    return ''
+
+
+def drop_hop_headers(headers: Iterable[tuple[str, str]]) -> HeaderPairs:
+    """Headers that may travel on, without those named by ``Connection``."""
+    pairs = tuple(headers)
+    named = {
+        word.strip().lower()
+        for name, text in pairs
+        if name == 'connection'
+        for word in text.split(',')
+    }
+    return tuple(
+        pair
+        for pair in pairs
+        if pair[0] not in HOP_HEADERS and pair[0] not in named
+    )
+
+
+def encode_request(
+    method: str,
+    target: str,
+    headers: HeaderPairs,
+    body: bytes,
+) -> bytes:
+    """Bytes of one request; a body is always sent with its length."""
+    lines = [f'{method} {target} HTTP/1.1']
+    lines.extend(f'{name}: {text}' for name, text in headers)
+    if body or method in {'POST', 'PUT', 'PATCH'}:
+        lines.append(f'content-length: {len(body)}')
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1') + body
+
+
+def encode_answer(answer: HttpAnswer, *, close: bool, is_head: bool) -> bytes:
+    """Bytes of one answer; its length is always declared."""
+    phrase = _PHRASES.get(answer.status, 'Unknown')
+    lines = [f'HTTP/1.1 {answer.status} {phrase}']
+    lines.extend(f'{name}: {text}' for name, text in answer.headers)
+    if answer.status not in BODILESS_STATUSES and not is_head:
+        lines.append(f'content-length: {len(answer.body)}')
+    if close:
+        lines.append('connection: close')
+    lines.append('\r\n')
+    head = '\r\n'.join(lines).encode('latin-1')
+    return head if is_head else head + answer.body
--- a/src/ebonycleat/internal/process/command_line.py
+++ b/src/ebonycleat/internal/process/command_line.py
@@ -9,7 +9,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from importlib import metadata
-from typing import Annotated, Any, Generic, TypeVar
+from typing import Annotated, Generic, TypeVar
 
 import cappa
 
@@ -19,6 +19,7 @@
 )
 
 SettingsT = TypeVar('SettingsT')
+OptionsT = TypeVar('OptionsT')
 
 EXIT_DONE = 0
 EXIT_WRONG_USE = 2
@@ -66,7 +67,12 @@
 ) -> int:
     """Run one program; ``argv`` is without its name. Returns the exit code."""
     try:
-        options = _parse(program, argv)
+        options = parse_options(
+            Options,
+            program.name,
+            program.description,
+            argv,
+        )
     except cappa.Exit as leave:
         return leave.code if isinstance(leave.code, int) else EXIT_WRONG_USE
     try:
@@ -83,17 +89,19 @@
         return EXIT_INTERRUPTED
 
 
-def _parse(program: Program[Any], argv: Sequence[str] | None) -> Options:
-    command = cappa.command(
-        Options,
-        name=program.name,
-        help=program.description,
-    )
+def parse_options(
+    options_class: type[OptionsT],
+    name: str,
+    description: str,
+    argv: Sequence[str] | None,
+) -> OptionsT:
+    """Parse arguments without the program's name; may raise cappa.Exit."""
+    command = cappa.command(options_class, name=name, help=description)
     return cappa.parse(
         command,
         argv=None if argv is None else list(argv),
         version=cappa.Arg(
-            f'{program.name} {program_version()}',
+            f'{name} {program_version()}',
             long='--version',
             help='show the version and exit',
         ),
--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -80,6 +80,53 @@
         """Ignore the probe."""
 
 
+class DeclaredLimit(ConcurrencyLimit):
+    """The declared slots, and nothing while the target is down or absent.
+
+    Fits targets whose service times say little about their load, because
+    they wait for other services during most of a call.
+    """
+
+    def __init__(self, slots: int = 1) -> None:
+        """Start without a target: no call may run."""
+        super().__init__(slots)
+        self.pause = TargetPause()
+        self.is_present = False
+
+    def declare(self, slots: int) -> None:
+        """Run this many calls from now on."""
+        self.slots = max(1, slots)
+        self.is_present = True
+
+    def withdraw(self) -> None:
+        """Run no calls until slots are declared again."""
+        self.is_present = False
+
+    def renew(self) -> None:
+        """Forget the failures of an earlier target at this address."""
+        self.pause = TargetPause()
+
+    def allowed(self, now: float) -> int:
+        """Return the slots, one during a trial, zero without a target."""
+        if not self.is_present:
+            return 0
+        paused = self.pause.allowed(now)
+        return self.slots if paused is None else paused
+
+    def note_outcome(self, outcome: RunOutcome, now: float) -> None:
+        """Pause after a death; any answer shows that the target lives."""
+        if outcome.result is RunResult.TARGET_DIED:
+            self.pause.note_death(now)
+        else:
+            self.pause.note_success()
+
+    def note_health(self, usable_slots: int, now: float) -> None:
+        """Ignore the claim; the target is not probed."""
+
+    def note_probe_failed(self, now: float) -> None:
+        """Ignore the probe; the target is not probed."""
+
+
 class ServiceTimeWindow:
     """Mean service time of the successes in the current window."""
 
--- a/src/ebonycleat/internal/process/log_setup.py
+++ b/src/ebonycleat/internal/process/log_setup.py
@@ -3,7 +3,7 @@
 import json
 import logging
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 # Attributes that every record has; whatever else is on a record was given
 # by the caller as a field.
@@ -20,6 +20,16 @@
 _NOISY_LOGGERS = ('urllib3', 'cherrypy.error', 'websockets')
 
 
+class LineStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str, /) -> object:
+        """Write a line."""
+
+    def flush(self) -> object:
+        """Write out what is buffered."""
+
+
 class JsonLineFormatter(logging.Formatter):
     """Formats records with their extra fields; never raises."""
 
@@ -48,7 +58,7 @@
 def set_up_logging(
     level: str,
     process_name: str,
-    stream: TextIO | None = None,
+    stream: LineStream | None = None,
 ) -> logging.Handler:
     """Send all log lines of the process to ``stream`` (standard error).
 
--- /dev/null
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -0,0 +1,183 @@
+"""The entry of a node: callers' requests in, final answers out."""
+
+import dataclasses
+from collections.abc import Callable
+
+from ebonycleat.internal.connection.http_listener import (
+    Exchange,
+    ExchangeHandler,
+)
+from ebonycleat.internal.connection.http_messages import HttpAnswer
+from ebonycleat.internal.connection.mesh_ports import (
+    CallerDialect,
+    CallerRequest,
+)
+from ebonycleat.internal.process.decision_log import DecisionLog
+from ebonycleat.internal.process.mesh_admission import (
+    AdmittedRequest,
+    MeshAdmission,
+)
+from ebonycleat.internal.process.mesh_metrics import MeshMetrics
+from ebonycleat.internal.process.retry_budget import RetryBudget
+from ebonycleat.internal.process.router import Router
+from ebonycleat.internal.process.token_exchange import TokenExchanger
+from ebonycleat.internal.request.call import Answer
+from ebonycleat.internal.request.mesh_run import GateAccess, MeshRun
+from ebonycleat.internal.request.refusal import (
+    Reason,
+    Refusal,
+    refuse_not_run,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryTools:
+    """What the requests of one entry share."""
+
+    dialect: CallerDialect
+    admission: MeshAdmission
+    tokens: TokenExchanger
+    access: GateAccess
+    router: Router
+    budget: RetryBudget
+    metrics: MeshMetrics
+    log: DecisionLog
+    clock: Callable[[], float]
+
+
+class MeshEntry(ExchangeHandler):
+    """Answers the callers of one node."""
+
+    def __init__(self, tools: EntryTools) -> None:
+        """Use the given tools."""
+        self.tools = tools
+
+    def begin(self, exchange: Exchange) -> None:
+        """Admit a request and run it, or refuse it."""
+        tools = self.tools
+        read = tools.dialect.read_request(exchange.request)
+        if isinstance(read, Refusal):
+            self.refuse(exchange, '', read)
+            return
+        admitted = tools.admission.admit(
+            exchange.request,
+            read,
+            tools.clock(),
+        )
+        if isinstance(admitted, Refusal):
+            self.log_refusal(read, admitted)
+            self.refuse(exchange, read.request_id, admitted)
+            return
+        tools.tokens.acquire(
+            admitted.call.team,
+            lambda granted: self.token_decided(exchange, admitted, granted),
+        )
+
+    def token_decided(
+        self,
+        exchange: Exchange,
+        admitted: AdmittedRequest,
+        granted: bool,
+    ) -> None:
+        """Run a request that has its team's token, refuse it without."""
+        if exchange.is_over:
+            return
+        if granted:
+            self.run(exchange, admitted)
+            return
+        team = admitted.call.team
+        refusal = refuse_not_run(
+            Reason.OVER_RATE,
+            'the team has used up its rate',
+            retry_after_s=self.tools.tokens.retry_after_s(team),
+        )
+        self.tools.log.note(
+            'request over the rate of its team',
+            request=admitted.request_id,
+            team=team,
+            retry_after_s=refusal.retry_after_s,
+            version=self.tools.admission.holder.version,
+        )
+        self.refuse(exchange, admitted.request_id, refusal)
+
+    def run(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
+        """Send an admitted request on its way."""
+        tools = self.tools
+        run = MeshRun(
+            admitted,
+            tools.access,
+            tools.router,
+            tools.budget,
+            lambda ended, result: self.finish(exchange, ended, result),
+        )
+        exchange.on_abandoned = lambda: self.abandon(run)
+        run.start()
+
+    def finish(
+        self,
+        exchange: Exchange,
+        run: MeshRun,
+        result: Answer | Refusal,
+    ) -> None:
+        """Answer the caller."""
+        tools = self.tools
+        admitted = run.admitted
+        call = admitted.call
+        latency_s = tools.clock() - run.started_at
+        if isinstance(result, Answer):
+            tools.metrics.answered(call, result.status, latency_s)
+            exchange.answer(
+                HttpAnswer(result.status, result.headers, result.body),
+            )
+            return
+        tools.log.note(
+            'request refused',
+            request=admitted.request_id,
+            route=call.route,
+            team=call.team,
+            service=call.service,
+            reason=result.reason.value,
+            outcome=result.outcome.value,
+            detail=result.detail,
+            nodes_tried=sorted(run.tried),
+            latency_ms=round(latency_s * 1000),
+            version=tools.admission.holder.version,
+        )
+        self.refuse(exchange, admitted.request_id, result)
+
+    def abandon(self, run: MeshRun) -> None:
+        """Stop the work for a caller that has left."""
+        run.cancel()
+        self.tools.metrics.count('abandoned')
+        self.tools.log.note(
+            'caller left before its answer',
+            request=run.admitted.request_id,
+            route=run.admitted.call.route,
+            nodes_tried=sorted(run.tried),
+        )
+
+    def refuse(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        refusal: Refusal,
+    ) -> None:
+        """Send a refusal."""
+        self.tools.metrics.refused(refusal)
+        exchange.answer(
+            self.tools.dialect.render_refusal(request_id, refusal),
+        )
+
+    def log_refusal(self, read: CallerRequest, refusal: Refusal) -> None:
+        """Write why a request did not get past the entry."""
+        tools = self.tools
+        tools.log.note(
+            'request refused at the entry',
+            request=read.request_id,
+            host=read.host,
+            path=read.path,
+            reason=refusal.reason.value,
+            retry_after_s=refusal.retry_after_s,
+            version=tools.admission.holder.version,
+            proof_age_s=tools.admission.holder.proof_age_s(tools.clock()),
+        )
--- /dev/null
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -0,0 +1,311 @@
+"""The only way to the target beside a node.
+
+Peers and the own entry offer calls; the gate queues, refuses or sends them.
+What it refuses has reached no target, so a refusal costs nobody a repeat.
+The last check of key, time and target is made here, right before a send.
+"""
+
+import dataclasses
+from collections.abc import Callable
+from typing import TypeAlias
+
+from ebonycleat.internal.connection.http_messages import encode_request
+from ebonycleat.internal.connection.http_requester import (
+    ANY_FRESHNESS_S,
+    ConnectionPool,
+    OutgoingRequest,
+    Send,
+    SendFailure,
+    SendFailureKind,
+    SendResult,
+)
+from ebonycleat.internal.connection.mesh_ports import (
+    TargetDialect,
+    TargetRequest,
+    TargetWord,
+)
+from ebonycleat.internal.process.concurrency_limit import DeclaredLimit
+from ebonycleat.internal.process.configuration_holder import (
+    ConfigurationHolder,
+)
+from ebonycleat.internal.process.decision_log import DecisionLog
+from ebonycleat.internal.process.gate import Gate
+from ebonycleat.internal.process.gate_events import (
+    Dispatch,
+    GateEvent,
+    GateLoad,
+)
+from ebonycleat.internal.process.own_target import OwnTarget
+from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
+from ebonycleat.internal.request.call import (
+    Answer,
+    Call,
+    CallResult,
+    RefusedCall,
+)
+from ebonycleat.internal.request.refusal import (
+    Outcome,
+    Reason,
+    Refusal,
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+
+QUEUE_PER_SLOT = 2
+"""Calls that may wait for each slot; more could not start in time."""
+
+UNREPEATABLE_FRESHNESS_S = 0.15
+"""A request that must not be sent twice goes on a connection that was used
+just now: an older one may have been closed while the request is written."""
+
+SHED_RETRY_S = 0.2
+"""Time after which a target that was full is asked again."""
+
+ResultHandler: TypeAlias = Callable[[CallResult], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateCall:
+    """A call offered to the gate, with what its target is told.
+
+    ``key_mark`` is empty on routes open to all.
+    """
+
+    call: Call
+    request_id: str
+    host: str
+    origin_service: str
+    key_mark: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """A call that waits here or runs at the target."""
+
+    offered: GateCall
+    on_result: ResultHandler
+    send: Send | None = None
+    sent_at: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetWay:
+    """A target, its connections, and how it speaks."""
+
+    target: OwnTarget
+    pool: ConnectionPool
+    dialect: TargetDialect
+
+
+class MeshGate:
+    """Decides with a ``Gate``, and moves the calls that it lets pass."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        limit: DeclaredLimit,
+        way: TargetWay,
+        holder: ConfigurationHolder,
+        log: DecisionLog,
+        clock: Callable[[], float],
+    ) -> None:
+        """Guard a target; ``clock`` is in seconds."""
+        self.gate = gate
+        self.limit = limit
+        self.target = way.target
+        self.pool = way.pool
+        self.dialect = way.dialect
+        self.holder = holder
+        self.log = log
+        self.clock = clock
+        self.held: dict[str, Held] = {}
+
+    def hear(self, word: TargetWord) -> bool:
+        """Learn from the target's message; true if its state changed."""
+        before = self.target.incarnation
+        changed = self.target.hear(word)
+        if self.target.incarnation != before:
+            self.limit.renew()
+        self.follow_target()
+        return changed
+
+    def follow_target(self) -> None:
+        """Open or close the gate as the target's state demands."""
+        if self.target.is_usable:
+            self.limit.declare(self.target.slots)
+            self.gate.queue_limit = self.target.slots * QUEUE_PER_SLOT
+        else:
+            self.limit.withdraw()
+        self.perform(self.gate.tick(self.clock()))
+
+    def load(self) -> GateLoad:
+        """Load to tell with each result."""
+        load = self.gate.load(self.clock())
+        if self.target.is_leaving:
+            return dataclasses.replace(load, draining=True)
+        return load
+
+    def offer(self, offered: GateCall, on_result: ResultHandler) -> None:
+        """Take a call; its one result comes through ``on_result``."""
+        self.held[offered.call.call_id] = Held(offered, on_result)
+        self.perform(self.gate.offer(offered.call, self.clock()))
+
+    def cancel(self, call_id: str) -> None:
+        """Drop a call whose caller has left.
+
+        A run that must not be repeated goes on to its end.
+        """
+        held = self.held.get(call_id)
+        if held is None:
+            return
+        if held.send is None:
+            self.perform(self.gate.cancel(call_id, self.clock()))
+        elif held.offered.call.idempotent:
+            held.send.cancel()
+
+    def tick(self) -> None:
+        """Let time-driven decisions happen."""
+        if self.gate.queue:
+            self.perform(self.gate.tick(self.clock()))
+
+    def perform(self, events: list[GateEvent]) -> None:
+        """Carry out what the gate decided."""
+        for event in events:
+            if isinstance(event, Dispatch):
+                self.dispatch(event.call)
+            else:
+                self.resolve(
+                    event.call.call_id,
+                    RefusedCall(event.call.call_id, event.refusal),
+                )
+
+    def dispatch(self, call: Call) -> None:
+        """Send a call to the target, if that is still right now."""
+        held = self.held[call.call_id]
+        now = self.clock()
+        refusal = self.find_objection(held.offered, now)
+        if refusal is not None:
+            self.end_run(call, RunOutcome(RunResult.FAILED))
+            self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
+            return
+        held.sent_at = now
+        held.send = self.pool.send(
+            self.encode(held.offered, now),
+            lambda result: self.sent(call, result),
+        )
+
+    def find_objection(self, offered: GateCall, now: float) -> Refusal | None:
+        """Why a call must not be sent any more."""
+        call = offered.call
+        if not self.target.is_usable:
+            return refuse_not_run(Reason.DRAINING, 'the target is leaving')
+        if call.deadline <= now:
+            return refuse_not_run(Reason.DEADLINE, 'too late to start')
+        if self.holder.honours(offered.key_mark, call.team, now):
+            return None
+        if self.holder.trusts_keys(now):
+            return refuse_not_run(Reason.WITHDRAWN_KEY, 'key was withdrawn')
+        return refuse_not_run(
+            Reason.STALE_CONFIGURATION,
+            'this node cannot tell whether the key was withdrawn',
+            retry_after_s=SHED_RETRY_S,
+        )
+
+    def encode(self, offered: GateCall, now: float) -> OutgoingRequest:
+        """Bytes of a call for the target."""
+        call = offered.call
+        headers = self.dialect.render_headers(
+            TargetRequest(
+                request_id=offered.request_id,
+                host=offered.host,
+                left_s=call.deadline - now,
+                instance=self.target.instance,
+                team=call.team,
+                origin_service=offered.origin_service,
+                headers=call.headers,
+            ),
+        )
+        request_id = offered.request_id
+        freshness_s = UNREPEATABLE_FRESHNESS_S
+        if call.idempotent:
+            freshness_s = ANY_FRESHNESS_S
+        return OutgoingRequest(
+            encode_request(call.method, call.path, headers, call.body),
+            lambda found: self.dialect.is_answer_to(request_id, found),
+            is_head=call.method == 'HEAD',
+            freshness_s=freshness_s,
+        )
+
+    def sent(self, call: Call, result: SendResult) -> None:
+        """Learn how a send ended."""
+        held = self.held[call.call_id]
+        service_s = self.clock() - held.sent_at
+        if isinstance(result, SendFailure):
+            self.end_run(call, RunOutcome(_run_result_of(result), service_s))
+            self.log_failure(held, result)
+            refusal = _refusal_of(result)
+            self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
+            return
+        report = self.dialect.read_answer(result)
+        if report.is_other_instance:
+            self.target.note_other_instance()
+            self.follow_target()
+        if report.has_not_run:
+            self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
+            self.resolve(call.call_id, RefusedCall(call.call_id, _TARGET_SHED))
+            return
+        is_success = report.answer.status < 500
+        run_result = RunResult.SUCCEEDED if is_success else RunResult.FAILED
+        self.end_run(call, RunOutcome(run_result, service_s))
+        answer = report.answer
+        self.resolve(
+            call.call_id,
+            Answer(call.call_id, answer.status, answer.headers, answer.body),
+        )
+
+    def end_run(self, call: Call, outcome: RunOutcome) -> None:
+        """Free the slot, which may start other calls."""
+        self.perform(self.gate.finished(call.call_id, outcome, self.clock()))
+
+    def resolve(self, call_id: str, result: CallResult) -> None:
+        """Report the one result of a call."""
+        held = self.held.pop(call_id, None)
+        if held is not None:
+            held.on_result(result)
+
+    def log_failure(self, held: Held, failure: SendFailure) -> None:
+        """Write why a run has no answer."""
+        self.log.note(
+            'target gave no whole answer',
+            request=held.offered.request_id,
+            route=held.offered.call.route,
+            instance=self.target.instance,
+            kind=failure.kind.value,
+            was_sent=failure.was_sent,
+            detail=failure.detail,
+        )
+
+
+def _run_result_of(failure: SendFailure) -> RunResult:
+    if failure.kind is SendFailureKind.NOT_CONNECTED:
+        return RunResult.TARGET_DIED
+    return RunResult.FAILED
+
+
+def _refusal_of(failure: SendFailure) -> Refusal:
+    reason = Reason.TARGET_FAILED
+    if failure.kind is SendFailureKind.TRUNCATED:
+        reason = Reason.TRUNCATED_ANSWER
+    elif failure.kind is SendFailureKind.CANCELLED:
+        reason = Reason.CANCELLED
+    outcome = Outcome.UNKNOWN if failure.was_sent else Outcome.NOT_RUN
+    if outcome is Outcome.NOT_RUN:
+        return refuse_not_run(reason, failure.detail, SHED_RETRY_S)
+    return refuse_outcome_unknown(reason, failure.detail)
+
+
+_TARGET_SHED = refuse_not_run(
+    Reason.TARGET_SHED,
+    'the target was full',
+    retry_after_s=SHED_RETRY_S,
+)
--- /dev/null
+++ b/src/ebonycleat/internal/process/mesh_metrics.py
@@ -0,0 +1,44 @@
+"""Counters and latency histograms of a mesh node, as text to be fetched."""
+
+from ebonycleat.internal.process.metrics import LatencyHistograms, Metrics
+from ebonycleat.internal.request.call import Call
+from ebonycleat.internal.request.refusal import Refusal
+
+
+class MeshMetrics:
+    """Counts what happens to requests; used on the loop only."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.counters = Metrics(None)
+        self.histograms = LatencyHistograms()
+
+    def count(self, *name_parts: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters.count(*name_parts, amount=amount)
+
+    def answered(self, call: Call, status: int, latency_s: float) -> None:
+        """Count an answer of a target."""
+        self.counters.count('answered', call.route, str(status))
+        self.histograms.record(call.team, call.priority, latency_s)
+
+    def refused(self, refusal: Refusal) -> None:
+        """Count a refusal."""
+        self.counters.count('refused', refusal.reason.value)
+
+    def render(self, gauges: dict[str, float]) -> str:
+        """All figures, one a line: name, then the figure."""
+        lines = [f'{name} {figure:g}' for name, figure in gauges.items()]
+        lines.extend(
+            f'{name} {total}'
+            for name, total in sorted(self.counters.totals.items())
+        )
+        for summary in self.histograms.summarise():
+            name = f'latency.{summary.team or "none"}.{summary.priority.name}'
+            lines.extend((
+                f'{name}.count {summary.count}',
+                f'{name}.p50_s {summary.p50_s:g}',
+                f'{name}.p99_s {summary.p99_s:g}',
+                f'{name}.p999_s {summary.p999_s:g}',
+            ))
+        return '\n'.join((*lines, ''))
--- /dev/null
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -0,0 +1,158 @@
+"""Runs a node of a mesh on its loop, and stops it as planned."""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+from collections.abc import AsyncIterator, Callable
+
+from ebonycleat.internal.connection.http_listener import (
+    ExchangeHandler,
+    HttpListener,
+    ListenerLimits,
+    listening,
+)
+from ebonycleat.internal.process.mesh_node import MeshNode
+from ebonycleat.internal.process.mesh_services import (
+    ControlService,
+    MetricsService,
+    ReadyService,
+)
+from ebonycleat.internal.process.mesh_settings import Address
+
+METRICS_PATH = '/metrics'
+
+GATE_TICK_S = 0.02
+"""How often queued calls are looked at; refusals are at most this late."""
+
+LINK_TICK_S = 0.1
+"""How often links are checked for silence; a twelfth of their limit."""
+
+COUNT_TICK_S = 1
+"""How often nodes are counted; fewer count only after some seconds."""
+
+UNREADY_S = 2.3
+"""Callers are sent elsewhere after two missed questions a second apart."""
+
+STOP_RESERVE_S = 0.4
+"""Part of the stop grace that is left for ending the process."""
+
+STOP_TICK_S = 0.05
+
+FIRST_RECORD_WAIT_S = 2
+"""A target announces itself within its heartbeat interval, so that its first
+record is written once; without a target the node is recorded after this."""
+
+
+async def run_mesh_node(node: MeshNode) -> None:
+    """Serve until the node is told to stop, then finish what was accepted."""
+    async with contextlib.AsyncExitStack() as stack:
+        await _open_addresses(node, stack)
+        stack.enter_context(node.gate.pool)
+        stack.callback(node.links.close)
+        await stack.enter_async_context(_running_duties(node))
+        await node.stopping.wait()
+        await _finish_requests(node)
+
+
+async def _open_addresses(
+    node: MeshNode,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    settings = node.settings
+    server = await asyncio.get_running_loop().create_server(
+        node.links.accept,
+        settings.peers.host,
+        settings.peers.port,
+    )
+    stack.callback(server.close)
+    control = ControlService(node.tools.ports.control, node.word_received)
+    metrics = MetricsService(METRICS_PATH, node.render_metrics)
+    metrics_address = dataclasses.replace(
+        settings.peers,
+        port=settings.metrics_port,
+    )
+    await _open(node, stack, ReadyService(node.is_ready), settings.ready)
+    await _open(node, stack, control, settings.control)
+    await _open(node, stack, metrics, metrics_address)
+    callers = settings.callers
+    await stack.enter_async_context(
+        listening(node.listener, callers.host, callers.port),
+    )
+
+
+async def _open(
+    node: MeshNode,
+    stack: contextlib.AsyncExitStack,
+    handler: ExchangeHandler,
+    address: Address,
+) -> None:
+    listener = HttpListener(handler, ListenerLimits(), node.tools.clock)
+    await stack.enter_async_context(
+        listening(listener, address.host, address.port),
+    )
+
+
+@contextlib.asynccontextmanager
+async def _running_duties(node: MeshNode) -> AsyncIterator[None]:
+    duties = node.duties
+    coroutines = (
+        duties.follower.follow_configuration(),
+        duties.follower.follow_members(),
+        duties.writer.write_until_cancelled(),
+        duties.exchanger.exchange_until_cancelled(),
+        _write_first_record(node),
+        _tick(GATE_TICK_S, node.gate.tick),
+        _tick(GATE_TICK_S, duties.exchanger.tick),
+        _tick(LINK_TICK_S, node.links.check_silence),
+        _tick(COUNT_TICK_S, node.count_nodes),
+    )
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(coroutine) for coroutine in coroutines]
+    report = functools.partial(_end_node, node)
+    for task in tasks:
+        task.add_done_callback(report)
+    try:
+        yield
+    finally:
+        for running in tasks:
+            running.cancel()
+
+
+def _end_node(node: MeshNode, ended: asyncio.Task[None]) -> None:
+    """Stop a node one of whose duties failed; the platform restarts it."""
+    if ended.cancelled():
+        return
+    error = ended.exception()
+    if error is not None:
+        node.tools.log.logger.error('duty failed', exc_info=error)
+        node.stopping.set()
+
+
+async def _tick(interval_s: float, act: Callable[[], None]) -> None:
+    while True:
+        await asyncio.sleep(interval_s)
+        act()
+
+
+async def _write_first_record(node: MeshNode) -> None:
+    await asyncio.sleep(FIRST_RECORD_WAIT_S)
+    if node.duties.writer.wanted is None:
+        node.want_record()
+
+
+async def _finish_requests(node: MeshNode) -> None:
+    """Answer everything that was read, within the stop grace."""
+    clock = node.tools.clock
+    log = node.tools.log
+    stopped_at = clock()
+    end_by = stopped_at + node.settings.bounds.stop_grace_s - STOP_RESERVE_S
+    log.note_always('node stops', open=node.count_open())
+    node.gate.gate.drain()
+    while clock() < end_by:
+        await asyncio.sleep(STOP_TICK_S)
+        if clock() - stopped_at > UNREADY_S:
+            node.listener.close_idle()
+            if not node.count_open():
+                break
+    log.note_always('node stopped', open=node.count_open())
--- a/src/ebonycleat/internal/process/settings_file.py
+++ b/src/ebonycleat/internal/process/settings_file.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 import pathlib
 import types
 from collections.abc import Callable, Iterator, Mapping
@@ -47,6 +48,24 @@
         return f'{self.key_path}: found {self.found}, allowed: {self.allowed}'
 
 
+class FileForm(enum.Enum):
+    """Formats of settings files.
+
+    JSON files are written by a platform that may add keys at any time, so
+    keys that are not known are passed over there; in TOML files, which
+    people write, they are mistakes.
+    """
+
+    TOML = 'TOML'
+    JSON = 'JSON'
+
+    def decode(self, text: str) -> Any:
+        """Decode text; raises ``msgspec.DecodeError``."""
+        if self is FileForm.JSON:
+            return msgspec.json.decode(text)
+        return msgspec.toml.decode(text)
+
+
 class WrongSettings(Exception):
     """A settings file that cannot be used, with all its problems."""
 
@@ -65,6 +84,7 @@
 def load_settings(
     path: pathlib.Path,
     settings_class: type[SettingsT],
+    form: FileForm = FileForm.TOML,
 ) -> SettingsT:
     """Read one file; raises ``WrongSettings`` also if it cannot be read."""
     try:
@@ -72,23 +92,33 @@
     except (OSError, UnicodeDecodeError, ValueError) as error:
         raise WrongSettings(
             str(path),
-            (SettingsProblem('(file)', str(error), 'a readable TOML file'),),
+            (
+                SettingsProblem(
+                    '(file)',
+                    str(error),
+                    f'a readable {form.value} file',
+                ),
+            ),
         ) from error
-    return parse_settings(text, str(path), settings_class)
+    return parse_settings(text, str(path), settings_class, form)
 
 
 def parse_settings(
     text: str,
     file_name: str,
     settings_class: type[SettingsT],
+    form: FileForm = FileForm.TOML,
 ) -> SettingsT:
-    """Convert TOML text; raises ``WrongSettings`` with every problem."""
+    """Convert text; raises ``WrongSettings`` with every problem."""
     try:
-        tree = msgspec.toml.decode(text)
+        tree = form.decode(text)
     except (msgspec.DecodeError, RecursionError) as error:
-        problem = SettingsProblem('(file)', str(error), 'valid TOML')
+        problem = SettingsProblem('(file)', str(error), f'valid {form.value}')
         raise WrongSettings(file_name, (problem,)) from error
-    reader = _Reader()
+    if not isinstance(tree, dict):
+        problem = SettingsProblem('(file)', _shorten(tree), 'a table')
+        raise WrongSettings(file_name, (problem,))
+    reader = _Reader(accepts_unknown=form is FileForm.JSON)
     settings = reader.read_table(tree, settings_class, '')
     if reader.problems:
         raise WrongSettings(file_name, tuple(reader.problems))
@@ -98,8 +128,9 @@
 class _Reader:
     """Walks the tables of one file and collects problems."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, accepts_unknown: bool) -> None:
         self.problems: list[SettingsProblem] = []
+        self.accepts_unknown = accepts_unknown
 
     def read_table(
         self,
@@ -109,13 +140,14 @@
     ) -> Any:
         """Build ``table_class``; the result is unusable after a problem."""
         hints = get_type_hints(table_class, include_extras=True)
-        self._report_unknown(table, sorted(hints), path)
+        fields = dataclasses.fields(table_class)
+        self._report_unknown(table, sorted(map(_key_of, fields)), path)
         known: dict[str, Any] = {}
         problems_before = len(self.problems)
-        for field in dataclasses.fields(table_class):
-            key_path = f'{path}{field.name}'
+        for field in fields:
+            key_path = f'{path}{_key_of(field)}'
             hint = hints[field.name]
-            found = table.get(field.name)  # TOML has no null
+            found = table.get(_key_of(field))  # null counts as absent
             if found is not None:
                 known[field.name] = self._read_key(found, hint, key_path)
             elif _is_required(field):
@@ -171,6 +203,8 @@
         known: list[str],
         path: str,
     ) -> None:
+        if self.accepts_unknown:
+            return
         for name in table:
             if name not in known:
                 names = ', '.join(known)
@@ -180,6 +214,11 @@
         self.problems.append(SettingsProblem(path, found, allowed))
 
 
+def _key_of(field: dataclasses.Field[Any]) -> str:
+    """Name of a field's key in the file, where it is not the field's."""
+    return str(field.metadata.get('key', field.name))
+
+
 def _is_required(field: dataclasses.Field[Any]) -> bool:
     return (
         field.default is dataclasses.MISSING
--- /dev/null
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -0,0 +1,301 @@
+"""Moves tokens of teams: nodes to their zone's leader, and between zones.
+
+A request whose node has no token waits a moment for one from the leader. One
+question is on its way for each team at a time, so a surge costs a question
+for each round trip and not one for each request.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+from collections.abc import Callable, Mapping
+
+from ebonycleat.internal.connection.mesh_link import LinkTable, MeshLink
+from ebonycleat.internal.connection.mesh_messages import (
+    AnyMeshMessage,
+    TokensExchange,
+    TokensGiven,
+)
+from ebonycleat.internal.process.quota_tokens import QuotaTokens
+from ebonycleat.internal.process.zone_leader import ZoneLeader
+
+EXCHANGE_INTERVAL_S = 0.2
+"""How often leases are renewed: four times within one."""
+
+TOKEN_WAIT_S = 0.05
+"""How long a request may wait for a token: some round trips to the leader,
+and little against the shortest objective of 120 ms."""
+
+MAX_WAITING = 256
+"""Requests of one team that may wait for tokens at a node."""
+
+SHORTEST_RETRY_S = 0.2
+LONGEST_RETRY_S = 3.0
+"""Retry-After of a request beyond its team's rate. It grows with the ratio
+of refused to granted requests, which is the time that the excess of a second
+takes to be worked off."""
+
+LARGEST_JITTER = 2.0
+"""Requests refused together must not come back together."""
+
+
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """A request that waits for a token."""
+
+    give_up_at: float
+    on_decision: Callable[[bool], None]
+    is_over: bool = False
+
+
+class TeamDesk:
+    """Requests of one team that wait at this node."""
+
+    def __init__(self) -> None:
+        """Start with nobody waiting."""
+        self.waiters: collections.deque[Waiter] = collections.deque()
+        self.is_asking = False
+        self.granted: float = 0
+        self.refused: float = 0
+
+    def decay(self, share: float) -> None:
+        """Let old counts fade."""
+        self.granted *= share
+        self.refused *= share
+
+
+class TokenExchanger:
+    """The tokens of one node, and the pool of its zone if it leads it."""
+
+    def __init__(
+        self,
+        quota: QuotaTokens,
+        leader: ZoneLeader,
+        links: LinkTable,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        """Exchange the tokens of ``quota``; ``rng`` spreads retries."""
+        self.quota = quota
+        self.leader = leader
+        self.links = links
+        self.clock = clock
+        self.rng = rng
+        self.desks: dict[str, TeamDesk] = {}
+
+    async def exchange_until_cancelled(self) -> None:
+        """Exchange at the interval."""
+        while True:
+            await asyncio.sleep(EXCHANGE_INTERVAL_S)
+            self.exchange()
+
+    def acquire(self, team: str, on_decision: Callable[[bool], None]) -> None:
+        """Decide now or soon whether a request of a team has a token."""
+        if not self.quota.is_limited(team):
+            on_decision(True)
+            return
+        now = self.clock()
+        self.quota.note_demand(team)
+        desk = self.desks.setdefault(team, TeamDesk())
+        if not desk.waiters and self.quota.take(team, now):
+            desk.granted += 1
+            on_decision(True)
+            return
+        if len(desk.waiters) >= MAX_WAITING:
+            desk.refused += 1
+            on_decision(False)
+            return
+        desk.waiters.append(Waiter(now + TOKEN_WAIT_S, on_decision))
+        self.ask_for_waiting(team, desk)
+
+    def retry_after_s(self, team: str) -> float:
+        """Seconds after which a refused request has a fair chance."""
+        desk = self.desks.get(team)
+        excess: float = 0
+        if desk is not None:
+            excess = desk.refused / max(1.0, desk.granted)
+        wait_s = SHORTEST_RETRY_S + excess
+        wait_s *= self.rng.uniform(1, LARGEST_JITTER)
+        return min(wait_s, LONGEST_RETRY_S)
+
+    def ask_for_waiting(self, team: str, desk: TeamDesk) -> None:
+        """Ask for the requests that wait, unless a question is out."""
+        if desk.is_asking or not desk.waiters:
+            return
+        now = self.clock()
+        wanted = len(desk.waiters) + self.quota.wanted_ahead(team, now)
+        desk.is_asking = True
+        self.ask({}, {team: wanted}, now)
+
+    def exchange(self) -> None:
+        """Renew the leases, draw ahead, and balance the zones."""
+        now = self.clock()
+        for desk in self.desks.values():
+            desk.decay(1 - EXCHANGE_INTERVAL_S)
+        wanted = {}
+        for team in self.quota.own:
+            tokens = self.quota.wanted_ahead(team, now)
+            if tokens > 0:
+                wanted[team] = tokens
+        self.ask(self.quota.lend_all(now), wanted, now)
+        if self.leader.is_leader(now):
+            self.balance_zones(now)
+
+    def ask(
+        self,
+        lent: Mapping[str, float],
+        wanted: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Lend to the leader and draw from it."""
+        leader = self.leader.choose(now)
+        if leader == self.leader.node:
+            given = self.serve_own(lent, wanted, now)
+            self.take_given(given, wanted, now)
+            return
+        link = self.links.open_link(leader)
+        if link is None:
+            self.open_link(leader)
+            self.take_given({}, wanted, now)
+            return
+        number = next(link.numbers)
+        if wanted:
+            link.expect_reply(
+                number,
+                lambda reply: self.take_given(
+                    dict(_given_in(reply)),
+                    wanted,
+                    now,
+                ),
+            )
+        link.send(
+            TokensExchange(
+                number,
+                tuple(lent.items()),
+                tuple(wanted.items()),
+                is_own_zone=True,
+            ),
+        )
+
+    def open_link(self, leader: str) -> None:
+        """Connect to a leader; one that accepts none is passed over."""
+        self.links.when_open(
+            leader,
+            lambda link: self.leader_reached(leader, link),
+        )
+
+    def leader_reached(self, leader: str, link: MeshLink | None) -> None:
+        """Pass over a leader that accepts no connection."""
+        if link is None:
+            self.leader.note_unanswered(leader, self.clock())
+
+    def serve_own(
+        self,
+        lent: Mapping[str, float],
+        wanted: Mapping[str, float],
+        now: float,
+    ) -> dict[str, float]:
+        """Lend to and draw from the pool at this node."""
+        pool = self.quota.pool
+        for team, level in lent.items():
+            pool.lend(team, self.leader.node, level, now)
+        return {name: pool.draw(name, wanted[name], now) for name in wanted}
+
+    def take_given(
+        self,
+        given: Mapping[str, float],
+        wanted: Mapping[str, float],
+        asked_at: float,
+    ) -> None:
+        """Hold what the pool gave, and decide on those that wait."""
+        for team in wanted:
+            self.quota.receive(team, given.get(team, 0), asked_at)
+            desk = self.desks.get(team)
+            if desk is not None:
+                desk.is_asking = False
+                self.serve_waiting(team, desk)
+
+    def serve_waiting(self, team: str, desk: TeamDesk) -> None:
+        """Give tokens to those that wait, in their order."""
+        now = self.clock()
+        while desk.waiters:
+            if not self.quota.take(team, now):
+                break
+            desk.granted += 1
+            desk.waiters.popleft().on_decision(True)
+
+    def tick(self) -> None:
+        """Refuse those that waited too long; ask again for the others."""
+        now = self.clock()
+        for team, desk in self.desks.items():
+            while desk.waiters and desk.waiters[0].give_up_at <= now:
+                desk.refused += 1
+                desk.waiters.popleft().on_decision(False)
+            self.serve_waiting(team, desk)
+            self.ask_for_waiting(team, desk)
+
+    def balance_zones(self, now: float) -> None:
+        """Draw from other zones' pools what this zone is short of."""
+        missing = self.quota.pool.missing(now)
+        others = self.leader.other_leaders(now)
+        if not missing or not others:
+            return
+        wanted = tuple(
+            (team, tokens / len(others)) for team, tokens in missing.items()
+        )
+        for leader in others:
+            self.draw_from_zone(leader, wanted, now)
+
+    def draw_from_zone(
+        self,
+        leader: str,
+        wanted: tuple[tuple[str, float], ...],
+        now: float,
+    ) -> None:
+        """Ask the leader of another zone for tokens."""
+        link = self.links.open_link(leader)
+        if link is None:
+            self.open_link(leader)
+            return
+        number = next(link.numbers)
+        link.expect_reply(
+            number,
+            lambda reply: self.take_from_zone(reply, now),
+        )
+        link.send(TokensExchange(number, (), wanted, is_own_zone=False))
+
+    def take_from_zone(
+        self,
+        reply: AnyMeshMessage | None,
+        asked_at: float,
+    ) -> None:
+        """Add another zone's tokens to the pool."""
+        for team, tokens in _given_in(reply):
+            self.quota.pool.receive(team, tokens, asked_at)
+
+    def message_received(self, link: MeshLink, message: AnyMeshMessage) -> None:
+        """Handle the messages of the exchange."""
+        if isinstance(message, TokensGiven):
+            link.take_reply(message.number, message)
+        elif isinstance(message, TokensExchange):
+            self.serve(link, message)
+
+    def serve(self, link: MeshLink, message: TokensExchange) -> None:
+        """Hold the parts that are lent and give what is wanted."""
+        now = self.clock()
+        pool = self.quota.pool
+        for team, level in message.lent:
+            pool.lend(team, link.node, level, now)
+        if not message.wanted:
+            return
+        give = pool.draw if message.is_own_zone else pool.spare
+        given = tuple(
+            (name, give(name, max(0, wanted), now))
+            for name, wanted in message.wanted
+        )
+        link.send(TokensGiven(message.number, given))
+
+
+def _given_in(reply: AnyMeshMessage | None) -> tuple[tuple[str, float], ...]:
+    return reply.given if isinstance(reply, TokensGiven) else ()
--- a/src/ebonycleat/internal/request/refusal.py
+++ b/src/ebonycleat/internal/request/refusal.py
@@ -38,9 +38,11 @@
     DRAINING = 'draining'
     NO_TARGET = 'no-target'
     NO_CONFIGURATION = 'no-configuration'
+    STALE_CONFIGURATION = 'stale-configuration'
     DEDUPE_UNAVAILABLE = 'dedupe-unavailable'
     OUTCOME_UNKNOWN = 'outcome-unknown'
     TARGET_FAILED = 'target-failed'
+    TARGET_SHED = 'target-shed'
     DEPENDENCY_FAILED = 'dependency-failed'
     TRUNCATED_ANSWER = 'truncated-answer'
     CONNECTION_LOST = 'connection-lost'
@@ -64,9 +66,11 @@
     Reason.DRAINING: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_TARGET: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_CONFIGURATION: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.STALE_CONFIGURATION: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.DEDUPE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.OUTCOME_UNKNOWN: HTTPStatus.CONFLICT,
     Reason.TARGET_FAILED: HTTPStatus.BAD_GATEWAY,
+    Reason.TARGET_SHED: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.DEPENDENCY_FAILED: HTTPStatus.BAD_GATEWAY,
     Reason.TRUNCATED_ANSWER: HTTPStatus.BAD_GATEWAY,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
--- /dev/null
+++ b/src/ebonycleat/platform/__init__.py
@@ -0,0 +1,18 @@
+"""The users' platform: names, formats and calls, and nothing that decides.
+
+Everything outside this folder works with the types of
+``ebonycleat.internal.connection.mesh_ports`` and knows none of the names
+that stand here.
+"""
+
+from ebonycleat.platform.ports import create_platform_ports
+from ebonycleat.platform.settings import (
+    SETTINGS_VARIABLE,
+    load_platform_settings,
+)
+
+__all__ = (
+    'SETTINGS_VARIABLE',
+    'create_platform_ports',
+    'load_platform_settings',
+)
--- /dev/null
+++ b/src/ebonycleat/platform/callers.py
@@ -0,0 +1,87 @@
+"""How callers speak on the platform."""
+
+import math
+
+from ebonycleat.internal.connection.http_messages import (
+    HttpAnswer,
+    HttpRequest,
+    drop_hop_headers,
+    find_header,
+)
+from ebonycleat.internal.connection.mesh_ports import (
+    CallerDialect,
+    CallerRequest,
+)
+from ebonycleat.internal.request.refusal import (
+    Outcome,
+    Reason,
+    Refusal,
+    refuse_not_run,
+)
+from ebonycleat.platform import headers as names
+
+MILLISECONDS_PER_S = 1000
+LONGEST_DEADLINE_S = 3600
+"""Larger figures are no deadlines; the route's time-out then counts alone."""
+
+# Statuses that promise that the request has not run and never will.
+PROMISING_STATUSES = frozenset((400, 401, 404, 408, 413, 421, 429, 431, 503))
+UNAVAILABLE = 503
+
+
+class PlatformCallers(CallerDialect):
+    """Requests with an id, a deadline and a key in headers."""
+
+    def read_request(self, request: HttpRequest) -> CallerRequest | Refusal:
+        """Decode a request; one without an id or host is malformed."""
+        request_id = find_header(request.headers, names.REQUEST_ID)
+        host = find_header(request.headers, names.HOST)
+        if not request_id or not host:
+            return refuse_not_run(
+                Reason.BAD_REQUEST,
+                'send the headers X-Request-Id and Host',
+            )
+        return CallerRequest(
+            request_id=request_id,
+            host=host.partition(':')[0].lower(),
+            path=request.target.partition('?')[0],
+            deadline_s=_read_deadline(request),
+            key=_read_key(request),
+            headers=tuple(
+                pair
+                for pair in drop_hop_headers(request.headers)
+                if pair[0] not in names.SET_BY_SYSTEM
+            ),
+        )
+
+    def render_refusal(self, request_id: str, refusal: Refusal) -> HttpAnswer:
+        """Encode a refusal; 429 and 503 promise that it has not run."""
+        status = refusal.http_status.value
+        has_not_run = refusal.outcome is Outcome.NOT_RUN
+        if has_not_run and status not in PROMISING_STATUSES:
+            status = UNAVAILABLE
+        pairs = [(names.REQUEST_ID, request_id)] if request_id else []
+        if has_not_run and refusal.retry_after_s > 0:
+            pairs.append((names.RETRY_AFTER, f'{refusal.retry_after_s:.3f}'))
+        return HttpAnswer(status, tuple(pairs))
+
+
+def _read_deadline(request: HttpRequest) -> float | None:
+    try:
+        deadline_s = (
+            float(find_header(request.headers, names.DEADLINE_MS))
+            / MILLISECONDS_PER_S
+        )
+    except ValueError:
+        return None
+    if not math.isfinite(deadline_s):
+        return None
+    return deadline_s if 0 <= deadline_s <= LONGEST_DEADLINE_S else None
+
+
+def _read_key(request: HttpRequest) -> str:
+    text = find_header(request.headers, names.AUTHORIZATION)
+    prefix_length = len(names.KEY_PREFIX)
+    if text[:prefix_length].lower() != names.KEY_PREFIX:
+        return ''
+    return text[prefix_length:].strip()
--- /dev/null
+++ b/src/ebonycleat/platform/ports.py
@@ -0,0 +1,20 @@
+"""Builds everything that a mesh node uses of the platform."""
+
+from ebonycleat.internal.connection.mesh_ports import PlatformPorts
+from ebonycleat.internal.process.mesh_settings import MeshSettings
+from ebonycleat.platform.callers import PlatformCallers
+from ebonycleat.platform.configuration import PlatformConfiguration
+from ebonycleat.platform.control import PlatformControl
+from ebonycleat.platform.store import create_platform_store
+from ebonycleat.platform.targets import PlatformTargets
+
+
+def create_platform_ports(settings: MeshSettings) -> PlatformPorts:
+    """Build the ports of one node."""
+    return PlatformPorts(
+        store=create_platform_store(settings.store),
+        callers=PlatformCallers(),
+        target=PlatformTargets(),
+        control=PlatformControl(),
+        configuration=PlatformConfiguration(),
+    )
--- /dev/null
+++ b/tests/cover/test_quota_leases.py
@@ -0,0 +1,151 @@
+"""Tokens of teams over several nodes: never doubled, and little is lost."""
+
+import random
+
+import pytest
+
+from ebonycleat.internal.process.quota_tokens import (
+    CLOCK_DRIFT,
+    LEASE_S,
+    TOKEN_LIFE_S,
+    QuotaTokens,
+)
+from ebonycleat.internal.version.mesh_configuration import MeshTeam
+
+TEAM = MeshTeam('shop', ('key',), 60, 60)
+STEP_S = 0.05
+EXCHANGE_STEPS = 4
+
+
+def create_quota(node_count, now=0):
+    quota = QuotaTokens()
+    quota.adopt_teams((TEAM,), now)
+    quota.adopt_node_count(node_count, now)
+    return quota
+
+
+class Zone:
+    """Nodes that exchange tokens with the leaders they can reach."""
+
+    def __init__(self, count):
+        self.quotas = [create_quota(count) for _ in range(count)]
+        self.leaders = [0] * count
+        self.spent = []
+
+    def exchange(self, now):
+        for node, quota in enumerate(self.quotas):
+            pool = self.quotas[self.leaders[node]].pool
+            for team, level in quota.lend_all(now).items():
+                pool.lend(team, str(node), level, now)
+
+    def ask(self, node, now):
+        quota = self.quotas[node]
+        quota.note_demand(TEAM.name)
+        if not quota.take(TEAM.name, now):
+            pool = self.quotas[self.leaders[node]].pool
+            given = pool.draw(TEAM.name, 1, now)
+            quota.receive(TEAM.name, given, now)
+            if not quota.take(TEAM.name, now):
+                return
+        self.spent.append(now)
+
+    def most_in_window(self, window_s):
+        return max(
+            (
+                sum(start <= when < start + window_s for when in self.spent)
+                for start in self.spent
+            ),
+            default=0,
+        )
+
+
+def play(zone, seconds, requests_per_step, change_leaders=None):
+    rng = random.Random(7)
+    for step in range(int(seconds / STEP_S)):
+        now = step * STEP_S
+        if change_leaders:
+            change_leaders(zone, now)
+        if step % EXCHANGE_STEPS == 0:
+            zone.exchange(now)
+        for _ in range(requests_per_step):
+            zone.ask(rng.randrange(len(zone.quotas)), now)
+
+
+def test_one_busy_node_gets_the_rate_of_all_nodes():
+    """Guards against rates stranded at nodes without callers."""
+    zone = Zone(13)
+    for step in range(200):
+        now = step * STEP_S
+        if step % EXCHANGE_STEPS == 0:
+            zone.exchange(now)
+        for _ in range(2):
+            zone.ask(5, now)
+    # 40 a second were asked for, of a rate of 60: hardly any is refused.
+    assert len(zone.spent) >= 400 * 0.97
+
+
+def test_a_team_far_beyond_its_rate_stays_within_rate_and_burst():
+    """Guards against tokens that exist twice."""
+    zone = Zone(13)
+    play(zone, 20, 30)
+    allowed = TEAM.rate_per_s * (5 + TOKEN_LIFE_S) + TEAM.burst
+    assert zone.most_in_window(5) <= allowed
+    assert len(zone.spent) >= 20 * TEAM.rate_per_s * 0.9
+
+
+def test_a_change_of_leaders_doubles_nothing():
+    """Guards against an old and a new leader that both use a part."""
+
+    def swap(zone, now):
+        half = len(zone.leaders) // 2
+        for node in range(len(zone.leaders)):
+            is_split = int(now) % 4 >= 2 and node >= half
+            zone.leaders[node] = half if is_split else 0
+
+    zone = Zone(12)
+    play(zone, 20, 30, swap)
+    allowed = TEAM.rate_per_s * (5 + TOKEN_LIFE_S) + TEAM.burst
+    assert zone.most_in_window(5) <= allowed
+
+
+def test_an_owner_uses_its_part_only_after_the_lease_has_ended():
+    """Guards against a part that is used by its owner and its holder."""
+    quota = create_quota(1)
+    quota.lend_all(10)
+    lease_end = 10 + LEASE_S * (1 + CLOCK_DRIFT)
+    assert not quota.take(TEAM.name, lease_end - 0.001)
+    assert quota.take(TEAM.name, lease_end + 1)
+
+
+def test_a_restarted_node_starts_without_tokens():
+    """Guards against a burst that is spent once more after each restart."""
+    assert not create_quota(1, now=5).take(TEAM.name, 5)
+
+
+def test_drawn_tokens_expire():
+    """Guards against a burst that grows by what nodes hoard."""
+    quota = create_quota(2)
+    quota.lend_all(0)
+    quota.receive(TEAM.name, 3, 0)
+    assert quota.take(TEAM.name, TOKEN_LIFE_S / 2)
+    assert not quota.take(TEAM.name, TOKEN_LIFE_S)
+
+
+def test_a_lowered_limit_binds_at_once():
+    """Guards against a level that was filled under the old limit."""
+    quota = create_quota(1)
+    for now in range(10):
+        quota.own[TEAM.name].fill(now)
+    lower = MeshTeam(TEAM.name, TEAM.keys, 1, 1)
+    quota.adopt_teams((lower,), 10)
+    taken = sum(quota.take(TEAM.name, 10) for _ in range(60))
+    assert taken <= 1
+
+
+@pytest.mark.parametrize(('wait_s', 'count'), [(1, 4), (9, 2)])
+def test_fewer_nodes_count_only_after_the_longest_stop(wait_s, count):
+    """Guards against parts used by others while a node still stops."""
+    quota = create_quota(4)
+    quota.adopt_node_count(2, 0)
+    quota.adopt_node_count(2, wait_s)
+    assert quota.node_count == count
