--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -37,13 +37,18 @@
         limit: ConcurrencyLimit,
         queue_limit: int,
         refusals: RefusalWriter,
+        *,
+        sheds_by_level: bool = True,
     ) -> None:
         """Build an idle gate."""
         self.limit = limit
         self.queue_limit = queue_limit
         self.refusals = refusals
         self.queue = FairQueue()
-        self.signals = GateSignals(self.queue)
+        self.signals = GateSignals(
+            self.queue,
+            sheds_by_level=sheds_by_level,
+        )
         self.running: dict[str, Call] = {}
         self.draining = False
 
@@ -235,10 +240,13 @@
     zone: str,
     rng: random.Random,
     limit: ConcurrencyLimit | None = None,
+    *,
+    sheds_by_level: bool = True,
 ) -> Gate:
     """Build the gate of one target; its adaptive limit starts cold."""
     return Gate(
         limit or create_adaptive_limit(slots),
         queue_limit,
         RefusalWriter(zone, rng),
+        sheds_by_level=sheds_by_level,
     )
--- a/src/ebonycleat/internal/process/gate_events.py
+++ b/src/ebonycleat/internal/process/gate_events.py
@@ -27,7 +27,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateLoad:
-    """Summary for answers and heartbeats; ``latency_s`` includes waiting."""
+    """Summary for answers and heartbeats; ``latency_s`` includes waiting.
+
+    ``shares`` names full services behind this gate, its own among them, and
+    the share of present work that each can take.
+    """
 
     queued: int
     running: int
@@ -35,3 +39,4 @@
     latency_s: float
     admission_level: int
     draining: bool
+    shares: tuple[tuple[str, float], ...] = ()
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -23,9 +23,19 @@
 class GateSignals:
     """Service times, shares of teams, queue delay and admission level."""
 
-    def __init__(self, queue: FairQueue) -> None:
-        """Watch this queue."""
+    def __init__(
+        self,
+        queue: FairQueue,
+        *,
+        sheds_by_level: bool = True,
+    ) -> None:
+        """Watch this queue.
+
+        Without ``sheds_by_level`` nothing is refused for its position: the
+        entries of callers admit by what the gate says that it can take.
+        """
         self.queue = queue
+        self.sheds_by_level = sheds_by_level
         self.level = AdmissionLevel()
         self.shares = TeamShares()
         self.service_times = ServiceTimes()
@@ -35,11 +45,12 @@
     @property
     def advertised_level(self) -> int:
         """Level for callers: with a short queue the gate takes anything."""
-        return self.level.level if self.is_delayed else OPEN_LEVEL
+        is_shedding = self.is_delayed and self.sheds_by_level
+        return self.level.level if is_shedding else OPEN_LEVEL
 
     def admits(self, entry: QueuedCall) -> bool:
         """Admit below the level, and anything while the queue is short."""
-        if self.is_delayed and entry.position >= self.level.level:
+        if entry.position >= self.advertised_level:
             return False
         self.level.count(entry.position)
         return True
@@ -63,7 +74,7 @@
         delay_s = self.delay_s(allowed)
         service_s = self.service_times.overall_s
         self.is_delayed = delay_s > target_delay_s(service_s)
-        if self.level.is_due(now):
+        if self.sheds_by_level and self.level.is_due(now):
             waiting = self.count_admissible()
             admissible_s = waiting * service_s / max(1, allowed)
             self.level.update(admissible_s, service_s, now)
--- a/src/ebonycleat/internal/process/mesh_access.py
+++ b/src/ebonycleat/internal/process/mesh_access.py
@@ -43,6 +43,7 @@
 )
 
 MILLISECONDS_PER_S = 1000
+THOUSANDTHS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -325,6 +326,7 @@
         int(load.latency_s * MILLISECONDS_PER_S),
         load.admission_level,
         load.draining,
+        tuple((name, int(share * THOUSANDTHS)) for name, share in load.shares),
     )
 
 
@@ -337,6 +339,7 @@
         report.latency_ms / MILLISECONDS_PER_S,
         report.level,
         report.is_draining,
+        tuple((name, part / THOUSANDTHS) for name, part in report.shares),
     )
 
 
--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -112,7 +112,7 @@
         team = self.find_team(index, route, caller, now)
         if isinstance(team, Refusal):
             return team
-        return self.build(http, caller, route, team, now)
+        return self.build(http, caller, index, route, team, now)
 
     def find_team(
         self,
@@ -134,6 +134,7 @@
         self,
         http: HttpRequest,
         caller: CallerRequest,
+        index: ConfigurationIndex,
         route: MeshRoute,
         team: MeshTeam | None,
         now: float,
@@ -150,7 +151,7 @@
             team='' if team is None else team.name,
             route=route.name,
             service=self.split.choose(route),
-            priority=priority_of(route, team),
+            priority=priority_of(index, route, team),
             idempotent=route.is_idempotent,
             deadline=now + wait_s,
             method=http.method,
@@ -170,11 +171,18 @@
         )
 
 
-def priority_of(route: MeshRoute, team: MeshTeam | None) -> Priority:
-    """Class of a request; a team's own priority goes before the route's."""
+def priority_of(
+    index: ConfigurationIndex,
+    route: MeshRoute,
+    team: MeshTeam | None,
+) -> Priority:
+    """Class of a request: by its team's priority, then by its route's.
+
+    Teams of equal priority leave the route's to decide.
+    """
     rank = route.priority
-    if team is not None and team.priority is not None:
-        rank = team.priority
+    if team is not None:
+        rank += index.team_steps[team.name]
     return Priority(min(max(rank, 0), max(Priority)))
 
 
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -18,18 +18,26 @@
     MeshAdmission,
 )
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
+from ebonycleat.internal.process.pressure import EntryPressure
 from ebonycleat.internal.process.retry_budget import RetryBudget
 from ebonycleat.internal.process.router import Router
 from ebonycleat.internal.process.token_exchange import TokenExchanger
 from ebonycleat.internal.request.call import Answer
 from ebonycleat.internal.request.mesh_run import GateAccess, MeshRun
 from ebonycleat.internal.request.refusal import (
+    Outcome,
     Reason,
     Refusal,
     refuse_not_run,
 )
 
 
+SHED_RETRY_S = 0.3
+SHED_RETRY_RANGE_S = 0.7
+"""Retry-After of a request shed at the entry, growing with the part that is
+shed. Callers honour a third of the time that they have left, about 1.5 s."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryTools:
     """What the requests of one entry share."""
@@ -51,6 +59,7 @@
     def __init__(self, tools: EntryTools) -> None:
         """Use the given tools."""
         self.tools = tools
+        self.pressure = EntryPressure()
 
     def begin(self, exchange: Exchange) -> None:
         """Admit a request and run it, or refuse it."""
@@ -68,11 +77,42 @@
             self.log_refusal(read, admitted)
             self.refuse(exchange, read.request_id, admitted)
             return
+        refusal = self.refuse_for_pressure(admitted)
+        if refusal is not None:
+            self.refuse(exchange, read.request_id, refusal)
+            return
         tools.tokens.acquire(
             admitted.call.team,
             lambda granted: self.token_decided(exchange, admitted, granted),
         )
 
+    def refuse_for_pressure(
+        self,
+        admitted: AdmittedRequest,
+    ) -> Refusal | None:
+        """Refuse what a full service on the way could not take."""
+        tools = self.tools
+        call = admitted.call
+        part = self.pressure.part_admitted(call, tools.clock())
+        if self.pressure.admits(call, part):
+            return None
+        wait_s = SHED_RETRY_S + (1 - part) * SHED_RETRY_RANGE_S
+        wait_s *= tools.tokens.rng.uniform(1, 2)
+        tools.log.note(
+            'request shed at the entry',
+            request=admitted.request_id,
+            route=call.route,
+            team=call.team,
+            part_admitted=round(part, 3),
+            full=self.pressure.heard[call.service].current(tools.clock()),
+            retry_after_s=wait_s,
+        )
+        return refuse_not_run(
+            Reason.SHED,
+            'a service on the way is full',
+            retry_after_s=wait_s,
+        )
+
     def token_decided(
         self,
         exchange: Exchange,
@@ -108,6 +148,11 @@
             tools.access,
             tools.router,
             tools.budget,
+            lambda load: self.pressure.hear(
+                admitted.call,
+                load.shares,
+                tools.clock(),
+            ),
             lambda ended, result: self.finish(exchange, ended, result),
         )
         exchange.on_abandoned = lambda: self.abandon(run)
@@ -124,6 +169,8 @@
         admitted = run.admitted
         call = admitted.call
         latency_s = tools.clock() - run.started_at
+        if isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN:
+            tools.tokens.give_back(call.team, latency_s)
         if isinstance(result, Answer):
             tools.metrics.answered(call, result.status, latency_s)
             exchange.answer(
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TypeAlias
 
 from ebonycleat.internal.connection.http_messages import encode_request
@@ -36,6 +36,10 @@
     GateLoad,
 )
 from ebonycleat.internal.process.own_target import OwnTarget
+from ebonycleat.internal.process.pressure import (
+    OPEN_SHARE,
+    GatePressure,
+)
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import (
     Answer,
@@ -51,8 +55,9 @@
     refuse_outcome_unknown,
 )
 
-QUEUE_PER_SLOT = 2
-"""Calls that may wait for each slot; more could not start in time."""
+QUEUE_PER_SLOT = 8
+"""Calls that may wait for each slot. Calls that can no longer meet their
+deadline leave the queue before it is full."""
 
 UNREPEATABLE_FRESHNESS_S = 0.15
 """A request that must not be sent twice goes on a connection that was used
@@ -61,6 +66,13 @@
 SHED_RETRY_S = 0.2
 """Time after which a target that was full is asked again."""
 
+ROOM_REASONS = frozenset((
+    Reason.QUEUE_FULL,
+    Reason.DEADLINE,
+    Reason.SHED,
+))
+
+SharesSource: TypeAlias = Callable[[], Mapping[str, float]]
 ResultHandler: TypeAlias = Callable[[CallResult], None]
 
 
@@ -119,6 +131,8 @@
         self.log = log
         self.clock = clock
         self.held: dict[str, Held] = {}
+        self.pressure = GatePressure(clock())
+        self.called_shares: SharesSource = dict
 
     def hear(self, word: TargetWord) -> bool:
         """Learn from the target's message; true if its state changed."""
@@ -141,9 +155,18 @@
     def load(self) -> GateLoad:
         """Load to tell with each result."""
         load = self.gate.load(self.clock())
-        if self.target.is_leaving:
-            return dataclasses.replace(load, draining=True)
-        return load
+        return dataclasses.replace(
+            load,
+            draining=load.draining or self.target.is_leaving,
+            shares=self.full_services(),
+        )
+
+    def full_services(self) -> tuple[tuple[str, float], ...]:
+        """Full services behind this gate, and what each can take."""
+        shares = dict(self.called_shares())
+        if self.pressure.share < OPEN_SHARE:
+            shares[self.target.service] = self.pressure.share
+        return tuple(shares.items())
 
     def offer(self, offered: GateCall, on_result: ResultHandler) -> None:
         """Take a call; its one result comes through ``on_result``."""
@@ -169,8 +192,11 @@
 
     def tick(self) -> None:
         """Let time-driven decisions happen."""
+        now = self.clock()
         if self.gate.queue:
-            self.perform(self.gate.tick(self.clock()))
+            self.perform(self.gate.tick(now))
+        limit = self.limit.allowed(now)
+        self.pressure.update(len(self.gate.queue), limit, now)
 
     def perform(self, events: list[GateEvent]) -> None:
         """Carry out what the gate decided."""
@@ -178,11 +204,17 @@
             if isinstance(event, Dispatch):
                 self.dispatch(event.call)
             else:
+                self.note_refused(event.refusal)
                 self.resolve(
                     event.call.call_id,
                     RefusedCall(event.call.call_id, event.refusal),
                 )
 
+    def note_refused(self, refusal: Refusal) -> None:
+        """Count a refusal for want of room."""
+        if refusal.reason in ROOM_REASONS:
+            self.pressure.note_refused()
+
     def dispatch(self, call: Call) -> None:
         """Send a call to the target, if that is still right now."""
         held = self.held[call.call_id]
@@ -193,6 +225,7 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         held.sent_at = now
+        self.pressure.note_running(len(self.gate.running), now)
         held.send = self.pool.send(
             self.encode(held.offered, now),
             lambda result: self.sent(call, result),
@@ -269,7 +302,12 @@
 
     def end_run(self, call: Call, outcome: RunOutcome) -> None:
         """Free the slot, which may start other calls."""
-        self.perform(self.gate.finished(call.call_id, outcome, self.clock()))
+        now = self.clock()
+        if outcome.result is RunResult.SUCCEEDED:
+            self.pressure.note_served(outcome.service_s)
+        events = self.gate.finished(call.call_id, outcome, now)
+        self.pressure.note_running(len(self.gate.running), now)
+        self.perform(events)
 
     def resolve(self, call_id: str, result: CallResult) -> None:
         """Report the one result of a call."""
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -121,8 +121,9 @@
         )
         self.duties = self.build_duties()
         self.gate = self.build_gate()
+        self.entry = self.build_entry()
         self.listener = HttpListener(
-            self.build_entry(),
+            self.entry,
             ListenerLimits(),
             tools.clock,
         )
@@ -165,7 +166,14 @@
         target = self.settings.target
         tools = self.tools
         return MeshGate(
-            create_gate(1, 1, self.settings.zone, tools.rng, limit),
+            create_gate(
+                1,
+                1,
+                self.settings.zone,
+                tools.rng,
+                limit,
+                sheds_by_level=False,
+            ),
             limit,
             TargetWay(
                 OwnTarget(self.settings.service),
@@ -197,6 +205,10 @@
 
     def connect_parts(self) -> None:
         """Let the parts hear of each other."""
+        pressure = self.entry.pressure
+        self.gate.called_shares = lambda: pressure.called.current(
+            self.tools.clock(),
+        )
         self.traffic.calls = PeerCalls(self.gate)
         self.traffic.links = self.links
         self.traffic.others = self.message_received
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -17,7 +17,10 @@
     TokensExchange,
     TokensGiven,
 )
-from ebonycleat.internal.process.quota_tokens import QuotaTokens
+from ebonycleat.internal.process.quota_tokens import (
+    TOKEN_LIFE_S,
+    QuotaTokens,
+)
 from ebonycleat.internal.process.zone_leader import ZoneLeader
 
 EXCHANGE_INTERVAL_S = 0.2
@@ -109,6 +112,14 @@
         desk.waiters.append(Waiter(now + TOKEN_WAIT_S, on_decision))
         self.ask_for_waiting(team, desk)
 
+    def give_back(self, team: str, held_s: float) -> None:
+        """Return the token of a request that has not run.
+
+        One that was held for longer would add to a later window.
+        """
+        if held_s < TOKEN_LIFE_S:
+            self.quota.receive(team, 1, self.clock())
+
     def retry_after_s(self, team: str) -> float:
         """Seconds after which a refused request has a fair chance."""
         desk = self.desks.get(team)
--- a/src/ebonycleat/internal/request/mesh_run.py
+++ b/src/ebonycleat/internal/request/mesh_run.py
@@ -97,6 +97,7 @@
         access: GateAccess,
         router: Router,
         budget: RetryBudget,
+        on_load: Callable[[GateLoad], None],
         on_end: Callable[['MeshRun', Answer | Refusal], None],
     ) -> None:
         """Prepare a run; ``start`` begins it."""
@@ -104,6 +105,7 @@
         self.access = access
         self.router = router
         self.budget = budget
+        self.on_load = on_load
         self.on_end = on_end
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
@@ -184,6 +186,8 @@
         now = self.loop.time()
         member = attempt.member
         load = ended.load
+        if load is not None:
+            self.on_load(load)
         if load is None:
             self.router.note_failure(member, False, now)
         elif isinstance(ended.result, Answer):
--- a/src/ebonycleat/internal/version/mesh_configuration.py
+++ b/src/ebonycleat/internal/version/mesh_configuration.py
@@ -104,6 +104,7 @@
         self.routes_by_host = _sort_by_host(configuration.routes)
         self.routes = {route.name: route for route in configuration.routes}
         self.teams = {team.name: team for team in configuration.teams}
+        self.team_steps = _find_team_steps(configuration)
         self.team_by_key = {
             key: team for team in configuration.teams for key in team.keys
         }
@@ -120,6 +121,17 @@
         return None
 
 
+def _find_team_steps(configuration: MeshConfiguration) -> dict[str, int]:
+    """How far the classes of each team stand behind the first team's."""
+    ranks = sorted({team.priority or 0 for team in configuration.teams})
+    classes = {route.priority for route in configuration.routes}
+    step = 1 + max(classes, default=0)
+    return {
+        team.name: ranks.index(team.priority or 0) * step
+        for team in configuration.teams
+    }
+
+
 def _sort_by_host(
     routes: tuple[MeshRoute, ...],
 ) -> dict[str, list[MeshRoute]]:
