--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -288,6 +288,7 @@
             self.target.note_other_instance()
             self.follow_target()
         if report.has_not_run:
+            self.pressure.note_refused()
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
             self.resolve(call.call_id, RefusedCall(call.call_id, _TARGET_SHED))
             return
--- a/src/ebonycleat/internal/process/quota_tokens.py
+++ b/src/ebonycleat/internal/process/quota_tokens.py
@@ -30,6 +30,10 @@
 """A node that left the list may still serve callers while it stops; its part
 passes to the others only after the longest planned stop."""
 
+AHEAD_TOKENS = 3
+"""Tokens given beyond what is asked for while a pool is over half full, so
+that a team within its rate costs a question for several requests."""
+
 ROUNDING = 1e-9
 """Sums of fractions miss a whole token by errors of this size."""
 
@@ -206,6 +210,8 @@
         self.fill(now)
         self.own_demand.note(wanted)
         here = self.level + self.drawn_elsewhere.total(now)
+        if self.level > self.burst / 2:
+            wanted += AHEAD_TOKENS
         given = min(math.ceil(wanted), math.floor(here + ROUNDING))
         if given <= 0:
             return 0
