--- a/src/ebonycleat/commands/mesh_node.py
+++ b/src/ebonycleat/commands/mesh_node.py
@@ -13,9 +13,11 @@
 import signal
 import sys
 
+import uvloop
+
+from ebonycleat.internal.process.boottime import boottime_s
 from ebonycleat.internal.process.decision_log import create_output_stream
 from ebonycleat.internal.process.log_setup import set_up_logging
-from ebonycleat.internal.process.loop_thread import BoottimeEventLoop
 from ebonycleat.internal.process.mesh_node import MeshNode, create_mesh_node
 from ebonycleat.internal.process.mesh_runner import run_mesh_node
 from ebonycleat.internal.process.mesh_settings import MeshSettings
@@ -41,7 +43,7 @@
     set_up_logging(LOG_LEVEL, settings.node, create_output_stream())
     gc.set_threshold(GARBAGE_THRESHOLD)
     gc.freeze()
-    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_run_node(settings, path))
     return EXIT_DONE
 
@@ -52,7 +54,7 @@
         settings,
         create_platform_ports(settings),
         random.Random(random.SystemRandom().getrandbits(64)),
-        loop.time,
+        boottime_s,
     )
     loop.add_signal_handler(signal.SIGTERM, node.stopping.set)
     loop.add_signal_handler(signal.SIGINT, node.stopping.set)
--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -149,12 +149,13 @@
     """Parts of teams lent to the receiver, and tokens wanted from it.
 
     ``lent`` names the sender's parts with the tokens that they hold; each is
-    lent for one lease. ``is_own_zone`` is false between leaders of zones.
+    lent for one lease. ``wanted`` names teams with the tokens needed now and
+    those that could be used soon. ``is_own_zone`` is false between leaders of zones.
     """
 
     number: int
     lent: tuple[tuple[str, float], ...]
-    wanted: tuple[tuple[str, float], ...]
+    wanted: tuple[tuple[str, float, float], ...]
     is_own_zone: bool
 
 
--- a/src/ebonycleat/internal/process/loop_thread.py
+++ b/src/ebonycleat/internal/process/loop_thread.py
@@ -7,9 +7,10 @@
 import asyncio
 import contextlib
 import threading
-import time
 from collections.abc import Iterator
 
+from ebonycleat.internal.process.boottime import boottime_s
+
 
 class BoottimeEventLoop(asyncio.SelectorEventLoop):
     """An event loop whose clock also counts time while the VM is paused.
@@ -20,7 +21,7 @@
 
     def time(self) -> float:
         """Seconds since the machine started, including pauses."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        return boottime_s()
 
 
 @contextlib.contextmanager
--- a/src/ebonycleat/internal/process/mesh_access.py
+++ b/src/ebonycleat/internal/process/mesh_access.py
@@ -69,6 +69,7 @@
         self.gate = gate
         self.members = members
         self.links = links
+        self.clock = gate.clock
 
     def members_of(self, service: str) -> tuple[Member, ...]:
         """Nodes whose targets serve the service."""
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -284,6 +284,11 @@
             count,
         )
 
+    def tick_queues(self) -> None:
+        """Let the time-driven decisions of queues happen."""
+        self.gate.tick()
+        self.duties.exchanger.tick()
+
     def word_received(self, word: TargetWord) -> None:
         """Act on a message of the target."""
         log = self.tools.log
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -22,8 +22,9 @@
 
 METRICS_PATH = '/metrics'
 
-GATE_TICK_S = 0.02
-"""How often queued calls are looked at; refusals are at most this late."""
+QUEUE_TICK_S = 0.025
+"""How often queues are looked at; refusals are at most this late. Each tick
+costs a wake-up of the process."""
 
 LINK_TICK_S = 0.1
 """How often links are checked for silence; a twelfth of their limit."""
@@ -102,8 +103,7 @@
         duties.writer.write_until_cancelled(),
         duties.exchanger.exchange_until_cancelled(),
         _write_first_record(node),
-        _tick(GATE_TICK_S, node.gate.tick),
-        _tick(GATE_TICK_S, duties.exchanger.tick),
+        _tick(QUEUE_TICK_S, node.tick_queues),
         _tick(LINK_TICK_S, node.links.check_silence),
         _tick(COUNT_TICK_S, node.count_nodes),
     )
--- a/src/ebonycleat/internal/process/quota_tokens.py
+++ b/src/ebonycleat/internal/process/quota_tokens.py
@@ -12,6 +12,7 @@
 import dataclasses
 import math
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from ebonycleat.internal.version.mesh_configuration import MeshTeam
 
@@ -30,9 +31,16 @@
 """A node that left the list may still serve callers while it stops; its part
 passes to the others only after the longest planned stop."""
 
-AHEAD_TOKENS = 3
-"""Tokens given beyond what is asked for while a pool is over half full, so
-that a team within its rate costs a question for several requests."""
+KEPT_S = 0.25
+"""Demand of the own zone for which a leader keeps tokens before it gives any
+to another zone; zones exchange each 0.2 s."""
+
+AHEAD_S = 0.3
+"""Demand for which a node draws tokens ahead of need, a little less than their
+life: a team within its rate then costs one question for many requests."""
+
+LEAST_DEMAND_PER_S = 0.3
+"""Below this a team's tokens drawn ahead would mostly expire."""
 
 ROUNDING = 1e-9
 """Sums of fractions miss a whole token by errors of this size."""
@@ -81,6 +89,14 @@
         return drawn
 
 
+class TokenWant(NamedTuple):
+    """Tokens that a node needs now, and those it could use soon."""
+
+    team: str
+    wanted: float
+    ahead: float
+
+
 class Demand:
     """Moving mean of what is asked for, in tokens a second."""
 
@@ -201,18 +217,20 @@
         self.lent_until[node] = now + LEASE_S
         self.level = min(self.burst, self.level + max(0, level))
 
-    def draw(self, wanted: float, now: float) -> float:
+    def draw(self, wanted: float, ahead: float, now: float) -> float:
         """Give up to ``wanted`` tokens to a node of the zone.
 
-        Only whole tokens leave: a fraction would expire at a node that
-        cannot spend it.
+        Those ``ahead`` of need are given only while the pool is over half
+        full: then none is missing if they expire. Only whole tokens leave: a
+        fraction would expire at a node that cannot spend it.
         """
         self.fill(now)
-        self.own_demand.note(wanted)
         here = self.level + self.drawn_elsewhere.total(now)
+        asked = wanted
         if self.level > self.burst / 2:
-            wanted += AHEAD_TOKENS
-        given = min(math.ceil(wanted), math.floor(here + ROUNDING))
+            asked += ahead
+        given = min(math.ceil(asked), math.floor(here + ROUNDING))
+        self.own_demand.note(max(wanted, given))
         if given <= 0:
             return 0
         self.level -= given - self.drawn_elsewhere.draw(given, now)
@@ -221,7 +239,7 @@
     def spare(self, wanted: float, now: float) -> float:
         """Give another zone what the own zone will not need soon."""
         self.fill(now)
-        kept = min(self.own_demand.per_s * LEASE_S, self.burst)
+        kept = min(self.own_demand.per_s * KEPT_S, self.burst)
         given = max(0, min(math.ceil(wanted), math.floor(self.level - kept)))
         self.level -= given
         return given
@@ -273,25 +291,27 @@
         if pooled is not None:
             pooled.lend(node, level, now)
 
-    def draw(self, name: str, wanted: float, now: float) -> float:
+    def draw(self, want: TokenWant, now: float) -> float:
         """Give tokens to a node of the zone."""
-        pooled = self.team(name, now)
-        return 0 if pooled is None else pooled.draw(wanted, now)
+        pooled = self.team(want.team, now)
+        if pooled is None:
+            return 0
+        return pooled.draw(max(0, want.wanted), max(0, want.ahead), now)
 
-    def spare(self, name: str, wanted: float, now: float) -> float:
+    def spare(self, want: TokenWant, now: float) -> float:
         """Give tokens to another zone."""
-        pooled = self.teams.get(name)
-        return 0 if pooled is None else pooled.spare(wanted, now)
+        pooled = self.teams.get(want.team)
+        return 0 if pooled is None else pooled.spare(max(0, want.wanted), now)
 
-    def missing(self, now: float) -> dict[str, float]:
+    def missing(self, now: float) -> list[TokenWant]:
         """Tokens wanted from other zones."""
-        wanted = {}
+        wants = []
         for name, pooled in self.teams.items():
             pooled.own_demand.measure(now)
             tokens = pooled.missing(now)
             if tokens > 0:
-                wanted[name] = tokens
-        return wanted
+                wants.append(TokenWant(name, tokens, 0))
+        return wants
 
     def receive(self, name: str, tokens: float, asked_at: float) -> None:
         """Hold tokens from another zone; they expire from the ask on."""
@@ -389,16 +409,20 @@
             demand.measure(now)
         return {name: own.lend(now) for name, own in self.own.items()}
 
-    def wanted_ahead(self, team: str, now: float) -> float:
-        """Tokens that a team's callers here need until the next exchange.
-
-        Teams with few requests draw one token for each instead, so that no
-        token lies idle at a node that has no use for it.
-        """
-        needed = self.demands[team].per_s * TOKEN_LIFE_S / 2
-        if needed < 1:
-            return 0
-        return max(0, needed - self.drawn[team].total(now))
+    def want(self, team: str, waiting: int, now: float) -> TokenWant:
+        """Tokens for requests that wait, and ahead of those to come."""
+        needed = self.demands[team].per_s * AHEAD_S + 1
+        ahead = max(0, needed - self.drawn[team].total(now))
+        return TokenWant(team, waiting, ahead)
+
+    def wants_ahead(self, now: float) -> list[TokenWant]:
+        """Tokens ahead of need for all teams that have callers here."""
+        wants = [
+            self.want(name, 0, now)
+            for name, demand in self.demands.items()
+            if demand.per_s > LEAST_DEMAND_PER_S
+        ]
+        return [one for one in wants if one.ahead >= 1]
 
     def receive(self, team: str, tokens: float, asked_at: float) -> None:
         """Hold tokens from the pool; they expire counted from the ask."""
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from ebonycleat.internal.connection.mesh_link import LinkTable, MeshLink
 from ebonycleat.internal.connection.mesh_messages import (
@@ -20,6 +20,7 @@
 from ebonycleat.internal.process.quota_tokens import (
     TOKEN_LIFE_S,
     QuotaTokens,
+    TokenWant,
 )
 from ebonycleat.internal.process.zone_leader import ZoneLeader
 
@@ -135,48 +136,44 @@
         if desk.is_asking or not desk.waiters:
             return
         now = self.clock()
-        wanted = len(desk.waiters) + self.quota.wanted_ahead(team, now)
         desk.is_asking = True
-        self.ask({}, {team: wanted}, now)
+        want = self.quota.want(team, len(desk.waiters), now)
+        self.ask({}, [want], now)
 
     def exchange(self) -> None:
         """Renew the leases, draw ahead, and balance the zones."""
         now = self.clock()
         for desk in self.desks.values():
             desk.decay(1 - EXCHANGE_INTERVAL_S)
-        wanted = {}
-        for team in self.quota.own:
-            tokens = self.quota.wanted_ahead(team, now)
-            if tokens > 0:
-                wanted[team] = tokens
-        self.ask(self.quota.lend_all(now), wanted, now)
+        lent = self.quota.lend_all(now)
+        self.ask(lent, self.quota.wants_ahead(now), now)
         if self.leader.is_leader(now):
             self.balance_zones(now)
 
     def ask(
         self,
         lent: Mapping[str, float],
-        wanted: Mapping[str, float],
+        wants: Sequence[TokenWant],
         now: float,
     ) -> None:
         """Lend to the leader and draw from it."""
         leader = self.leader.choose(now)
         if leader == self.leader.node:
-            given = self.serve_own(lent, wanted, now)
-            self.take_given(given, wanted, now)
+            given = self.serve_own(lent, wants, now)
+            self.take_given(given, wants, now)
             return
         link = self.links.open_link(leader)
         if link is None:
             self.open_link(leader)
-            self.take_given({}, wanted, now)
+            self.take_given({}, wants, now)
             return
         number = next(link.numbers)
-        if wanted:
+        if wants:
             link.expect_reply(
                 number,
                 lambda reply: self.take_given(
                     dict(_given_in(reply)),
-                    wanted,
+                    wants,
                     now,
                 ),
             )
@@ -184,7 +181,7 @@
             TokensExchange(
                 number,
                 tuple(lent.items()),
-                tuple(wanted.items()),
+                tuple(wants),
                 is_own_zone=True,
             ),
         )
@@ -204,27 +201,27 @@
     def serve_own(
         self,
         lent: Mapping[str, float],
-        wanted: Mapping[str, float],
+        wants: Sequence[TokenWant],
         now: float,
     ) -> dict[str, float]:
         """Lend to and draw from the pool at this node."""
         pool = self.quota.pool
         for team, level in lent.items():
             pool.lend(team, self.leader.node, level, now)
-        return {name: pool.draw(name, wanted[name], now) for name in wanted}
+        return {want.team: pool.draw(want, now) for want in wants}
 
     def take_given(
         self,
         given: Mapping[str, float],
-        wanted: Mapping[str, float],
+        wants: Sequence[TokenWant],
         asked_at: float,
     ) -> None:
         """Hold what the pool gave, and decide on those that wait."""
-        for team in wanted:
+        for team, wanted, _ in wants:
             self.quota.receive(team, given.get(team, 0), asked_at)
             desk = self.desks.get(team)
             if desk is not None:
-                desk.is_asking = False
+                desk.is_asking = desk.is_asking and not wanted
                 self.serve_waiting(team, desk)
 
     def serve_waiting(self, team: str, desk: TeamDesk) -> None:
@@ -252,16 +249,16 @@
         others = self.leader.other_leaders(now)
         if not missing or not others:
             return
-        wanted = tuple(
-            (team, tokens / len(others)) for team, tokens in missing.items()
+        wants = tuple(
+            want._replace(wanted=want.wanted / len(others)) for want in missing
         )
         for leader in others:
-            self.draw_from_zone(leader, wanted, now)
+            self.draw_from_zone(leader, wants, now)
 
     def draw_from_zone(
         self,
         leader: str,
-        wanted: tuple[tuple[str, float], ...],
+        wants: tuple[TokenWant, ...],
         now: float,
     ) -> None:
         """Ask the leader of another zone for tokens."""
@@ -274,7 +271,7 @@
             number,
             lambda reply: self.take_from_zone(reply, now),
         )
-        link.send(TokensExchange(number, (), wanted, is_own_zone=False))
+        link.send(TokensExchange(number, (), wants, is_own_zone=False))
 
     def take_from_zone(
         self,
@@ -302,8 +299,7 @@
             return
         give = pool.draw if message.is_own_zone else pool.spare
         given = tuple(
-            (name, give(name, max(0, wanted), now))
-            for name, wanted in message.wanted
+            (want[0], give(TokenWant(*want), now)) for want in message.wanted
         )
         link.send(TokensGiven(message.number, given))
 
--- a/src/ebonycleat/internal/request/mesh_run.py
+++ b/src/ebonycleat/internal/request/mesh_run.py
@@ -62,7 +62,12 @@
 
 
 class GateAccess(abc.ABC):
-    """Reaches the gates of all nodes, and knows which there are."""
+    """Reaches the gates of all nodes, and knows which there are.
+
+    ``clock`` is in seconds; deadlines are on it.
+    """
+
+    clock: Callable[[], float]
 
     @abc.abstractmethod
     def members_of(self, service: str) -> tuple[Member, ...]:
@@ -107,8 +112,8 @@
         self.budget = budget
         self.on_load = on_load
         self.on_end = on_end
-        self.loop = asyncio.get_running_loop()
-        self.started_at = self.loop.time()
+        self.clock = access.clock
+        self.started_at = self.clock()
         self.timer: asyncio.TimerHandle | None = None
         self.attempt: Attempt | None = None
         self.tried: set[str] = set()
@@ -118,8 +123,9 @@
 
     def start(self) -> None:
         """Begin with the first gate."""
-        self.timer = self.loop.call_at(
-            self.admitted.answer_by + ANSWER_GRACE_S,
+        left_s = self.admitted.answer_by + ANSWER_GRACE_S - self.clock()
+        self.timer = asyncio.get_running_loop().call_later(
+            max(0, left_s),
             self.expire,
         )
         self.try_next_gate()
@@ -141,7 +147,7 @@
 
     def try_next_gate(self) -> None:
         """Offer the request to the best gate that is left."""
-        now = self.loop.time()
+        now = self.clock()
         call = self.admitted.call
         chosen = self.router.choose(
             RouteRequest(
@@ -175,7 +181,7 @@
         if isinstance(result, Answer):
             self.budget.note_success(
                 self.admitted.call.service,
-                self.loop.time(),
+                self.clock(),
             )
             self.finish(result)
         else:
@@ -183,7 +189,7 @@
 
     def teach_router(self, attempt: Attempt, ended: AttemptResult) -> None:
         """Let the router learn how its choice did."""
-        now = self.loop.time()
+        now = self.clock()
         member = attempt.member
         load = ended.load
         if load is not None:
@@ -225,7 +231,7 @@
 
     def may_try_again(self, refusal: Refusal) -> bool:
         """Whether another gate may be tried now."""
-        left_s = self.admitted.answer_by - self.loop.time()
+        left_s = self.admitted.answer_by - self.clock()
         if left_s < SHORTEST_REPEAT_S or refusal.reason in FINAL_REASONS:
             return False
         if len(self.tried) >= MAX_GATE_TRIES:
@@ -243,7 +249,7 @@
         if self.targets_reached >= self.admitted.attempts:
             return False
         service = self.admitted.call.service
-        return self.budget.take(service, self.loop.time())
+        return self.budget.take(service, self.clock())
 
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- a/tests/cover/test_quota_leases.py
+++ b/tests/cover/test_quota_leases.py
@@ -9,6 +9,7 @@
     LEASE_S,
     TOKEN_LIFE_S,
     QuotaTokens,
+    TokenWant,
 )
 from ebonycleat.internal.version.mesh_configuration import MeshTeam
 
@@ -43,7 +44,7 @@
         quota.note_demand(TEAM.name)
         if not quota.take(TEAM.name, now):
             pool = self.quotas[self.leaders[node]].pool
-            given = pool.draw(TEAM.name, 1, now)
+            given = pool.draw(TokenWant(TEAM.name, 1, 0), now)
             quota.receive(TEAM.name, given, now)
             if not quota.take(TEAM.name, now):
                 return
