--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -6,7 +6,6 @@
 import os
 import random
 import sys
-import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -15,6 +14,7 @@
 from ebonycleat.internal.connection.log_client import create_http_log_service
 from ebonycleat.internal.connection.peer_transport import PeerIdentity
 from ebonycleat.internal.connection.target_client import create_target_client
+from ebonycleat.internal.process.boottime import time_of_day_ms
 from ebonycleat.internal.process.command_line import (
     EXIT_DONE,
     EXIT_WRONG_USE,
@@ -48,7 +48,6 @@
 # that holds the interpreter; the default of 5 ms is longer than most calls.
 # With 0.2 ms the local path added 5.5 ms at p99, with this 2.2 ms.
 SWITCH_INTERVAL_S = 0.00002
-NANOSECONDS_PER_MS = 1_000_000
 
 
 @contextlib.contextmanager
@@ -118,7 +117,7 @@
 
     Nothing is kept on the VM, so the wall clock in milliseconds serves.
     """
-    return time.time_ns() // NANOSECONDS_PER_MS
+    return time_of_day_ms()
 
 
 def start(settings: NodeSettings) -> int:
--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -24,7 +24,8 @@
     """Load of a gate: waiting and running calls and the limit of the latter.
 
     ``latency_ms`` includes waiting; ``level`` is the admission level.
-    ``shares`` names full services and the work they can take, in thousandths.
+    ``shares`` names full services with the shares of direct requests and of
+    calls that they can take, in thousandths.
     """
 
     queued: int
@@ -33,7 +34,7 @@
     latency_ms: int
     level: int
     is_draining: bool
-    shares: tuple[tuple[str, int], ...] = ()
+    shares: tuple[tuple[str, int, int], ...] = ()
 
 
 class Hello(MeshMessage, frozen=True, tag=1):
--- /dev/null
+++ b/src/ebonycleat/internal/process/entry_pressure.py
@@ -0,0 +1,169 @@
+"""Admission at the entry by what the deepest full service can take.
+
+An entry learns from answers which full services the requests to a service
+lead to, and admits the most important of them up to the published share. It
+keeps what it learned for a while: when all requests are refused no answer
+comes, and forgetting at once would let everything in again.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from ebonycleat.internal.process.pressure import OPEN_SHARE, ServiceShares
+from ebonycleat.internal.request.call import Call, Priority
+
+HEARD_VALID_S = 1.0
+"""A share that no answer has confirmed for so long begins to rise."""
+
+RISE_PER_S = 2.0
+"""Factor by which an unconfirmed share rises each second: from the smallest
+share to all requests in 4.3 s."""
+
+PATH_VALID_S = 30.0
+"""How long an entry remembers that a service's requests lead to another."""
+
+HEARD_GAIN = 0.3
+"""Several gates of a service tell different shares; this averages them."""
+
+CLASS_MEMORY_S = 2.0
+"""Over how long an entry remembers which classes its requests have."""
+
+
+@dataclasses.dataclass(slots=True)
+class HeardShares:
+    """The shares of a service as they came with answers."""
+
+    direct: float
+    called: float
+    heard_at: float
+
+    def average(self, heard: ServiceShares, now: float) -> None:
+        """Take in one more answer."""
+        self.direct += (heard.direct - self.direct) * HEARD_GAIN
+        self.called += (heard.called - self.called) * HEARD_GAIN
+        self.heard_at = now
+
+    def at(self, service: str, now: float) -> ServiceShares:
+        """The shares as they count now."""
+        stale_s = max(0, now - self.heard_at - HEARD_VALID_S)
+        rise = RISE_PER_S**stale_s
+        return ServiceShares(
+            service,
+            min(1, self.direct * rise),
+            min(1, self.called * rise),
+        )
+
+
+class ClassShares:
+    """Requests of this entry that need one full service, by class."""
+
+    def __init__(self, now: float) -> None:
+        """Start with nothing counted."""
+        self.counts: dict[Priority, float] = collections.defaultdict(float)
+        self.owed: dict[Priority, float] = collections.defaultdict(float)
+        self.decayed_at = now
+
+    def count(self, priority: Priority, now: float) -> None:
+        """Count one request; old ones fade."""
+        keep = max(0, 1 - (now - self.decayed_at) / CLASS_MEMORY_S)
+        self.decayed_at = now
+        for known in self.counts:
+            self.counts[known] *= keep
+        self.counts[priority] += 1
+
+    def part_admitted(self, priority: Priority, share: float) -> float:
+        """Part of a class that fits when the more important go first."""
+        total = sum(self.counts.values())
+        before = sum(
+            count for known, count in self.counts.items() if known < priority
+        )
+        own = self.counts[priority]
+        if own <= 0:
+            return 1
+        return min(1, max(0, (share * total - before) / own))
+
+    def admits(self, priority: Priority, part: float) -> bool:
+        """Admit this part of a class, evenly spread."""
+        self.owed[priority] = min(1, self.owed[priority]) + part
+        if self.owed[priority] < 1:
+            return False
+        self.owed[priority] -= 1
+        return True
+
+
+class EntryPressure:
+    """What an entry knows of full services, and whom it admits."""
+
+    def __init__(self) -> None:
+        """Start with nothing heard."""
+        self.heard: dict[str, HeardShares] = {}
+        self.paths: dict[str, dict[str, float]] = {}
+        self.behind_target: dict[str, float] = {}
+        self.classes: dict[tuple[str, bool], ClassShares] = {}
+
+    def hear(
+        self,
+        call: Call,
+        shares: Iterable[ServiceShares],
+        now: float,
+    ) -> None:
+        """Note the shares on the answer to a call."""
+        for one in shares:
+            known = self.heard.setdefault(
+                one.service,
+                HeardShares(one.direct, one.called, now),
+            )
+            known.average(one, now)
+            self.paths.setdefault(call.service, {})[one.service] = now
+            if call.depth:
+                # The own target made this call; its callers should know.
+                self.behind_target[one.service] = now
+
+    def full_behind_target(self, now: float) -> list[ServiceShares]:
+        """Full services that the own target calls."""
+        self.behind_target = {
+            service: heard_at
+            for service, heard_at in self.behind_target.items()
+            if now - heard_at < HEARD_VALID_S
+        }
+        return [self.heard[name].at(name, now) for name in self.behind_target]
+
+    def full_on_path(self, service: str, now: float) -> list[ServiceShares]:
+        """Full services that requests to a service lead to."""
+        path = {
+            name: heard_at
+            for name, heard_at in self.paths.get(service, {}).items()
+            if now - heard_at < PATH_VALID_S
+        }
+        if service in self.paths:
+            self.paths[service] = path
+        return [self.heard[name].at(name, now) for name in path]
+
+    def part_admitted(self, call: Call, now: float) -> float:
+        """Part of the requests like this one that the way can take.
+
+        Calls that targets make were admitted with the request that caused
+        them.
+        """
+        if call.depth:
+            return 1
+        part: float = 1
+        for full in self.full_on_path(call.service, now):
+            is_direct = full.service == call.service
+            share = full.direct if is_direct else full.called
+            classes = self.classes.setdefault(
+                (full.service, is_direct),
+                ClassShares(now),
+            )
+            classes.count(call.priority, now)
+            if share < OPEN_SHARE:
+                part = min(part, classes.part_admitted(call.priority, share))
+        return part
+
+    def admits(self, call: Call, part: float) -> bool:
+        """Whether this request is among the part admitted."""
+        if part >= 1:
+            return True
+        shares = self.classes.setdefault((call.service, True), ClassShares(0))
+        return shares.admits(call.priority, part)
--- a/src/ebonycleat/internal/process/gate_events.py
+++ b/src/ebonycleat/internal/process/gate_events.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import TypeAlias
 
+from ebonycleat.internal.process.pressure import ServiceShares
 from ebonycleat.internal.request.call import Call
 from ebonycleat.internal.request.refusal import Refusal
 
@@ -29,8 +30,7 @@
 class GateLoad:
     """Summary for answers and heartbeats; ``latency_s`` includes waiting.
 
-    ``shares`` names full services behind this gate, its own among them, and
-    the share of present work that each can take.
+    ``shares`` has the full services behind this gate, its own among them.
     """
 
     queued: int
@@ -39,4 +39,4 @@
     latency_s: float
     admission_level: int
     draining: bool
-    shares: tuple[tuple[str, float], ...] = ()
+    shares: tuple[ServiceShares, ...] = ()
--- a/src/ebonycleat/internal/process/mesh_access.py
+++ b/src/ebonycleat/internal/process/mesh_access.py
@@ -21,6 +21,7 @@
 from ebonycleat.internal.process.mesh_admission import AdmittedRequest
 from ebonycleat.internal.process.mesh_gate import GateCall, MeshGate
 from ebonycleat.internal.process.mesh_members import MeshMembers
+from ebonycleat.internal.process.pressure import ServiceShares
 from ebonycleat.internal.process.target_records import Member
 from ebonycleat.internal.request.call import (
     Answer,
@@ -327,7 +328,14 @@
         int(load.latency_s * MILLISECONDS_PER_S),
         load.admission_level,
         load.draining,
-        tuple((name, int(share * THOUSANDTHS)) for name, share in load.shares),
+        tuple(
+            (
+                full.service,
+                int(full.direct * THOUSANDTHS),
+                int(full.called * THOUSANDTHS),
+            )
+            for full in load.shares
+        ),
     )
 
 
@@ -340,7 +348,10 @@
         report.latency_ms / MILLISECONDS_PER_S,
         report.level,
         report.is_draining,
-        tuple((name, part / THOUSANDTHS) for name, part in report.shares),
+        tuple(
+            ServiceShares(name, direct / THOUSANDTHS, called / THOUSANDTHS)
+            for name, direct, called in report.shares
+        ),
     )
 
 
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -18,7 +18,7 @@
     MeshAdmission,
 )
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
-from ebonycleat.internal.process.pressure import EntryPressure
+from ebonycleat.internal.process.entry_pressure import EntryPressure
 from ebonycleat.internal.process.retry_budget import RetryBudget
 from ebonycleat.internal.process.router import Router
 from ebonycleat.internal.process.token_exchange import TokenExchanger
@@ -104,7 +104,13 @@
             route=call.route,
             team=call.team,
             part_admitted=round(part, 3),
-            full=self.pressure.heard[call.service].current(tools.clock()),
+            full=[
+                dataclasses.astuple(full)
+                for full in self.pressure.full_on_path(
+                    call.service,
+                    tools.clock(),
+                )
+            ],
             retry_after_s=wait_s,
         )
         return refuse_not_run(
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
 from ebonycleat.internal.connection.http_messages import encode_request
@@ -37,8 +37,8 @@
 )
 from ebonycleat.internal.process.own_target import OwnTarget
 from ebonycleat.internal.process.pressure import (
-    OPEN_SHARE,
     GatePressure,
+    ServiceShares,
 )
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import (
@@ -72,7 +72,7 @@
     Reason.SHED,
 ))
 
-SharesSource: TypeAlias = Callable[[], Mapping[str, float]]
+SharesSource: TypeAlias = Callable[[], Iterable[ServiceShares]]
 ResultHandler: TypeAlias = Callable[[CallResult], None]
 
 
@@ -120,8 +120,13 @@
         holder: ConfigurationHolder,
         log: DecisionLog,
         clock: Callable[[], float],
+        time_of_day_ms: Callable[[], int],
     ) -> None:
-        """Guard a target; ``clock`` is in seconds."""
+        """Guard a target; ``clock`` is in seconds.
+
+        ``time_of_day_ms`` only orders starts of the target, which tells them
+        by the time of day.
+        """
         self.gate = gate
         self.limit = limit
         self.target = way.target
@@ -130,14 +135,15 @@
         self.holder = holder
         self.log = log
         self.clock = clock
+        self.time_of_day_ms = time_of_day_ms
         self.held: dict[str, Held] = {}
         self.pressure = GatePressure(clock())
-        self.called_shares: SharesSource = dict
+        self.full_behind: SharesSource = tuple
 
     def hear(self, word: TargetWord) -> bool:
         """Learn from the target's message; true if its state changed."""
         before = self.target.incarnation
-        changed = self.target.hear(word)
+        changed = self.target.hear(word, self.time_of_day_ms())
         if self.target.incarnation != before:
             self.limit.renew()
         self.follow_target()
@@ -161,12 +167,11 @@
             shares=self.full_services(),
         )
 
-    def full_services(self) -> tuple[tuple[str, float], ...]:
-        """Full services behind this gate, and what each can take."""
-        shares = dict(self.called_shares())
-        if self.pressure.share < OPEN_SHARE:
-            shares[self.target.service] = self.pressure.share
-        return tuple(shares.items())
+    def full_services(self) -> tuple[ServiceShares, ...]:
+        """Full services behind this gate, its own among them."""
+        own = self.pressure.shares(self.target.service)
+        behind = self.full_behind()
+        return tuple(behind) if own is None else (own, *behind)
 
     def offer(self, offered: GateCall, on_result: ResultHandler) -> None:
         """Take a call; its one result comes through ``on_result``."""
@@ -195,8 +200,14 @@
         now = self.clock()
         if self.gate.queue:
             self.perform(self.gate.tick(now))
-        limit = self.limit.allowed(now)
-        self.pressure.update(len(self.gate.queue), limit, now)
+        if self.pressure.is_due(now):
+            called = sum(1 for one in self.gate.queue if one.call.depth)
+            self.pressure.update(
+                len(self.gate.queue) - called,
+                called,
+                self.limit.allowed(now),
+                now,
+            )
 
     def perform(self, events: list[GateEvent]) -> None:
         """Carry out what the gate decided."""
@@ -204,16 +215,16 @@
             if isinstance(event, Dispatch):
                 self.dispatch(event.call)
             else:
-                self.note_refused(event.refusal)
+                self.note_refused(event.call, event.refusal)
                 self.resolve(
                     event.call.call_id,
                     RefusedCall(event.call.call_id, event.refusal),
                 )
 
-    def note_refused(self, refusal: Refusal) -> None:
+    def note_refused(self, call: Call, refusal: Refusal) -> None:
         """Count a refusal for want of room."""
         if refusal.reason in ROOM_REASONS:
-            self.pressure.note_refused()
+            self.pressure.kind_of(call.depth).refused += 1
 
     def dispatch(self, call: Call) -> None:
         """Send a call to the target, if that is still right now."""
@@ -225,7 +236,7 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         held.sent_at = now
-        self.pressure.note_running(len(self.gate.running), now)
+        self.pressure.kind_of(call.depth).change_running(1, now)
         held.send = self.pool.send(
             self.encode(held.offered, now),
             lambda result: self.sent(call, result),
@@ -288,7 +299,7 @@
             self.target.note_other_instance()
             self.follow_target()
         if report.has_not_run:
-            self.pressure.note_refused()
+            self.pressure.kind_of(call.depth).refused += 1
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
             self.resolve(call.call_id, RefusedCall(call.call_id, _TARGET_SHED))
             return
@@ -304,11 +315,12 @@
     def end_run(self, call: Call, outcome: RunOutcome) -> None:
         """Free the slot, which may start other calls."""
         now = self.clock()
+        kind = self.pressure.kind_of(call.depth)
+        if call.call_id in self.held and self.held[call.call_id].sent_at:
+            kind.change_running(-1, now)
         if outcome.result is RunResult.SUCCEEDED:
-            self.pressure.note_served(outcome.service_s)
-        events = self.gate.finished(call.call_id, outcome, now)
-        self.pressure.note_running(len(self.gate.running), now)
-        self.perform(events)
+            kind.note_served(outcome.service_s)
+        self.perform(self.gate.finished(call.call_id, outcome, now))
 
     def resolve(self, call_id: str, result: CallResult) -> None:
         """Report the one result of a call."""
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -23,6 +23,7 @@
     TargetWord,
     UnreadableWord,
 )
+from ebonycleat.internal.process.boottime import time_of_day_ms
 from ebonycleat.internal.process.concurrency_limit import DeclaredLimit
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
@@ -183,6 +184,7 @@
             self.known.holder,
             tools.log,
             tools.clock,
+            time_of_day_ms,
         )
 
     def build_entry(self) -> MeshEntry:
@@ -206,7 +208,7 @@
     def connect_parts(self) -> None:
         """Let the parts hear of each other."""
         pressure = self.entry.pressure
-        self.gate.called_shares = lambda: pressure.called.current(
+        self.gate.full_behind = lambda: pressure.full_behind_target(
             self.tools.clock(),
         )
         self.traffic.calls = PeerCalls(self.gate)
--- a/src/ebonycleat/internal/process/own_target.py
+++ b/src/ebonycleat/internal/process/own_target.py
@@ -55,13 +55,16 @@
         elif self.incarnation == known and not record.has_target:
             self.is_leaving = True
 
-    def hear(self, word: TargetWord) -> bool:
-        """Learn from a message; true if what may be sent has changed."""
+    def hear(self, word: TargetWord, now_ms: int) -> bool:
+        """Learn from a message; true if what may be sent has changed.
+
+        ``now_ms`` is the time of day in milliseconds.
+        """
         before = (self.incarnation, self.slots, self.is_leaving)
         if isinstance(word, Heartbeat):
             self.hear_heartbeat(word)
         elif isinstance(word, Farewell):
-            self.hear_farewell(word)
+            self.hear_farewell(word, now_ms)
         return before != (self.incarnation, self.slots, self.is_leaving)
 
     def hear_heartbeat(self, word: Heartbeat) -> None:
@@ -83,11 +86,16 @@
         if word.state is TargetState.DRAINING:
             self.is_leaving = True
 
-    def hear_farewell(self, word: Farewell) -> None:
-        """Use the instance no more."""
+    def hear_farewell(self, word: Farewell, now_ms: int) -> None:
+        """Use the instance no more.
+
+        A node that has just started does not know which start of the
+        instance leaves; it is any that began before this moment.
+        """
         known = self.incarnation
         if known is None:
-            self.incarnation = Incarnation(word.instance, word.started_ms)
+            started_ms = word.started_ms or now_ms
+            self.incarnation = Incarnation(word.instance, started_ms)
             self.is_leaving = True
         elif word.instance == known.instance and (
             not word.started_ms or word.started_ms >= known.started_ms
--- a/src/ebonycleat/internal/process/pressure.py
+++ b/src/ebonycleat/internal/process/pressure.py
@@ -1,22 +1,21 @@
-"""Admission at the entry by what the deepest full service can take.
+"""What a gate publishes of its load, so that entries can refuse in time.
 
 A request that is refused two hops down has wasted the work of two targets.
-Each gate therefore publishes the share of present work that it can take. The
-shares travel on answers, back along the calls, so an entry learns for each
-service which full services its requests lead to, and refuses the least
-important of them before anything has run.
+Each gate therefore publishes the shares of present work that it can take:
+one of direct requests, one of calls that other targets make. The shares
+travel on answers, back along the calls.
 """
 
-import collections
 import dataclasses
-from collections.abc import Iterable
-
-from ebonycleat.internal.request.call import Call, Priority
 
 GOAL_UTILISATION = 0.92
 """Share of the slots that a gate wants in use; the rest absorbs bursts that
 are shorter than the way of a share back to the entries."""
 
+DIRECT_GUARANTEE = 0.5
+"""Part of the goal that calls of other targets cannot take from direct
+requests: internal look-ups must not crowd out callers."""
+
 RESPONSE_S = 0.6
 """Time in which a share follows a change of the load: about the duration of
 a deep call, after which the effect of the last change is seen."""
@@ -28,189 +27,114 @@
 SMALLEST_SHARE = 0.05
 """Some requests always pass, so that the end of an overload is noticed."""
 
+LEAST_LOAD = 0.01
+"""Loads below this count as this, so that shares stay finite."""
+
 OPEN_SHARE = 0.995
 """Shares above this are not published: the service takes everything."""
 
-HEARD_VALID_S = 1.5
-"""A share that no answer has confirmed for so long is forgotten."""
 
-HEARD_GAIN = 0.3
-"""Several gates of a service tell different shares; this averages them."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceShares:
+    """Shares of present work that a service can take, from 0 to 1."""
 
-CLASS_MEMORY_S = 2.0
-"""Over how long an entry remembers which classes its requests have."""
+    service: str
+    direct: float
+    called: float
 
 
-class GatePressure:
-    """The share of present work that one gate can take."""
+class KindLoad:
+    """Load of the direct requests, or of the calls, at one gate."""
 
     def __init__(self, now: float) -> None:
-        """Start open."""
+        """Start idle and open."""
         self.share: float = 1
+        self.running = 0
+        self.busy_s: float = 0
+        self.changed_at = now
         self.refused = 0
-        self.running_s: float = 0
-        self.served = 0
+        self.served: float = 0
         self.served_s: float = 0
         self.mean_service_s: float = 0
-        self.running = 0
-        self.changed_at = now
-        self.updated_at = now
 
-    def note_running(self, running: int, now: float) -> None:
-        """Note the number of running calls whenever it changes."""
-        self.running_s += self.running * (now - self.changed_at)
-        self.running = running
+    def change_running(self, step: int, now: float) -> None:
+        """Count a call that starts or ends."""
+        self.busy_s += self.running * (now - self.changed_at)
+        self.running += step
         self.changed_at = now
 
-    def note_refused(self) -> None:
-        """Note a call that found no room."""
-        self.refused += 1
-
     def note_served(self, service_s: float) -> None:
         """Note the duration of a run."""
         self.served += 1
         self.served_s += service_s
 
-    def update(self, queued: int, limit: int, now: float) -> None:
-        """Adapt the share to the load since the last update."""
-        elapsed_s = now - self.updated_at
-        if elapsed_s < UPDATE_S or limit < 1:
-            return
-        self.note_running(self.running, now)
+    def take_load(self, queued: int, elapsed_s: float, now: float) -> float:
+        """Return the slots that the offered work needs; count anew."""
+        self.change_running(0, now)
         if self.served:
             self.mean_service_s = self.served_s / self.served
         waiting = queued / BACKLOG_S + self.refused / elapsed_s
-        load = self.running_s / elapsed_s + waiting * self.mean_service_s
-        utilisation = max(load / limit, GOAL_UTILISATION / 2)
-        step = min(1.0, elapsed_s / RESPONSE_S)
-        share = self.share * (GOAL_UTILISATION / utilisation) ** step
-        self.share = min(1.0, max(SMALLEST_SHARE, share))
-        self.running_s = 0
+        load = self.busy_s / elapsed_s + waiting * self.mean_service_s
+        self.busy_s = 0
         self.refused = 0
-        self.updated_at = now
         # Half of the sample stays: short windows hold few long runs.
-        self.served_s = self.mean_service_s * (self.served // 2)
-        self.served //= 2
+        self.served /= 2
+        self.served_s /= 2
+        return load
 
+    def move_share(self, wanted: float, step: float) -> None:
+        """Move the share towards ``wanted`` by a part of the way."""
+        share = self.share ** (1 - step) * wanted**step
+        self.share = min(1, max(SMALLEST_SHARE, share))
 
-@dataclasses.dataclass(slots=True)
-class HeardShare:
-    """A share as it came with answers."""
 
-    share: float
-    heard_at: float
-
-
-class HeardShares:
-    """Full services that the calls to one service lead to."""
-
-    def __init__(self) -> None:
-        """Start without any."""
-        self.by_service: dict[str, HeardShare] = {}
-
-    def hear(self, shares: Iterable[tuple[str, float]], now: float) -> None:
-        """Note the shares on one answer."""
-        for service, share in shares:
-            known = self.by_service.get(service)
-            if known is None:
-                self.by_service[service] = HeardShare(share, now)
-            else:
-                known.share += (share - known.share) * HEARD_GAIN
-                known.heard_at = now
+class GatePressure:
+    """The shares of present work that one gate can take."""
 
-    def current(self, now: float) -> dict[str, float]:
-        """Shares that were confirmed lately."""
-        self.by_service = {
-            name: heard
-            for name, heard in self.by_service.items()
-            if now - heard.heard_at <= HEARD_VALID_S
-        }
-        return {name: known.share for name, known in self.by_service.items()}
+    def __init__(self, now: float) -> None:
+        """Start open."""
+        self.direct = KindLoad(now)
+        self.called = KindLoad(now)
+        self.updated_at = now
 
+    def kind_of(self, depth: int) -> KindLoad:
+        """Load of direct requests, or of calls that targets make."""
+        return self.called if depth else self.direct
 
-class ClassShares:
-    """Requests of this entry that lead to one full service, by class."""
+    def is_due(self, now: float) -> bool:
+        """Whether it is time for an update."""
+        return now - self.updated_at >= UPDATE_S
 
-    def __init__(self, now: float) -> None:
-        """Start with nothing counted."""
-        self.counts: dict[Priority, float] = collections.defaultdict(float)
-        self.owed: dict[Priority, float] = collections.defaultdict(float)
-        self.decayed_at = now
-
-    def count(self, priority: Priority, now: float) -> None:
-        """Count one request; old ones fade."""
-        keep = max(0, 1 - (now - self.decayed_at) / CLASS_MEMORY_S)
-        self.decayed_at = now
-        for known in self.counts:
-            self.counts[known] *= keep
-        self.counts[priority] += 1
-
-    def part_admitted(self, priority: Priority, share: float) -> float:
-        """Part of a class that fits when the more important go first."""
-        total = sum(self.counts.values())
-        before = sum(
-            count for known, count in self.counts.items() if known < priority
-        )
-        own = self.counts[priority]
-        if own <= 0 or total <= 0:
-            return 1
-        return min(1.0, max(0, (share * total - before) / own))
-
-    def admits(self, priority: Priority, part: float) -> bool:
-        """Admit this part of a class, evenly spread."""
-        self.owed[priority] += part
-        if self.owed[priority] < 1:
-            return False
-        self.owed[priority] -= 1
-        return True
-
-
-class EntryPressure:
-    """What an entry knows of full services, and whom it admits."""
-
-    def __init__(self) -> None:
-        """Start with nothing heard."""
-        self.heard: dict[str, HeardShares] = {}
-        self.called = HeardShares()
-        self.classes: dict[str, ClassShares] = {}
-
-    def hear(
+    def update(
         self,
-        call: Call,
-        shares: tuple[tuple[str, float], ...],
+        queued_direct: int,
+        queued_called: int,
+        limit: int,
         now: float,
     ) -> None:
-        """Note the shares on the answer to a call."""
-        if not shares:
+        """Adapt the shares to the load since the last update."""
+        elapsed_s = now - self.updated_at
+        if elapsed_s <= 0 or limit < 1:
             return
-        if call.depth:
-            # The own target made this call; its callers should know.
-            self.called.hear(shares, now)
-        else:
-            self.heard.setdefault(call.service, HeardShares()).hear(
-                shares,
-                now,
-            )
-
-    def part_admitted(self, call: Call, now: float) -> float:
-        """Part of the requests like this one that the way can take.
-
-        Calls that targets make were admitted with the request that caused
-        them.
-        """
-        heard = self.heard.get(call.service)
-        if heard is None or call.depth:
-            return 1
-        part: float = 1
-        for service, share in heard.current(now).items():
-            classes = self.classes.setdefault(service, ClassShares(now))
-            classes.count(call.priority, now)
-            part = min(part, classes.part_admitted(call.priority, share))
-        return part
-
-    def admits(self, call: Call, part: float) -> bool:
-        """Whether this request is among the part admitted."""
-        if part >= 1:
-            return True
-        shares = self.classes.setdefault(call.service, ClassShares(0))
-        return shares.admits(call.priority, part)
+        self.updated_at = now
+        step = min(1, elapsed_s / RESPONSE_S)
+        direct = self.direct.take_load(queued_direct, elapsed_s, now)
+        called = self.called.take_load(queued_called, elapsed_s, now)
+        # What would come if the entries let everything pass.
+        direct_all = max(LEAST_LOAD, direct / limit) / self.direct.share
+        called_all = max(LEAST_LOAD, called / limit) / self.called.share
+        direct_room = max(
+            GOAL_UTILISATION * DIRECT_GUARANTEE,
+            GOAL_UTILISATION - called_all,
+        )
+        direct_part = min(1, direct_room / direct_all)
+        called_room = GOAL_UTILISATION - direct_all * direct_part
+        called_part = min(1, called_room / called_all)
+        self.direct.move_share(direct_part, step)
+        self.called.move_share(max(SMALLEST_SHARE, called_part), step)
+
+    def shares(self, service: str) -> ServiceShares | None:
+        """The shares to publish; None while everything is taken."""
+        if min(self.direct.share, self.called.share) >= OPEN_SHARE:
+            return None
+        return ServiceShares(service, self.direct.share, self.called.share)
--- a/tests/cover/test_own_target.py
+++ b/tests/cover/test_own_target.py
@@ -28,7 +28,7 @@
 def hear(*words):
     target = OwnTarget(SERVICE)
     for word in words:
-        target.hear(word)
+        target.hear(word, now_ms=1000)
     return target
 
 
@@ -84,7 +84,21 @@
     """Guards against an acknowledged drain that a restart forgets."""
     target = OwnTarget(SERVICE)
     target.recall(MemberRecord('a', 'z', SERVICE, 'i-1', 100, 4, False))
-    target.hear(beat(7))
+    target.hear(beat(7), now_ms=500)
     assert not target.is_usable
-    target.hear(beat(1, 'i-2', 400))
+    target.hear(beat(1, 'i-2', 400), now_ms=500)
+    assert target.is_usable
+
+
+def test_a_farewell_to_a_node_that_knows_nothing_yet_is_remembered():
+    """Guards against the next heartbeat of a target that has left.
+
+    On a day with rolling restarts a node started again just before its
+    target left; the heartbeat after the farewell looked like a new start.
+    """
+    target = OwnTarget(SERVICE)
+    target.hear(Farewell('i-1'), now_ms=5000)
+    target.hear(beat(8, started_ms=100), now_ms=5100)
+    assert not target.is_usable
+    target.hear(beat(1, started_ms=5050), now_ms=6000)
     assert target.is_usable
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -129,6 +129,7 @@
         holder or create_holder(clock),
         create_decision_log(clock),
         clock,
+        lambda: int(clock() * 1000),
     )
     if is_known:
         gate.hear(beat(slots=slots))
