Calls take the class of the request they are for; full services are learned by route

Cause: tile-get, which leads to no other service, was shed with the look-ups of its service because entries learned paths by service; look-ups for renewals and for map downloads had one class. Where ids are hierarchical (a.b extends a) a call's parent is found among the requests running at the own target; where they are flat everything is as before.

--- a/src/ebonycleat/internal/connection/mesh_ports.py
+++ b/src/ebonycleat/internal/connection/mesh_ports.py
@@ -71,7 +71,9 @@
     """A caller's request; ``headers`` are those that travel on.
 
     ``deadline_s`` is the time that the caller will wait, None if it did not
-    say. ``key`` is empty if none came.
+    say. ``key`` is empty if none came. ``ancestor_ids`` are the ids that the
+    request's own id extends, the nearest first; a request without a
+    hierarchical id has none.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     deadline_s: float | None
     key: str
     headers: HeaderPairs
+    ancestor_ids: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonycleat/internal/process/entry_pressure.py
+++ b/src/ebonycleat/internal/process/entry_pressure.py
@@ -10,6 +10,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from ebonycleat.internal.process.mesh_admission import AdmittedRequest
 from ebonycleat.internal.process.pressure import OPEN_SHARE, ServiceShares
 from ebonycleat.internal.request.call import Call, Priority
 
@@ -99,46 +100,49 @@
         """Start with nothing heard."""
         self.heard: dict[str, HeardShares] = {}
         self.paths: dict[str, dict[str, float]] = {}
-        self.behind_target: dict[str, float] = {}
+        self.behind: dict[str, dict[str, float]] = {}
         self.classes: dict[tuple[str, bool], ClassShares] = {}
 
     def hear(
         self,
-        call: Call,
+        admitted: AdmittedRequest,
         shares: Iterable[ServiceShares],
         now: float,
     ) -> None:
-        """Note the shares on the answer to a call."""
+        """Note the shares on an answer.
+
+        If the own target made the request, the shares also hold for those
+        that come to the target on the route that it was made for.
+        """
+        route = admitted.call.route
         for one in shares:
             known = self.heard.setdefault(
                 one.service,
                 HeardShares(one.direct, one.called, now),
             )
             known.average(one, now)
-            self.paths.setdefault(call.service, {})[one.service] = now
-            if call.depth:
-                # The own target made this call; its callers should know.
-                self.behind_target[one.service] = now
-
-    def full_behind_target(self, now: float) -> list[ServiceShares]:
-        """Full services that the own target calls."""
-        self.behind_target = {
-            service: heard_at
-            for service, heard_at in self.behind_target.items()
-            if now - heard_at < HEARD_VALID_S
-        }
-        return [self.heard[name].at(name, now) for name in self.behind_target]
-
-    def full_on_path(self, service: str, now: float) -> list[ServiceShares]:
-        """Full services that requests to a service lead to."""
-        path = {
-            name: heard_at
-            for name, heard_at in self.paths.get(service, {}).items()
-            if now - heard_at < PATH_VALID_S
-        }
-        if service in self.paths:
-            self.paths[service] = path
-        return [self.heard[name].at(name, now) for name in path]
+            self.paths.setdefault(route, {})[one.service] = now
+            if admitted.call.depth:
+                behind = self.behind.setdefault(admitted.parent_route, {})
+                behind[one.service] = now
+
+    def full_behind_target(
+        self,
+        route: str,
+        now: float,
+    ) -> list[ServiceShares]:
+        """Full services that the own target calls for a route's requests.
+
+        Calls whose parent is not known count for all routes.
+        """
+        known = _not_older(self.behind.get(route), HEARD_VALID_S, now)
+        known |= _not_older(self.behind.get(''), HEARD_VALID_S, now)
+        return [self.heard[name].at(name, now) for name in sorted(known)]
+
+    def full_on_path(self, route: str, now: float) -> list[ServiceShares]:
+        """Full services that requests on a route lead to."""
+        path = _not_older(self.paths.get(route), PATH_VALID_S, now)
+        return [self.heard[name].at(name, now) for name in sorted(path)]
 
     def part_admitted(self, call: Call, now: float) -> float:
         """Part of the requests like this one that the way can take.
@@ -149,7 +153,7 @@
         if call.depth:
             return 1
         part: float = 1
-        for full in self.full_on_path(call.service, now):
+        for full in self.full_on_path(call.route, now):
             is_direct = full.service == call.service
             share = full.direct if is_direct else full.called
             classes = self.classes.setdefault(
@@ -165,5 +169,18 @@
         """Whether this request is among the part admitted."""
         if part >= 1:
             return True
-        shares = self.classes.setdefault((call.service, True), ClassShares(0))
+        shares = self.classes.setdefault((call.route, True), ClassShares(0))
         return shares.admits(call.priority, part)
+
+
+def _not_older(
+    heard: dict[str, float] | None,
+    valid_s: float,
+    now: float,
+) -> set[str]:
+    """Names that were heard within a time."""
+    return {
+        name
+        for name, heard_at in (heard or {}).items()
+        if now - heard_at < valid_s
+    }
--- a/src/ebonycleat/internal/process/mesh_access.py
+++ b/src/ebonycleat/internal/process/mesh_access.py
@@ -104,7 +104,9 @@
                 self.place.service,
                 admitted.key_mark,
             ),
-            lambda result: on_result(AttemptResult(result, self.gate.load())),
+            lambda result: on_result(
+                AttemptResult(result, self.gate.load(call.route)),
+            ),
         )
         return lambda: self.gate.cancel(call.call_id)
 
@@ -243,17 +245,19 @@
                 message.origin_service,
                 message.key_mark,
             ),
-            lambda result: self.finish(link, message.number, result),
+            lambda result: self.finish(link, message, result),
         )
 
-    def finish(self, link: MeshLink, number: int, result: CallResult) -> None:
-        """Send a result back."""
+    def finish(
+        self,
+        link: MeshLink,
+        message: RunCall,
+        result: CallResult,
+    ) -> None:
+        """Send a result back, with the present load."""
+        number = message.number
         self.by_link.get(link, {}).pop(number, None)
-        self.reply(link, number, result)
-
-    def reply(self, link: MeshLink, number: int, result: CallResult) -> None:
-        """Write a result with the present load."""
-        load = write_load(self.gate.load())
+        load = write_load(self.gate.load(message.route))
         if isinstance(result, Answer):
             link.send(
                 CallAnswered(
--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -42,6 +42,8 @@
 
     ``host`` and ``request_id`` are the caller's; ``key_mark`` is empty on
     routes open to all. ``answer_by`` is in seconds on the loop's clock.
+    ``parent_route`` is that of the request for which the own target makes
+    this one, empty if that is not known.
     """
 
     call: Call
@@ -50,6 +52,7 @@
     key_mark: bytes
     attempts: int
     answer_by: float
+    parent_route: str = ''
 
 
 class ServiceSplit:
@@ -100,9 +103,14 @@
         self,
         http: HttpRequest,
         caller: CallerRequest,
+        parent: Call | None,
         now: float,
     ) -> AdmittedRequest | Refusal:
-        """Admit a request or refuse it."""
+        """Admit a request or refuse it.
+
+        ``parent`` is the request at the own target for which this one is
+        made, as far as that is known.
+        """
         index = self.holder.index
         if index is None:
             return _NO_CONFIGURATION
@@ -112,7 +120,20 @@
         team = self.find_team(index, route, caller, now)
         if isinstance(team, Refusal):
             return team
-        return self.build(http, caller, index, route, team, now)
+        admitted = self.build(http, caller, index, route, team, now)
+        if team is not None or parent is None:
+            return admitted
+        # A call is as important as what it is for.
+        call = dataclasses.replace(
+            admitted.call,
+            priority=parent.priority,
+            depth=parent.depth + 1,
+        )
+        return dataclasses.replace(
+            admitted,
+            call=call,
+            parent_route=parent.route,
+        )
 
     def find_team(
         self,
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -1,7 +1,8 @@
 """The entry of a node: callers' requests in, final answers out."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
 
 from ebonycleat.internal.connection.http_listener import (
     Exchange,
@@ -17,6 +18,7 @@
     AdmittedRequest,
     MeshAdmission,
 )
+from ebonycleat.internal.process.mesh_gate import GateCall
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
 from ebonycleat.internal.process.entry_pressure import EntryPressure
 from ebonycleat.internal.process.retry_budget import RetryBudget
@@ -32,6 +34,8 @@
 )
 
 
+ParentFinder: TypeAlias = Callable[[Iterable[str]], GateCall | None]
+
 SHED_RETRY_S = 0.3
 SHED_RETRY_RANGE_S = 0.7
 """Retry-After of a request shed at the entry, growing with the part that is
@@ -44,6 +48,7 @@
 
     dialect: CallerDialect
     admission: MeshAdmission
+    find_parent: ParentFinder
     tokens: TokenExchanger
     access: GateAccess
     router: Router
@@ -68,9 +73,11 @@
         if isinstance(read, Refusal):
             self.refuse(exchange, '', read)
             return
+        parent = tools.find_parent(read.ancestor_ids)
         admitted = tools.admission.admit(
             exchange.request,
             read,
+            None if parent is None else parent.call,
             tools.clock(),
         )
         if isinstance(admitted, Refusal):
@@ -107,7 +114,7 @@
             full=[
                 dataclasses.astuple(full)
                 for full in self.pressure.full_on_path(
-                    call.service,
+                    call.route,
                     tools.clock(),
                 )
             ],
@@ -155,7 +162,7 @@
             tools.router,
             tools.budget,
             lambda load: self.pressure.hear(
-                admitted.call,
+                admitted,
                 load.shares,
                 tools.clock(),
             ),
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -72,7 +72,7 @@
     Reason.SHED,
 ))
 
-SharesSource: TypeAlias = Callable[[], Iterable[ServiceShares]]
+SharesSource: TypeAlias = Callable[[str], Iterable[ServiceShares]]
 ResultHandler: TypeAlias = Callable[[CallResult], None]
 
 
@@ -137,8 +137,9 @@
         self.clock = clock
         self.time_of_day_ms = time_of_day_ms
         self.held: dict[str, Held] = {}
+        self.running_ids: dict[str, GateCall] = {}
         self.pressure = GatePressure(clock())
-        self.full_behind: SharesSource = tuple
+        self.full_behind: SharesSource = _nothing_behind
 
     def hear(self, word: TargetWord) -> bool:
         """Learn from the target's message; true if its state changed."""
@@ -158,19 +159,27 @@
             self.limit.withdraw()
         self.perform(self.gate.tick(self.clock()))
 
-    def load(self) -> GateLoad:
-        """Load to tell with each result."""
+    def find_parent(self, ancestor_ids: Iterable[str]) -> GateCall | None:
+        """Return the running request that a call of the target is for."""
+        for request_id in ancestor_ids:
+            running = self.running_ids.get(request_id)
+            if running is not None:
+                return running
+        return None
+
+    def load(self, route: str) -> GateLoad:
+        """Load to tell with each result of a route."""
         load = self.gate.load(self.clock())
         return dataclasses.replace(
             load,
             draining=load.draining or self.target.is_leaving,
-            shares=self.full_services(),
+            shares=self.full_services(route),
         )
 
-    def full_services(self) -> tuple[ServiceShares, ...]:
-        """Full services behind this gate, its own among them."""
+    def full_services(self, route: str) -> tuple[ServiceShares, ...]:
+        """Full services that a route leads to, the own one among them."""
         own = self.pressure.shares(self.target.service)
-        behind = self.full_behind()
+        behind = self.full_behind(route)
         return tuple(behind) if own is None else (own, *behind)
 
     def offer(self, offered: GateCall, on_result: ResultHandler) -> None:
@@ -236,6 +245,7 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         held.sent_at = now
+        self.running_ids[held.offered.request_id] = held.offered
         self.pressure.kind_of(call.depth).change_running(1, now)
         held.send = self.pool.send(
             self.encode(held.offered, now),
@@ -326,6 +336,7 @@
         """Report the one result of a call."""
         held = self.held.pop(call_id, None)
         if held is not None:
+            self.running_ids.pop(held.offered.request_id, None)
             held.on_result(result)
 
     def log_failure(self, held: Held, failure: SendFailure) -> None:
@@ -359,6 +370,11 @@
     return refuse_outcome_unknown(reason, failure.detail)
 
 
+def _nothing_behind(route: str) -> tuple[ServiceShares, ...]:
+    """Stand in until the entry can tell what is full behind a route."""
+    return ()
+
+
 _OTHER_SERVICE = refuse_not_run(
     Reason.NO_TARGET,
     'this node serves another service',
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -195,6 +195,7 @@
             EntryTools(
                 tools.ports.callers,
                 MeshAdmission(self.address, self.known.holder),
+                self.gate.find_parent,
                 self.duties.exchanger,
                 MeshAccess(place, self.gate, self.known.members, self.links),
                 create_router(self.settings.zone, self.address, tools.rng),
@@ -208,7 +209,8 @@
     def connect_parts(self) -> None:
         """Let the parts hear of each other."""
         pressure = self.entry.pressure
-        self.gate.full_behind = lambda: pressure.full_behind_target(
+        self.gate.full_behind = lambda route: pressure.full_behind_target(
+            route,
             self.tools.clock(),
         )
         self.traffic.calls = PeerCalls(self.gate)
@@ -345,7 +347,7 @@
         """All figures of this node as text."""
         holder = self.known.holder
         age_s = holder.proof_age_s(self.tools.clock())
-        load = self.gate.load()
+        load = self.gate.load('')
         pool = self.gate.pool
         duties = self.duties
         return self.tools.metrics.render({
--- a/src/ebonycleat/internal/process/pressure.py
+++ b/src/ebonycleat/internal/process/pressure.py
@@ -88,6 +88,20 @@
         self.share = min(1, max(SMALLEST_SHARE, share))
 
 
+def divide_room(direct_all: float, called_all: float) -> tuple[float, float]:
+    """Parts of both kinds of load that fit, given all that would come.
+
+    Direct requests keep their guarantee; calls get the rest.
+    """
+    direct_room = max(
+        GOAL_UTILISATION * DIRECT_GUARANTEE,
+        GOAL_UTILISATION - called_all,
+    )
+    direct_part = min(1, direct_room / direct_all)
+    called_room = GOAL_UTILISATION - direct_all * direct_part
+    return direct_part, min(1, max(SMALLEST_SHARE, called_room / called_all))
+
+
 class GatePressure:
     """The shares of present work that one gate can take."""
 
@@ -121,17 +135,12 @@
         direct = self.direct.take_load(queued_direct, elapsed_s, now)
         called = self.called.take_load(queued_called, elapsed_s, now)
         # What would come if the entries let everything pass.
-        direct_all = max(LEAST_LOAD, direct / limit) / self.direct.share
-        called_all = max(LEAST_LOAD, called / limit) / self.called.share
-        direct_room = max(
-            GOAL_UTILISATION * DIRECT_GUARANTEE,
-            GOAL_UTILISATION - called_all,
+        direct_part, called_part = divide_room(
+            max(LEAST_LOAD, direct / limit) / self.direct.share,
+            max(LEAST_LOAD, called / limit) / self.called.share,
         )
-        direct_part = min(1, direct_room / direct_all)
-        called_room = GOAL_UTILISATION - direct_all * direct_part
-        called_part = min(1, called_room / called_all)
         self.direct.move_share(direct_part, step)
-        self.called.move_share(max(SMALLEST_SHARE, called_part), step)
+        self.called.move_share(called_part, step)
 
     def shares(self, service: str) -> ServiceShares | None:
         """The shares to publish; None while everything is taken."""
--- a/src/ebonycleat/platform/callers.py
+++ b/src/ebonycleat/platform/callers.py
@@ -28,6 +28,10 @@
 PROMISING_STATUSES = frozenset((400, 401, 404, 408, 413, 421, 429, 431, 503))
 UNAVAILABLE = 503
 
+ID_SEPARATOR = '.'
+MOST_ID_PARTS = 32
+"""Bounds the work for one id; calls are up to 13 deep."""
+
 
 class PlatformCallers(CallerDialect):
     """Requests with an id, a deadline and a key in headers."""
@@ -52,6 +56,7 @@
                 for pair in drop_hop_headers(request.headers)
                 if pair[0] not in names.SET_BY_SYSTEM
             ),
+            ancestor_ids=_find_ancestors(request_id),
         )
 
     def render_refusal(self, request_id: str, refusal: Refusal) -> HttpAnswer:
@@ -79,6 +84,18 @@
     return deadline_s if 0 <= deadline_s <= LONGEST_DEADLINE_S else None
 
 
+def _find_ancestors(request_id: str) -> tuple[str, ...]:
+    """Ids that a hierarchical id extends: ``a.b.c`` extends a.b and a.
+
+    No page promises this form; where ids are flat nothing is found.
+    """
+    parts = request_id.split(ID_SEPARATOR)[:MOST_ID_PARTS]
+    return tuple(
+        ID_SEPARATOR.join(parts[:count])
+        for count in range(len(parts) - 1, 0, -1)
+    )
+
+
 def _read_key(request: HttpRequest) -> str:
     text = find_header(request.headers, names.AUTHORIZATION)
     prefix_length = len(names.KEY_PREFIX)
