Tests of pressure, runs and the platform's formats, with fuzzing; unknown outcomes never get a promising status

Found by the new test: a run whose outcome is unknown could be answered 503 for reasons that usually mean 'not run' (a cancelled run, for one). It is 502 now.

--- a/src/ebonycleat/platform/callers.py
+++ b/src/ebonycleat/platform/callers.py
@@ -27,6 +27,7 @@
 # Statuses that promise that the request has not run and never will.
 PROMISING_STATUSES = frozenset((400, 401, 404, 408, 413, 421, 429, 431, 503))
 UNAVAILABLE = 503
+BAD_GATEWAY = 502
 
 ID_SEPARATOR = '.'
 MOST_ID_PARTS = 32
@@ -65,6 +66,8 @@
         has_not_run = refusal.outcome is Outcome.NOT_RUN
         if has_not_run and status not in PROMISING_STATUSES:
             status = UNAVAILABLE
+        elif status in PROMISING_STATUSES and not has_not_run:
+            status = BAD_GATEWAY
         pairs = [(names.REQUEST_ID, request_id)] if request_id else []
         if has_not_run and refusal.retry_after_s > 0:
             pairs.append((names.RETRY_AFTER, f'{refusal.retry_after_s:.3f}'))
--- /dev/null
+++ b/tests/cover/test_platform_formats.py
@@ -0,0 +1,451 @@
+"""The platform's names and formats, decoded once into the product's types."""
+
+import base64
+import copy
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonycleat import Reason
+from ebonycleat.internal.connection.errors import (
+    LogUnavailable,
+    OffsetExpired,
+)
+from ebonycleat.internal.connection.http_messages import (
+    HttpAnswer,
+    find_header,
+)
+from ebonycleat.internal.connection.mesh_ports import (
+    CallerRequest,
+    Farewell,
+    Heartbeat,
+    StoreTopic,
+    TargetRequest,
+    TargetState,
+    TopicPage,
+    UnreadableWord,
+)
+from ebonycleat.internal.process.settings_file import WrongSettings
+from ebonycleat.internal.request.refusal import (
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+from ebonycleat.platform import load_platform_settings
+from ebonycleat.platform.callers import PlatformCallers
+from ebonycleat.platform.configuration import PlatformConfiguration
+from ebonycleat.platform.control import PlatformControl
+from ebonycleat.platform.store import PlatformStore
+from ebonycleat.platform.targets import PlatformTargets
+from tests.loop_tools import run
+from tests.platform_examples import (
+    BOOT,
+    CONFIGURATION,
+    HEARTBEAT,
+    beat_request,
+    encode,
+    request,
+)
+
+JSON_TREES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def changed(tree, path, found):
+    """Return a copy of a tree with another value at a path."""
+    copied = copy.deepcopy(tree)
+    inner = copied
+    *parents, last = path
+    for key in parents:
+        inner = inner[key]
+    inner[last] = found
+    return copied
+
+
+PATHS_OF_HEARTBEAT = (
+    ('born',),
+    ('address',),
+    ('info',),
+    ('info', 'service'),
+    ('info', 'slots'),
+    ('status',),
+    ('status', 'state'),
+    ('status', 'seq'),
+)
+
+
+def test_a_configuration_is_decoded_whole():
+    """Guards against fields that are read under another meaning."""
+    read = PlatformConfiguration().read_configuration(encode(CONFIGURATION))
+    assert read.version == 12
+    fetch, renew = read.routes
+    assert fetch.host == 'maps.example'
+    assert [(part.service, part.weight) for part in fetch.parts] == [
+        ('maps', 90),
+        ('maps-new', 10),
+    ]
+    assert fetch.is_idempotent
+    assert not renew.is_idempotent
+    assert renew.is_open_to_all
+    assert renew.parts[0].service == 'billing'
+    shop, free = read.teams
+    assert (shop.keys, shop.rate_per_s, shop.burst) == (('k1', 'k2'), 60, 61)
+    assert free.rate_per_s == 0
+    assert read.limits.body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    ('path', 'found'),
+    [
+        (('version',), '12'),
+        (('version',), 12),
+        (('routes',), []),
+        (('routes', 'r-map', 'routeType'), 'sometimes'),
+        (('routes', 'r-map', 'attempts'), 0),
+        (('routes', 'r-map', 'timeoutS'), -1),
+        (('tenants', 'shop', 'apiKeys'), 'k1'),
+    ],
+)
+def test_a_record_that_is_no_configuration_is_none(path, found):
+    """Guards against a half-read configuration in force."""
+    tree = changed(CONFIGURATION, path, found)
+    assert PlatformConfiguration().read_configuration(encode(tree)) is None
+
+
+@given(st.binary() | JSON_TREES.map(encode))
+def test_no_bytes_make_the_configuration_reader_fail(record):
+    """Guards against a record that ends a node."""
+    PlatformConfiguration().read_configuration(record)
+
+
+def test_only_the_operator_s_record_is_a_configuration():
+    """Guards against records of other keys, and dropped ones."""
+    page = TopicPage(
+        (('config', b'old'), ('other', b'x'), ('config', b'new')),
+        3,
+    )
+    assert PlatformConfiguration().pick_record(page) == b'new'
+
+
+def test_a_heartbeat_is_decoded():
+    """Guards against targets that are never known."""
+    assert PlatformControl().read_word(beat_request()) == Heartbeat(
+        'i-1',
+        'maps',
+        40,
+        TargetState.READY,
+        1700000000000,
+        4,
+        0,
+    )
+
+
+@pytest.mark.parametrize(
+    ('body', 'started_ms'),
+    [(b'', 0), (b'{"born": 7}', 7)],
+)
+def test_a_farewell_is_decoded(body, started_ms):
+    """Guards against targets that leave unheard."""
+    word = PlatformControl().read_word(
+        request('DELETE', '/instances/i-1', body),
+    )
+    assert word == Farewell('i-1', started_ms)
+
+
+@pytest.mark.parametrize('path', PATHS_OF_HEARTBEAT)
+@given(found=JSON_TREES)
+def test_a_heartbeat_with_any_other_value_is_read_or_refused(path, found):
+    """Guards against another writer's heartbeat that ends a node."""
+    control = PlatformControl()
+    word = control.read_word(beat_request(changed(HEARTBEAT, path, found)))
+    assert isinstance(word, (Heartbeat, UnreadableWord))
+    assert control.render_acknowledgement(word).status in {200, 400}
+
+
+@given(
+    st.sampled_from(['PUT', 'DELETE', 'GET']),
+    st.text(max_size=20),
+    st.binary(),
+)
+def test_no_message_makes_the_control_reader_fail(method, path, body):
+    """Guards against bytes that cannot be read."""
+    PlatformControl().read_word(request(method, f'/instances/{path}', body))
+
+
+def caller_headers(changes):
+    headers = {
+        'host': 'Maps.example:80',
+        'x-request-id': 'root.child',
+        'x-deadline-ms': '2500',
+        'authorization': 'Bearer k1',
+        'x-tenant-id': 'forged',
+        'x-caller-service': 'forged',
+        'x-expected-instance': 'forged',
+        'accept': 'text/plain',
+    }
+    headers.update(changes)
+    return tuple((name, text) for name, text in headers.items() if text)
+
+
+def read_caller(changes=()):
+    return PlatformCallers().read_request(
+        request('GET', '/map/1?a=b', headers=caller_headers(dict(changes))),
+    )
+
+
+def test_a_caller_s_request_is_decoded():
+    """Guards against keys or forged headers that travel on."""
+    read = read_caller()
+    assert read == CallerRequest(
+        'root.child',
+        'maps.example',
+        '/map/1',
+        2.5,
+        'k1',
+        (('accept', 'text/plain'),),
+        ('root',),
+    )
+
+
+@pytest.mark.parametrize('text', ['', 'soon', 'nan', 'inf', '-1', '1e99'])
+def test_a_deadline_that_is_no_time_counts_as_none(text):
+    """Guards against a deadline that breaks arithmetic."""
+    assert read_caller({'x-deadline-ms': text}).deadline_s is None
+
+
+@pytest.mark.parametrize('name', ['x-request-id', 'host'])
+def test_a_request_without_id_or_host_is_refused(name):
+    """Guards against requests that cannot be traced or routed."""
+    assert read_caller({name: ''}).reason is Reason.BAD_REQUEST
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(list(dict(caller_headers({})))), st.text())
+    ),
+)
+def test_no_headers_make_the_caller_reader_fail(headers):
+    """Guards against a caller that ends a node."""
+    PlatformCallers().read_request(request('GET', '/x', headers=headers))
+
+
+@pytest.mark.parametrize(
+    ('refusal', 'status'),
+    [
+        (refuse_not_run(Reason.OVER_RATE, '', 0.5), 429),
+        (refuse_not_run(Reason.DEADLINE, '', 0.5), 503),
+        (refuse_not_run(Reason.UNKNOWN_KEY), 401),
+        (refuse_not_run(Reason.NO_ROUTE), 404),
+        (refuse_outcome_unknown(Reason.DEADLINE), 504),
+        (refuse_outcome_unknown(Reason.CONNECTION_LOST), 502),
+    ],
+)
+def test_statuses_promise_only_what_is_true(refusal, status):
+    """Guards against 'not run' for what may have run, and the reverse."""
+    answer = PlatformCallers().render_refusal('id', refusal)
+    assert answer.status == status
+    has_advice = bool(find_header(answer.headers, 'retry-after'))
+    assert has_advice is (refusal.retry_after_s > 0)
+
+
+@pytest.mark.parametrize('reason', list(Reason))
+def test_an_unknown_outcome_never_gets_a_promising_status(reason):
+    """Guards against a reason whose status promises that nothing ran."""
+    answer = PlatformCallers().render_refusal(
+        'id',
+        refuse_outcome_unknown(reason),
+    )
+    assert answer.status not in {408, 421, 429, 503}
+
+
+def test_a_target_gets_the_system_s_headers_and_the_caller_s_own():
+    """Guards against a run without its team, origin or instance."""
+    headers = PlatformTargets().render_headers(
+        TargetRequest('id', 'h', 1.25, 'i-1', 'shop', 'web', (('a', 'b'),)),
+    )
+    assert dict(headers) == {
+        'host': 'h',
+        'x-request-id': 'id',
+        'x-deadline-ms': '1250',
+        'x-expected-instance': 'i-1',
+        'x-caller-service': 'web',
+        'x-tenant-id': 'shop',
+        'a': 'b',
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'has_not_run'),
+    [
+        (200, (), False),
+        (503, (), False),
+        (503, (('x-not-executed', '1'),), True),
+        (421, (), True),
+        (500, (), False),
+    ],
+)
+def test_only_the_target_s_word_means_not_run(status, headers, has_not_run):
+    """Guards against a 503 that is taken for a promise."""
+    report = PlatformTargets().read_answer(HttpAnswer(status, headers))
+    assert report.has_not_run is has_not_run
+
+
+def test_an_answer_travels_on_without_what_only_nodes_need():
+    """Guards against bytes between zones that nobody reads."""
+    report = PlatformTargets().read_answer(
+        HttpAnswer(
+            200,
+            (('x-server-signature', 's'), ('x-upstream-load', '1,0,4')),
+            b'body',
+        ),
+    )
+    assert report.answer.headers == (('x-server-signature', 's'),)
+
+
+@pytest.mark.parametrize(
+    ('named', 'is_own'),
+    [('id', True), ('', True), ('other', False)],
+)
+def test_answers_are_told_apart_by_their_id(named, is_own):
+    """Guards against an answer that belongs to another request."""
+    headers = (('x-request-id', named),) if named else ()
+    assert PlatformTargets().is_answer_to('id', headers) is is_own
+
+
+class AnsweringPool:
+    """Answers calls to the store with what a test gives."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+
+    def send(self, request, on_result):
+        self.requests.append(request.encoded)
+        on_result(self.answers.pop(0))
+        return self
+
+    def cancel(self):
+        """Accept that the caller is done."""
+
+
+def json_answer(tree, status=200):
+    return HttpAnswer(status, (), encode(tree))
+
+
+def framed(*records):
+    body = b'\0' * 16
+    for key, found in records:
+        keyed = bytes((len(key),)) + key + found
+        body += len(keyed).to_bytes(4, 'big') + keyed
+    return HttpAnswer(200, (), body)
+
+
+def test_newest_records_are_read_page_by_page():
+    """Guards against keys behind the first page."""
+    value = base64.b64encode(b'v').decode()
+    pool = AnsweringPool(
+        json_answer({
+            'items': [{'key': 'a', 'value': value, 'offset': 1}],
+            'more': True,
+            'end': 7,
+        }),
+        json_answer({'items': [{'key': 'b'}], 'more': False, 'end': 9}),
+    )
+    store = PlatformStore(pool, 'store')
+    page = run(store.read_newest(StoreTopic.CONFIGURATION))
+    assert page == TopicPage((('a', b'v'), ('b', b'')), 7)
+    assert b'after=a' in pool.requests[1]
+
+
+def test_changes_are_read_from_an_offset():
+    """Guards against records that are skipped or read twice."""
+    pool = AnsweringPool(framed((b'a', b'v'), (b'b', b'')))
+    page = run(
+        PlatformStore(pool, 's').wait_for_changes(StoreTopic.MEMBERS, 5, 1),
+    )
+    assert page == TopicPage((('a', b'v'), ('b', b'')), 7)
+    assert b'from=5&waitMs=1000' in pool.requests[0]
+
+
+@pytest.mark.parametrize(
+    ('answer', 'error'),
+    [
+        (json_answer({'first': 9}, 410), OffsetExpired),
+        (json_answer({}, 503), LogUnavailable),
+        (json_answer({}, 429), LogUnavailable),
+        (HttpAnswer(200, (), b'short'), LogUnavailable),
+        (HttpAnswer(200, (), b'\0' * 16 + b'\0\0\0\x09abc'), LogUnavailable),
+        (HttpAnswer(200, (), b'\0' * 20), LogUnavailable),
+    ],
+)
+def test_what_the_store_refuses_or_garbles_is_an_error(answer, error):
+    """Guards against a proof taken from an answer that proves nothing."""
+    store = PlatformStore(AnsweringPool(answer), 's')
+    with pytest.raises(error):
+        run(store.wait_for_changes(StoreTopic.CONFIGURATION, 0, 1))
+
+
+@given(st.binary())
+def test_no_bytes_of_the_store_make_the_reader_fail_otherwise(body):
+    """Guards against an answer that ends a node."""
+    store = PlatformStore(AnsweringPool(HttpAnswer(200, (), body)), 's')
+    try:
+        run(store.wait_for_changes(StoreTopic.CONFIGURATION, 0, 1))
+    except LogUnavailable:
+        return
+
+
+def write_boot(folder, tree):
+    path = folder / 'node.json'
+    path.write_text(json.dumps(tree))
+    return path
+
+
+def test_settings_are_decoded_and_unknown_keys_passed_over(tmp_path):
+    """Guards against a platform that adds a key."""
+    settings = load_platform_settings(write_boot(tmp_path, BOOT))
+    assert settings.callers.text == '10.1.0.26:8548'
+    assert settings.peers.text == '10.1.0.26:7000'
+    assert settings.bounds.key_withdrawal_s == 5
+
+
+def test_keys_may_be_honoured_for_ever_where_the_operators_say_so(tmp_path):
+    """Guards against refusals that nobody asked for."""
+    tree = changed(BOOT, ('bounds', 'revokeFailClosed'), False)
+    settings = load_platform_settings(write_boot(tmp_path, tree))
+    assert settings.bounds.key_withdrawal_s is None
+
+
+@pytest.mark.parametrize(
+    ('path', 'found', 'words'),
+    [
+        (('appAddr',), 'nowhere', ('appAddr', 'HOST:PORT')),
+        (('listen', 'ready'), None, ('listen.ready', 'nothing')),
+        (('bounds', 'graceS'), -1, ('bounds.graceS', '-1')),
+        (('internalPortRange',), [], ('internalPortRange',)),
+    ],
+)
+def test_wrong_settings_name_file_key_and_what_is_allowed(
+    tmp_path,
+    path,
+    found,
+    words,
+):
+    """Guards against a node that starts with half of its settings."""
+    file = write_boot(tmp_path, changed(BOOT, path, found))
+    with pytest.raises(WrongSettings) as wrong:
+        load_platform_settings(file)
+    for word in (str(file), *words):
+        assert word in str(wrong.value)
+
+
+@given(JSON_TREES)
+def test_no_settings_tree_fails_otherwise(tmp_path_factory, tree):
+    """Guards against a traceback where an error message belongs."""
+    file = write_boot(tmp_path_factory.mktemp('boot'), tree)
+    with pytest.raises(WrongSettings):
+        load_platform_settings(file)
--- /dev/null
+++ b/tests/cover/test_pressure.py
@@ -0,0 +1,175 @@
+"""Loads on gates and entries, played on a paused clock."""
+
+import random
+
+import pytest
+
+from ebonycleat.internal.process.entry_pressure import EntryPressure
+from ebonycleat.internal.process.mesh_admission import AdmittedRequest
+from ebonycleat.internal.process.pressure import (
+    GOAL_UTILISATION,
+    GatePressure,
+    ServiceShares,
+    divide_room,
+)
+from ebonycleat.internal.request.call import Priority
+from tests.mesh_fakes import Clock, create_call
+
+STEP_S = 0.1
+
+
+def admitted(clock, route, priority, *, depth=0, parent_route=''):
+    call = create_call(clock, route=route, priority=priority, depth=depth)
+    return AdmittedRequest(
+        call,
+        'id',
+        'host',
+        b'',
+        2,
+        call.deadline,
+        parent_route,
+    )
+
+
+@pytest.mark.parametrize(
+    ('direct', 'called', 'parts'),
+    [
+        (0.2, 0.3, (1, 1)),
+        (0.2, 2, (1, 0.36)),
+        (2, 0.2, (0.36, 1)),
+        (2, 2, (0.23, 0.23)),
+    ],
+)
+def test_room_is_divided_between_callers_and_calls(direct, called, parts):
+    """Guards against internal look-ups that crowd out paying callers."""
+    assert divide_room(direct, called) == pytest.approx(parts)
+
+
+def play_gate(offered_per_step, steps, slots=10, service_s=0.1):
+    """Offer calls that entries thin out by the published share."""
+    pressure = GatePressure(0)
+    rng = random.Random(5)
+    served = []
+    running = []
+    for step in range(steps):
+        now = step * STEP_S
+        for end in [one for one in running if one <= now]:
+            running.remove(end)
+            pressure.called.change_running(-1, now)
+            pressure.called.note_served(service_s)
+        came = sum(
+            rng.random() < pressure.called.share
+            for _ in range(offered_per_step(now))
+        )
+        room = slots - len(running)
+        for _ in range(min(room, came)):
+            running.append(now + service_s)
+            pressure.called.change_running(1, now)
+        pressure.called.refused += max(0, came - room)
+        served.append(min(room, came))
+        pressure.update(0, 0, slots, now)
+    return pressure, served
+
+
+def test_a_calm_gate_takes_everything():
+    """Guards against requests refused while there is room."""
+    pressure, _ = play_gate(lambda now: 5, 100)
+    assert pressure.shares('maps') is None
+
+
+def test_an_overloaded_gate_asks_for_what_it_can_take():
+    """Guards against shares that leave slots idle or refuse too late."""
+    pressure, served = play_gate(lambda now: 30, 200)
+    assert sum(served[100:]) / 100 >= 10 * GOAL_UTILISATION * 0.8
+    assert 0.2 <= pressure.called.share <= 0.5
+
+
+def test_a_gate_is_open_again_within_five_seconds_of_the_end_of_a_surge():
+    """Guards against an overload that outlasts its trigger."""
+    pressure, _ = play_gate(lambda now: 40 if now < 10 else 5, 150)
+    assert pressure.called.share > 0.99
+
+
+def play_entry(share, mix, steps=300):
+    """Admit a mix of classes under a share; returns parts by class."""
+    clock = Clock()
+    entry = EntryPressure()
+    rng = random.Random(11)
+    came = dict.fromkeys(mix, 0)
+    let_in = dict.fromkeys(mix, 0)
+    for _ in range(steps):
+        clock.now += 0.02
+        priority = rng.choices(list(mix), list(mix.values()))[0]
+        one = admitted(clock, f'route-{priority}', priority)
+        entry.hear(one, (ServiceShares('deep', 1, share),), clock.now)
+        part = entry.part_admitted(one.call, clock.now)
+        came[priority] += 1
+        let_in[priority] += entry.admits(one.call, part)
+    return {
+        priority: let_in[priority] / max(1, came[priority]) for priority in mix
+    }
+
+
+def test_the_least_important_are_refused_first():
+    """Guards against map downloads that push out renewals."""
+    parts = play_entry(
+        0.6,
+        {Priority.CRITICAL: 2, Priority.HIGH: 2, Priority.NORMAL: 6},
+    )
+    assert parts[Priority.CRITICAL] > 0.95
+    assert parts[Priority.HIGH] > 0.9
+    assert 0.1 < parts[Priority.NORMAL] < 0.6
+
+
+def test_a_route_that_does_not_lead_to_the_full_service_is_not_refused():
+    """Guards against tile reads shed for the look-ups of their service."""
+    clock = Clock()
+    entry = EntryPressure()
+    deep = admitted(clock, 'look-up', Priority.NORMAL)
+    entry.hear(deep, (ServiceShares('deep', 0.1, 0.1),), clock.now)
+    tile = admitted(clock, 'tile', Priority.NORMAL)
+    assert entry.part_admitted(tile.call, clock.now) == 1
+
+
+def test_a_call_of_a_target_is_not_refused_for_pressure():
+    """Guards against work thrown away half way."""
+    clock = Clock()
+    entry = EntryPressure()
+    called = admitted(clock, 'look-up', Priority.NORMAL, depth=1)
+    entry.hear(called, (ServiceShares('deep', 0.1, 0.1),), clock.now)
+    assert entry.part_admitted(called.call, clock.now) == 1
+
+
+def test_shares_are_passed_on_for_the_route_that_caused_the_call():
+    """Guards against an entry that never learns of a full deep service."""
+    clock = Clock()
+    entry = EntryPressure()
+    called = admitted(
+        clock,
+        'look-up',
+        Priority.NORMAL,
+        depth=1,
+        parent_route='fetch',
+    )
+    entry.hear(called, (ServiceShares('deep', 1, 0.3),), clock.now)
+    behind = entry.full_behind_target('fetch', clock.now)
+    assert [one.service for one in behind] == ['deep']
+    assert not entry.full_behind_target('tile', clock.now)
+
+
+def test_an_unconfirmed_share_rises_slowly():
+    """Guards against entries that forget a full service when they refuse all.
+
+    On a day with one registry target left, entries let everything in each
+    time that no answer had come for 1.5 s.
+    """
+    clock = Clock()
+    entry = EntryPressure()
+    one = admitted(clock, 'fetch', Priority.NORMAL)
+    entry.hear(one, (ServiceShares('deep', 0.05, 0.05),), clock.now)
+    clock.now += 2
+    full = entry.full_on_path('fetch', clock.now)
+    assert full[0].called == pytest.approx(0.1)
+    clock.now += 4
+    full = entry.full_on_path('fetch', clock.now)
+    assert full[0].called == 1
