--- a/src/ebonycleat/internal/process/mesh_access.py
+++ b/src/ebonycleat/internal/process/mesh_access.py
@@ -73,8 +73,21 @@
         self.clock = gate.clock
 
     def members_of(self, service: str) -> tuple[Member, ...]:
-        """Nodes whose targets serve the service."""
-        return self.members.members_of(service)
+        """Nodes whose targets serve the service.
+
+        The own one comes with its load: the router would else take it for
+        idle until its first answer.
+        """
+        members = self.members.members_of(service)
+        if service != self.place.service:
+            return members
+        load = self.gate.gate.load(self.clock())
+        return tuple(
+            dataclasses.replace(member, load=load)
+            if member.node == self.place.node
+            else member
+            for member in members
+        )
 
     def begin_attempt(
         self,
--- /dev/null
+++ b/tests/mesh_world.py
@@ -0,0 +1,174 @@
+"""Whole mesh nodes with the emulated platform, on one loop and loopback."""
+
+import asyncio
+import contextlib
+import random
+import socket
+
+from ebonycleat.internal.connection.http_listener import (
+    HttpListener,
+    ListenerLimits,
+    listening,
+)
+from ebonycleat.internal.connection.http_messages import encode_request
+from ebonycleat.internal.connection.http_requester import (
+    ConnectionPool,
+    OutgoingRequest,
+)
+from ebonycleat.internal.process.boottime import boottime_s
+from ebonycleat.internal.process.mesh_node import create_mesh_node
+from ebonycleat.internal.process.mesh_runner import run_mesh_node
+from ebonycleat.internal.process.mesh_settings import (
+    Address,
+    MeshBounds,
+    MeshSettings,
+)
+from ebonycleat.platform import create_platform_ports
+from ebonycleat_tools.platform.store import EmulatedStore
+from ebonycleat_tools.platform.target import EmulatedTarget, TargetPlan
+from tests.loop_tools import HOST
+
+BOUNDS = MeshBounds(5, 6, 0.2, 48, 10)
+
+
+def configuration(version, keys=('key-1',), open_route=False):
+    route = {
+        'host': 'maps.example',
+        'routeType': 'idempotent',
+        'timeoutS': 5,
+        'attempts': 2,
+        'service': 'maps',
+    }
+    return {
+        'version': f'{version:08x}',
+        'routes': {
+            'fetch': route | {'pathPrefix': '/fetch/'},
+            'renew': route
+            | {'pathPrefix': '/renew/', 'routeType': 'non_idempotent'},
+            'open': route | {'pathPrefix': '/open/', 'authExempt': True},
+        },
+        'services': {'maps': {}},
+        'limits': {'maxBodyBytes': 100_000},
+        'tenants': {
+            'shop': {'apiKeys': list(keys), 'ratePerS': 500, 'burst': 500},
+        },
+    }
+
+
+def free_address():
+    with socket.create_server((HOST, 0)) as listener:
+        return Address(HOST, listener.getsockname()[1])
+
+
+class MeshWorld:
+    """Nodes, their targets and the store."""
+
+    def __init__(self, stack):
+        self.stack = stack
+        self.store = EmulatedStore()
+        self.nodes = []
+        self.targets = []
+        self.tasks = []
+        self.callers = []
+
+    async def serve(self, handler):
+        loop = asyncio.get_running_loop()
+        listener = HttpListener(handler, ListenerLimits(), loop.time)
+        port = await self.stack.enter_async_context(
+            listening(listener, HOST, 0),
+        )
+        return Address(HOST, port)
+
+    async def start(self, zones, work_s=0, service='maps'):
+        self.store_address = await self.serve(self.store)
+        for number, zone in enumerate(zones):
+            await self.add_node(number, zone, work_s, service)
+        while not all(self.knows_all(node) for node in self.nodes):
+            await asyncio.sleep(0.01)
+
+    def knows_all(self, node):
+        members = node.known.members
+        usable = members.members_of('maps')
+        return node.is_ready() and len(usable) == len(self.targets)
+
+    async def add_node(self, number, zone, work_s, service):
+        control = free_address()
+        pool = self.stack.enter_context(
+            ConnectionPool(control.host, control.port),
+        )
+        plan = TargetPlan(f'i-{number}', service, slots=4, work_s=work_s)
+        target = EmulatedTarget(plan, pool)
+        settings = MeshSettings(
+            node=f'node-{number}',
+            zone=zone,
+            service=service,
+            callers=free_address(),
+            peers=free_address(),
+            ready=free_address(),
+            control=control,
+            target=await self.serve(target),
+            store=self.store_address,
+            metrics_port=free_address().port,
+            bounds=BOUNDS,
+        )
+        node = create_mesh_node(
+            settings,
+            create_platform_ports(settings),
+            random.Random(number),
+            boottime_s,
+        )
+        self.nodes.append(node)
+        self.targets.append(target)
+        self.callers.append(
+            self.stack.enter_context(
+                ConnectionPool(settings.callers.host, settings.callers.port),
+            ),
+        )
+        self.spawn(run_mesh_node(node))
+        self.spawn(target.announce_until_cancelled())
+
+    def spawn(self, coroutine):
+        self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
+
+    def send(self, node, path, *, key='key-1', request_id='id-1', **options):
+        """Begin a request; returns the send and the future of its result."""
+        ended = asyncio.get_running_loop().create_future()
+        headers = [
+            ('host', 'maps.example'),
+            ('x-request-id', request_id),
+            ('x-deadline-ms', '5000'),
+        ]
+        if key:
+            headers.append(('authorization', f'Bearer {key}'))
+        body = options.get('body', b'')
+        method = 'POST' if body else 'GET'
+        send = self.callers[node].send(
+            OutgoingRequest(
+                encode_request(method, path, tuple(headers), body),
+                lambda found: True,
+            ),
+            ended.set_result,
+        )
+        return send, ended
+
+    async def ask(self, node, path, **options):
+        return await self.send(node, path, **options)[1]
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def mesh_world(zones=('a',), keys=('key-1',), **options):
+    """Run nodes until the block ends."""
+    async with contextlib.AsyncExitStack() as stack:
+        world = MeshWorld(stack)
+        world.store.write_configuration(configuration(1, keys))
+        try:
+            await world.start(zones, **options)
+            yield world
+        finally:
+            for task in world.tasks:
+                task.cancel()
+            await asyncio.gather(*world.tasks, return_exceptions=True)
