--- a/bench/mesh_transport.py
+++ b/bench/mesh_transport.py
@@ -24,6 +24,7 @@
     CallAnswered,
     Hello,
     LoadReport,
+    MeshMessage,
     RunCall,
     encode_frame,
 )
@@ -64,7 +65,7 @@
 )
 
 
-def as_fields(message: AnyMeshMessage) -> dict[str, object]:
+def as_fields(message: MeshMessage) -> dict[str, object]:
     """The message as the product's CBOR codec writes it: with field names."""
     fields: dict[str, object] = {'type': type(message).__name__}
     for name in message.__struct_fields__:
