Requests that end one target after another are remembered over all nodes

Marks of what ran when a target died travel in the member records; after three deaths a request is refused as not run.

--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -28,6 +28,8 @@
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
 )
+from ebonycleat.internal.process.crash_memory import CrashMemory
+from ebonycleat.internal.process.crash_suspects import fingerprint
 from ebonycleat.internal.process.decision_log import DecisionLog
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_events import (
@@ -63,6 +65,9 @@
 """A request that must not be sent twice goes on a connection that was used
 just now: an older one may have been closed while the request is written."""
 
+CRASH_RETRY_S = 600.0
+"""A request that ends targets is not wanted back soon."""
+
 SHED_RETRY_S = 0.2
 """Time after which a target that was full is asked again."""
 
@@ -139,17 +144,33 @@
         self.held: dict[str, Held] = {}
         self.running_ids: dict[str, GateCall] = {}
         self.pressure = GatePressure(clock())
+        self.crashes = CrashMemory()
+        self.on_crash: Callable[[], None] = _do_nothing
         self.full_behind: SharesSource = _nothing_behind
 
     def hear(self, word: TargetWord) -> bool:
         """Learn from the target's message; true if its state changed."""
         before = self.target.incarnation
+        was_usable = self.target.is_usable
         changed = self.target.hear(word, self.time_of_day_ms())
         if self.target.incarnation != before:
             self.limit.renew()
+            if was_usable:
+                # It ended without a word.
+                self.note_death()
         self.follow_target()
         return changed
 
+    def note_death(self) -> None:
+        """Suspect the requests that ran when the target died."""
+        if self.crashes.note_death(self.clock()):
+            self.log.note_always(
+                'target died with requests running',
+                instance=self.target.instance,
+                suspects=len(self.crashes.own),
+            )
+            self.on_crash()
+
     def follow_target(self) -> None:
         """Open or close the gate as the target's state demands."""
         if self.target.is_usable:
@@ -257,6 +278,14 @@
         call = offered.call
         if not self.target.is_usable:
             return refuse_not_run(Reason.DRAINING, 'the target is leaving')
+        if self.crashes.has_suspects and self.crashes.is_fatal(
+            fingerprint(call),
+        ):
+            return refuse_not_run(
+                Reason.CRASH_SUSPECT,
+                'targets died while they ran this request',
+                CRASH_RETRY_S,
+            )
         if call.deadline <= now:
             return refuse_not_run(Reason.DEADLINE, 'too late to start')
         if self.holder.honours(offered.key_mark, call.team, now):
@@ -301,6 +330,7 @@
         if isinstance(result, SendFailure):
             self.end_run(call, RunOutcome(_run_result_of(result), service_s))
             self.log_failure(held, result)
+            self.note_failure(call, result)
             refusal = _refusal_of(result)
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
@@ -339,6 +369,13 @@
             self.running_ids.pop(held.offered.request_id, None)
             held.on_result(result)
 
+    def note_failure(self, call: Call, failure: SendFailure) -> None:
+        """Learn from a failure whether the target has died."""
+        if failure.kind is SendFailureKind.NOT_CONNECTED:
+            self.note_death()
+        elif failure.kind is not SendFailureKind.CANCELLED:
+            self.crashes.note_closed(fingerprint(call), self.clock())
+
     def log_failure(self, held: Held, failure: SendFailure) -> None:
         """Write why a run has no answer."""
         self.log.note(
@@ -370,6 +407,10 @@
     return refuse_outcome_unknown(reason, failure.detail)
 
 
+def _do_nothing() -> None:
+    """Stand in until the node listens for crashes."""
+
+
 def _nothing_behind(route: str) -> tuple[ServiceShares, ...]:
     """Stand in until the entry can tell what is full behind a route."""
     return ()
--- a/src/ebonycleat/internal/process/mesh_members.py
+++ b/src/ebonycleat/internal/process/mesh_members.py
@@ -23,7 +23,8 @@
     ``instance`` is empty while no target has announced itself. An instance
     without ``has_target`` is leaving: a node that starts again must not use
     it, whatever late heartbeats say. ``instance_started_ms`` is the time of
-    day of that incarnation's start.
+    day of that incarnation's start. ``suspects`` are marks of requests that
+    ran when targets of this node died, with the number of deaths.
     """
 
     address: str
@@ -33,6 +34,7 @@
     instance_started_ms: int
     slots: int
     has_target: bool
+    suspects: tuple[tuple[int, int], ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -213,6 +213,7 @@
             route,
             self.tools.clock(),
         )
+        self.gate.on_crash = self.want_record
         self.traffic.calls = PeerCalls(self.gate)
         self.traffic.links = self.links
         self.traffic.others = self.message_received
@@ -263,6 +264,11 @@
         own = members.records.get(self.address)
         if own is not None:
             self.recall(own)
+        self.gate.crashes.hear(
+            record.suspects
+            for address, record in members.records.items()
+            if address != self.address
+        )
         writer = self.duties.writer
         writer.recall(members.encoded.get(self.address, b''))
         self.count_nodes()
@@ -329,6 +335,7 @@
                 ),
                 slots=target.slots,
                 has_target=target.is_usable,
+                suspects=self.gate.crashes.marks(),
             ),
         )
 
--- a/src/ebonycleat/internal/request/mesh_run.py
+++ b/src/ebonycleat/internal/request/mesh_run.py
@@ -47,7 +47,11 @@
     Reason.DEADLINE,
 ))
 
-FINAL_REASONS = frozenset((Reason.WITHDRAWN_KEY, Reason.DEADLINE))
+FINAL_REASONS = frozenset((
+    Reason.WITHDRAWN_KEY,
+    Reason.DEADLINE,
+    Reason.CRASH_SUSPECT,
+))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -179,3 +179,41 @@
     access.begin_attempt(Member('here:1', 'a'), admitted, results.append)
     assert not gate.pool.sends
     assert results[0].result.refusal.outcome is Outcome.NOT_RUN
+
+
+def crash(gate, clock, number):
+    """Let the target die while it runs one request."""
+    results = offer(gate, clock, path='/fetch/deadly')
+    if isinstance(results, list) and results:
+        return results[0].refusal
+    gate.pool.sends[-1].fail(SendFailureKind.CLOSED)
+    gate.hear(beat(f'i-{number}', started_ms=1000 * number))
+    return None
+
+
+def test_a_request_is_refused_after_three_targets_died_of_it(clock):
+    """Guards against one request that ends target after target."""
+    gate = create_mesh_gate(clock)
+    for number in range(2, 5):
+        assert crash(gate, clock, number) is None
+    assert crash(gate, clock, 5).reason is Reason.CRASH_SUSPECT
+    assert not offer(gate, clock, path='/fetch/harmless')
+
+
+def test_deaths_at_other_nodes_count(clock):
+    """Guards against a deadly request that each node learns anew."""
+    gate = create_mesh_gate(clock)
+    crash(gate, clock, 2)
+    marks = gate.crashes.marks()
+    other = create_mesh_gate(clock)
+    other.crashes.hear([marks, marks, marks])
+    assert crash(other, clock, 2).reason is Reason.CRASH_SUSPECT
+
+
+def test_a_lost_answer_of_a_living_target_is_no_death(clock):
+    """Guards against requests refused for resets alone."""
+    gate = create_mesh_gate(clock)
+    for _ in range(5):
+        offer(gate, clock)
+        gate.pool.sends[-1].fail(SendFailureKind.CLOSED)
+    assert not gate.crashes.marks()
--- a/tests/cover/test_mesh_run.py
+++ b/tests/cover/test_mesh_run.py
@@ -159,7 +159,10 @@
     assert ends[0].reason is Reason.QUEUE_FULL
 
 
-@pytest.mark.parametrize('reason', [Reason.WITHDRAWN_KEY, Reason.DEADLINE])
+@pytest.mark.parametrize(
+    'reason',
+    [Reason.WITHDRAWN_KEY, Reason.DEADLINE, Reason.CRASH_SUSPECT],
+)
 def test_a_refusal_that_holds_everywhere_is_final(reason):
     """Guards against a withdrawn key that is tried gate by gate."""
     _, gates = play(not_run(reason), answer())
