--- /dev/null
+++ b/tests/cover/test_mesh_program.py
@@ -0,0 +1,98 @@
+"""The command line of ``ebonycleat-mesh-node``."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from ebonycleat.commands.mesh_node import main
+from ebonycleat.platform import SETTINGS_VARIABLE
+from tests.platform_examples import BOOT
+
+HOST = '127.0.0.1'
+STUCK_S = 30
+
+
+@pytest.fixture(name='boot')
+def fixture_boot(tmp_path, monkeypatch):
+    """Write a settings file and name it as the platform does."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(BOOT))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    return path
+
+
+def test_settings_that_can_be_used_are_said_to_be(boot, capsys):
+    """Guards against a check that says nothing."""
+    assert main(['--check-settings']) == 0
+    assert str(boot) in capsys.readouterr().out
+
+
+def test_wrong_settings_are_explained_and_end_with_code_two(boot, capsys):
+    """Guards against a traceback for an everyday mistake."""
+    boot.write_text(json.dumps(BOOT | {'appAddr': 'nowhere', 'zone': 3}))
+    assert main(['--check-settings']) == 2
+    told = capsys.readouterr().err
+    assert 'appAddr' in told
+    assert 'zone' in told
+
+
+def test_wrong_settings_end_a_start_with_code_two(boot, capsys):
+    """Guards against a node that starts with wrong settings."""
+    boot.write_text('no JSON')
+    assert main([]) == 2
+    assert 'valid JSON' in capsys.readouterr().err
+
+
+def test_without_settings_it_says_what_to_give(monkeypatch, capsys):
+    """Guards against a bare error for a missing file name."""
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    assert main([]) == 2
+    assert SETTINGS_VARIABLE in capsys.readouterr().err
+
+
+def test_unknown_options_end_with_code_two():
+    """Guards against options that are silently ignored."""
+    assert main(['--nonsense']) == 2
+
+
+def free_port():
+    with socket.create_server((HOST, 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def test_a_process_starts_reloads_and_stops_on_signals(tmp_path):
+    """Guards against a program that cannot be started or stopped."""
+    listen = {
+        name: f'{HOST}:{free_port()}'
+        for name in ('inbound', 'outbound', 'ready', 'control')
+    }
+    port = free_port()
+    boot = BOOT | {
+        'ip': HOST,
+        'listen': listen,
+        'internalPortRange': [port, port],
+        'platform': {'address': f'{HOST}:1'},
+    }
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(boot))
+    with subprocess.Popen(
+        [sys.executable, '-m', 'ebonycleat.commands.mesh_node'],
+        env=os.environ | {SETTINGS_VARIABLE: str(path), 'PYTHONPATH': 'src'},
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        events = []
+        for line in process.stdout:
+            events.append(json.loads(line)['event'])
+            if events[-1] == 'store lost':
+                process.send_signal(signal.SIGHUP)
+            elif events[-1] == 'settings read again':
+                process.send_signal(signal.SIGTERM)
+        assert process.wait(STUCK_S) == 0
+    assert events[0] == 'node starts'
+    assert events[-1] == 'node stopped'
