--- a/src/ebonycleat/internal/connection/http_requester.py
+++ b/src/ebonycleat/internal/connection/http_requester.py
@@ -5,12 +5,9 @@
 the connection, so that they can never be taken for a later answer.
 """
 
+import abc
 import asyncio
-import dataclasses
-import enum
 import re
-from collections.abc import Callable
-from typing import Self, TypeAlias
 
 import httptools
 
@@ -20,103 +17,46 @@
     drop_hop_headers,
     find_header,
 )
+from ebonycleat.internal.connection.http_sends import (
+    Send,
+    SendCarrier,
+    SendFailure,
+    SendFailureKind,
+)
 from ebonycleat.internal.request.call import HeaderPairs
 
-CONNECT_TIMEOUT_S = 1.0
-"""A process on the same VM accepts in about 1 ms; a full accept queue does
-not get better by waiting."""
-
 DEFAULT_IDLE_S = 4.0
 """For servers that name no keep-alive time; common servers allow 5 s."""
 
 IDLE_MARGIN_S = 1.0
 """Servers name whole seconds; one less is surely within their time."""
 
-ANY_FRESHNESS_S = 60.0
-"""Longer than any connection is kept."""
-
 MAX_ANSWER_BYTES = 67_108_864
 """Answers are held whole; a larger one would endanger the process."""
 
 _KEEP_ALIVE_S = re.compile(r'timeout=(\d+)')
 
 
-class SendFailureKind(enum.Enum):
-    """Why a send ended without a whole answer."""
-
-    NOT_CONNECTED = 'not-connected'
-    CLOSED = 'closed'
-    TRUNCATED = 'truncated'
-    MALFORMED = 'malformed'
-    TOO_LARGE = 'too-large'
-    CANCELLED = 'cancelled'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendFailure:
-    """No whole answer; ``was_sent`` tells if a byte may have left."""
-
-    kind: SendFailureKind
-    was_sent: bool
-    detail: str = ''
-
-
-SendResult: TypeAlias = HttpAnswer | SendFailure
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OutgoingRequest:
-    """Bytes to send once, and how to know the answer to them.
+class ConnectionOwner(abc.ABC):
+    """Keeps connections between their requests."""
 
-    ``is_own_answer`` looks at the headers of an answer: servers may send a
-    late extra answer of an earlier request first. ``freshness_s`` bounds how
-    long a kept connection may have rested; zero asks for a new one.
-    """
-
-    encoded: bytes
-    is_own_answer: Callable[[HeaderPairs], bool]
-    is_head: bool = False
-    freshness_s: float = ANY_FRESHNESS_S
-
-
-class Send:
-    """One request on its way; ``cancel`` closes its connection."""
-
-    __slots__ = ('connection', 'is_over', 'on_result', 'request', 'was_sent')
-
-    def __init__(
-        self,
-        request: OutgoingRequest,
-        on_result: Callable[[SendResult], None],
-    ) -> None:
-        """Promise one result to ``on_result``."""
-        self.request = request
-        self.on_result = on_result
-        self.connection: ClientConnection | None = None
-        self.is_over = False
-        self.was_sent = False
+    @abc.abstractmethod
+    def keep(self, connection: 'ClientConnection') -> None:
+        """Keep a connection for the next request."""
 
-    def finish(self, result: SendResult) -> None:
-        """Report the result once."""
-        if not self.is_over:
-            self.is_over = True
-            self.connection = None
-            self.on_result(result)
+    @abc.abstractmethod
+    def forget(self, connection: 'ClientConnection') -> None:
+        """Drop a connection that closes."""
 
-    def cancel(self) -> None:
-        """Give up; the server sees its connection close."""
-        connection = self.connection
-        self.finish(
-            SendFailure(SendFailureKind.CANCELLED, self.was_sent),
-        )
-        if connection is not None and connection.transport is not None:
-            connection.transport.abort()
+    @abc.abstractmethod
+    def note_foreign_answer(self) -> None:
+        """Count an answer that belonged to no request of its connection."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(SendCarrier, asyncio.Protocol):
     """One connection of a pool."""
 
-    def __init__(self, pool: 'ConnectionPool') -> None:
+    def __init__(self, pool: ConnectionOwner) -> None:
         """Belong to a pool."""
         self.pool = pool
         self.transport: asyncio.Transport | None = None
@@ -291,112 +231,14 @@
     def close(self) -> None:
         """Close and never use this connection again."""
         self.pool.forget(self)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close at once, whatever is under way."""
         if self.transport is not None:
             self.transport.abort()
 
 
-class ConnectionPool:
-    """Connections to one server; the caller bounds how many are in use."""
-
-    def __init__(self, host: str, port: int) -> None:
-        """Know the server's address; connect when needed."""
-        self.host = host
-        self.port = port
-        self.idle: list[ClientConnection] = []
-        self.connections: set[ClientConnection] = set()
-        self.connects: set[asyncio.Task[None]] = set()
-        self.foreign_answers = 0
-        self.opened = 0
-
-    def __enter__(self) -> Self:
-        """Use the pool until the block ends."""
-        return self
-
-    def __exit__(self, *details: object) -> None:
-        """Close all connections."""
-        self.close()
-
-    def close(self) -> None:
-        """Close all connections; running sends fail."""
-        for connecting in tuple(self.connects):
-            connecting.cancel()
-        for connection in tuple(self.connections):
-            connection.close()
-
-    def send(
-        self,
-        request: OutgoingRequest,
-        on_result: Callable[[SendResult], None],
-    ) -> Send:
-        """Send once, on a kept connection or a new one."""
-        send = Send(request, on_result)
-        connection = self.take_idle(request.freshness_s)
-        if connection is None:
-            loop = asyncio.get_running_loop()
-            connecting = loop.create_task(self.connect_and_begin(send))
-            self.connects.add(connecting)
-            connecting.add_done_callback(self.connects.discard)
-        else:
-            connection.begin(send)
-        return send
-
-    def take_idle(self, freshness_s: float) -> ClientConnection | None:
-        """Return the connection used last, if it has not rested too long."""
-        now = asyncio.get_running_loop().time()
-        while self.idle:
-            connection = self.idle[-1]
-            rested_s = now - connection.idle_since
-            if rested_s > connection.idle_limit_s:
-                self.idle.pop()
-                connection.close()
-            elif rested_s > freshness_s:
-                return None
-            else:
-                return self.idle.pop()
-        return None
-
-    async def connect_and_begin(self, send: Send) -> None:
-        """Open a connection for one send."""
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self),
-                    self.host,
-                    self.port,
-                )
-        except OSError as error:
-            send.finish(
-                SendFailure(
-                    SendFailureKind.NOT_CONNECTED,
-                    was_sent=False,
-                    detail=str(error) or 'timed out',
-                ),
-            )
-            return
-        self.opened += 1
-        self.connections.add(connection)
-        if send.is_over:
-            self.keep(connection)
-        else:
-            connection.begin(send)
-
-    def keep(self, connection: ClientConnection) -> None:
-        """Keep a connection for the next request."""
-        connection.idle_since = asyncio.get_running_loop().time()
-        self.idle.append(connection)
-
-    def forget(self, connection: ClientConnection) -> None:
-        """Drop a connection that closes."""
-        self.connections.discard(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
-
-    def note_foreign_answer(self) -> None:
-        """Count an answer that belonged to no request of its connection."""
-        self.foreign_answers += 1
-
-
 def _idle_limit_s(headers: HeaderPairs) -> float:
     named = _KEEP_ALIVE_S.search(find_header(headers, 'keep-alive'))
     if named is None:
--- /dev/null
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -0,0 +1,101 @@
+"""Calls at the gate of a mesh node, and what it refuses them with."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
+
+from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.http_sends import (
+    Send,
+    SendFailure,
+    SendFailureKind,
+)
+from ebonycleat.internal.connection.mesh_ports import TargetDialect
+from ebonycleat.internal.process.own_target import OwnTarget
+from ebonycleat.internal.process.pressure import ServiceShares
+from ebonycleat.internal.process.run_outcome import RunResult
+from ebonycleat.internal.request.call import Call, CallResult
+from ebonycleat.internal.request.refusal import (
+    Outcome,
+    Reason,
+    Refusal,
+    refuse_not_run,
+    refuse_outcome_unknown,
+)
+
+SHED_RETRY_S = 0.2
+"""Time after which a target that was full is asked again."""
+
+SharesSource: TypeAlias = Callable[[str], Iterable[ServiceShares]]
+ResultHandler: TypeAlias = Callable[[CallResult], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateCall:
+    """A call offered to the gate, with what its target is told.
+
+    ``key_mark`` is empty on routes open to all.
+    """
+
+    call: Call
+    request_id: str
+    host: str
+    origin_service: str
+    key_mark: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """A call that waits here or runs at the target."""
+
+    offered: GateCall
+    on_result: ResultHandler
+    send: Send | None = None
+    sent_at: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetWay:
+    """A target, its connections, and how it speaks."""
+
+    target: OwnTarget
+    pool: ConnectionPool
+    dialect: TargetDialect
+
+
+def run_result_of(failure: SendFailure) -> RunResult:
+    if failure.kind is SendFailureKind.NOT_CONNECTED:
+        return RunResult.TARGET_DIED
+    return RunResult.FAILED
+
+
+def refusal_of(failure: SendFailure) -> Refusal:
+    reason = Reason.TARGET_FAILED
+    if failure.kind is SendFailureKind.TRUNCATED:
+        reason = Reason.TRUNCATED_ANSWER
+    elif failure.kind is SendFailureKind.CANCELLED:
+        reason = Reason.CANCELLED
+    outcome = Outcome.UNKNOWN if failure.was_sent else Outcome.NOT_RUN
+    if outcome is Outcome.NOT_RUN:
+        return refuse_not_run(reason, failure.detail, SHED_RETRY_S)
+    return refuse_outcome_unknown(reason, failure.detail)
+
+
+def do_nothing() -> None:
+    """Stand in until the node listens for crashes."""
+
+
+def nothing_behind(route: str) -> tuple[ServiceShares, ...]:
+    """Stand in until the entry can tell what is full behind a route."""
+    return ()
+
+
+OTHER_SERVICE = refuse_not_run(
+    Reason.NO_TARGET,
+    'this node serves another service',
+)
+TARGET_SHED = refuse_not_run(
+    Reason.TARGET_SHED,
+    'the target was full',
+    retry_after_s=SHED_RETRY_S,
+)
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -14,13 +14,13 @@
     CallerRequest,
 )
 from ebonycleat.internal.process.decision_log import DecisionLog
+from ebonycleat.internal.process.entry_pressure import EntryPressure
+from ebonycleat.internal.process.gate_calls import GateCall
 from ebonycleat.internal.process.mesh_admission import (
     AdmittedRequest,
     MeshAdmission,
 )
-from ebonycleat.internal.process.mesh_gate import GateCall
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
-from ebonycleat.internal.process.entry_pressure import EntryPressure
 from ebonycleat.internal.process.retry_budget import RetryBudget
 from ebonycleat.internal.process.router import Router
 from ebonycleat.internal.process.token_exchange import TokenExchanger
@@ -33,7 +33,6 @@
     refuse_not_run,
 )
 
-
 ParentFinder: TypeAlias = Callable[[Iterable[str]], GateCall | None]
 
 SHED_RETRY_S = 0.3
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -7,20 +7,16 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import TypeAlias
 
 from ebonycleat.internal.connection.http_messages import encode_request
-from ebonycleat.internal.connection.http_requester import (
+from ebonycleat.internal.connection.http_sends import (
     ANY_FRESHNESS_S,
-    ConnectionPool,
     OutgoingRequest,
-    Send,
     SendFailure,
     SendFailureKind,
     SendResult,
 )
 from ebonycleat.internal.connection.mesh_ports import (
-    TargetDialect,
     TargetRequest,
     TargetWord,
 )
@@ -32,12 +28,25 @@
 from ebonycleat.internal.process.crash_suspects import fingerprint
 from ebonycleat.internal.process.decision_log import DecisionLog
 from ebonycleat.internal.process.gate import Gate
+from ebonycleat.internal.process.gate_calls import (
+    OTHER_SERVICE,
+    SHED_RETRY_S,
+    TARGET_SHED,
+    GateCall,
+    Held,
+    ResultHandler,
+    SharesSource,
+    TargetWay,
+    do_nothing,
+    nothing_behind,
+    refusal_of,
+    run_result_of,
+)
 from ebonycleat.internal.process.gate_events import (
     Dispatch,
     GateEvent,
     GateLoad,
 )
-from ebonycleat.internal.process.own_target import OwnTarget
 from ebonycleat.internal.process.pressure import (
     GatePressure,
     ServiceShares,
@@ -50,11 +59,9 @@
     RefusedCall,
 )
 from ebonycleat.internal.request.refusal import (
-    Outcome,
     Reason,
     Refusal,
     refuse_not_run,
-    refuse_outcome_unknown,
 )
 
 QUEUE_PER_SLOT = 8
@@ -68,51 +75,12 @@
 CRASH_RETRY_S = 600.0
 """A request that ends targets is not wanted back soon."""
 
-SHED_RETRY_S = 0.2
-"""Time after which a target that was full is asked again."""
-
 ROOM_REASONS = frozenset((
     Reason.QUEUE_FULL,
     Reason.DEADLINE,
     Reason.SHED,
 ))
 
-SharesSource: TypeAlias = Callable[[str], Iterable[ServiceShares]]
-ResultHandler: TypeAlias = Callable[[CallResult], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GateCall:
-    """A call offered to the gate, with what its target is told.
-
-    ``key_mark`` is empty on routes open to all.
-    """
-
-    call: Call
-    request_id: str
-    host: str
-    origin_service: str
-    key_mark: bytes
-
-
-@dataclasses.dataclass(slots=True)
-class Held:
-    """A call that waits here or runs at the target."""
-
-    offered: GateCall
-    on_result: ResultHandler
-    send: Send | None = None
-    sent_at: float = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetWay:
-    """A target, its connections, and how it speaks."""
-
-    target: OwnTarget
-    pool: ConnectionPool
-    dialect: TargetDialect
-
 
 class MeshGate:
     """Decides with a ``Gate``, and moves the calls that it lets pass."""
@@ -145,8 +113,8 @@
         self.running_ids: dict[str, GateCall] = {}
         self.pressure = GatePressure(clock())
         self.crashes = CrashMemory()
-        self.on_crash: Callable[[], None] = _do_nothing
-        self.full_behind: SharesSource = _nothing_behind
+        self.on_crash: Callable[[], None] = do_nothing
+        self.full_behind: SharesSource = nothing_behind
 
     def hear(self, word: TargetWord) -> bool:
         """Learn from the target's message; true if its state changed."""
@@ -207,7 +175,7 @@
         """Take a call; its one result comes through ``on_result``."""
         if offered.call.service != self.target.service:
             # A record of the VM that had this address before led here.
-            on_result(RefusedCall(offered.call.call_id, _OTHER_SERVICE))
+            on_result(RefusedCall(offered.call.call_id, OTHER_SERVICE))
             return
         self.held[offered.call.call_id] = Held(offered, on_result)
         self.perform(self.gate.offer(offered.call, self.clock()))
@@ -328,10 +296,10 @@
         held = self.held[call.call_id]
         service_s = self.clock() - held.sent_at
         if isinstance(result, SendFailure):
-            self.end_run(call, RunOutcome(_run_result_of(result), service_s))
+            self.end_run(call, RunOutcome(run_result_of(result), service_s))
             self.log_failure(held, result)
             self.note_failure(call, result)
-            refusal = _refusal_of(result)
+            refusal = refusal_of(result)
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         report = self.dialect.read_answer(result)
@@ -341,7 +309,7 @@
         if report.has_not_run:
             self.pressure.kind_of(call.depth).refused += 1
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
-            self.resolve(call.call_id, RefusedCall(call.call_id, _TARGET_SHED))
+            self.resolve(call.call_id, RefusedCall(call.call_id, TARGET_SHED))
             return
         is_success = report.answer.status < 500
         run_result = RunResult.SUCCEEDED if is_success else RunResult.FAILED
@@ -387,41 +355,3 @@
             was_sent=failure.was_sent,
             detail=failure.detail,
         )
-
-
-def _run_result_of(failure: SendFailure) -> RunResult:
-    if failure.kind is SendFailureKind.NOT_CONNECTED:
-        return RunResult.TARGET_DIED
-    return RunResult.FAILED
-
-
-def _refusal_of(failure: SendFailure) -> Refusal:
-    reason = Reason.TARGET_FAILED
-    if failure.kind is SendFailureKind.TRUNCATED:
-        reason = Reason.TRUNCATED_ANSWER
-    elif failure.kind is SendFailureKind.CANCELLED:
-        reason = Reason.CANCELLED
-    outcome = Outcome.UNKNOWN if failure.was_sent else Outcome.NOT_RUN
-    if outcome is Outcome.NOT_RUN:
-        return refuse_not_run(reason, failure.detail, SHED_RETRY_S)
-    return refuse_outcome_unknown(reason, failure.detail)
-
-
-def _do_nothing() -> None:
-    """Stand in until the node listens for crashes."""
-
-
-def _nothing_behind(route: str) -> tuple[ServiceShares, ...]:
-    """Stand in until the entry can tell what is full behind a route."""
-    return ()
-
-
-_OTHER_SERVICE = refuse_not_run(
-    Reason.NO_TARGET,
-    'this node serves another service',
-)
-_TARGET_SHED = refuse_not_run(
-    Reason.TARGET_SHED,
-    'the target was full',
-    retry_after_s=SHED_RETRY_S,
-)
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -9,7 +9,6 @@
     HttpListener,
     ListenerLimits,
 )
-from ebonycleat.internal.connection.http_requester import ConnectionPool
 from ebonycleat.internal.connection.mesh_link import LinkTable, MeshLink
 from ebonycleat.internal.connection.mesh_messages import (
     AnyMeshMessage,
@@ -23,80 +22,35 @@
     TargetWord,
     UnreadableWord,
 )
-from ebonycleat.internal.process.boottime import time_of_day_ms
-from ebonycleat.internal.process.concurrency_limit import DeclaredLimit
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
 )
 from ebonycleat.internal.process.decision_log import (
-    DecisionLog,
     create_decision_log,
 )
-from ebonycleat.internal.process.gate import create_gate
-from ebonycleat.internal.process.member_sweep import MemberSweep
-from ebonycleat.internal.process.mesh_access import (
-    CallTraffic,
-    MeshAccess,
-    OwnPlace,
-    PeerCalls,
-)
-from ebonycleat.internal.process.mesh_admission import MeshAdmission
-from ebonycleat.internal.process.mesh_entry import EntryTools, MeshEntry
-from ebonycleat.internal.process.mesh_gate import MeshGate, TargetWay
+from ebonycleat.internal.process.mesh_access import MeshAccess, OwnPlace
 from ebonycleat.internal.process.mesh_members import (
     MemberRecord,
     MeshMembers,
 )
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
+from ebonycleat.internal.process.mesh_parts import (
+    NodeKnowledge,
+    NodeTools,
+    build_duties,
+    build_entry,
+    build_gate,
+)
 from ebonycleat.internal.process.mesh_settings import MeshSettings
-from ebonycleat.internal.process.own_target import OwnTarget
+from ebonycleat.internal.process.peer_calls import CallTraffic, PeerCalls
 from ebonycleat.internal.process.quota_tokens import QuotaTokens
 from ebonycleat.internal.process.retry_budget import (
     RetryBudget,
     divide_retry_bounds,
 )
-from ebonycleat.internal.process.router import create_router
-from ebonycleat.internal.process.store_follower import (
-    MemberWriter,
-    StoreFollower,
-)
-from ebonycleat.internal.process.token_exchange import TokenExchanger
-from ebonycleat.internal.process.zone_leader import ZoneLeader
 from ebonycleat.internal.version.mesh_configuration import ConfigurationIndex
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeTools:
-    """What all parts of a node use; ``clock`` is in seconds."""
-
-    ports: PlatformPorts
-    rng: random.Random
-    clock: Callable[[], float]
-    log: DecisionLog
-    metrics: MeshMetrics
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeKnowledge:
-    """What a node knows of the fleet."""
-
-    holder: ConfigurationHolder
-    members: MeshMembers
-    quota: QuotaTokens
-    budget: RetryBudget
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeDuties:
-    """What a node does beside its requests."""
-
-    leader: ZoneLeader
-    follower: StoreFollower
-    writer: MemberWriter
-    exchanger: TokenExchanger
-    sweep: MemberSweep
-
-
 class MeshNode:
     """All parts of one node, on one loop."""
 
@@ -122,9 +76,20 @@
             Hello(self.address, settings.service),
             tools.clock,
         )
-        self.duties = self.build_duties()
-        self.gate = self.build_gate()
-        self.entry = self.build_entry()
+        self.duties = build_duties(settings, tools, self.known, self.links)
+        self.gate = build_gate(settings, tools, self.known)
+        self.entry = build_entry(
+            settings,
+            tools,
+            self.known,
+            MeshAccess(
+                OwnPlace(self.address, settings.service),
+                self.gate,
+                self.known.members,
+                self.links,
+            ),
+            self.duties.exchanger,
+        )
         self.listener = HttpListener(
             self.entry,
             ListenerLimits(),
@@ -132,89 +97,6 @@
         )
         self.connect_parts()
 
-    def build_duties(self) -> NodeDuties:
-        """Build what goes on beside the requests."""
-        tools = self.tools
-        known = self.known
-        leader = ZoneLeader(
-            self.address,
-            self.settings.zone,
-            known.members,
-            self.links,
-        )
-        return NodeDuties(
-            leader,
-            StoreFollower(
-                tools.ports,
-                known.holder,
-                known.members,
-                leader,
-                self.links,
-                tools.log,
-                tools.clock,
-            ),
-            MemberWriter(tools.ports, known.members, tools.log),
-            TokenExchanger(
-                known.quota,
-                leader,
-                self.links,
-                tools.clock,
-                tools.rng,
-            ),
-            MemberSweep(
-                tools.ports.store,
-                leader,
-                self.links,
-                tools.log,
-                tools.clock,
-            ),
-        )
-
-    def build_gate(self) -> MeshGate:
-        """Build the way to the target."""
-        limit = DeclaredLimit()
-        target = self.settings.target
-        tools = self.tools
-        return MeshGate(
-            create_gate(
-                1,
-                1,
-                self.settings.zone,
-                tools.rng,
-                limit,
-                sheds_by_level=False,
-            ),
-            limit,
-            TargetWay(
-                OwnTarget(self.settings.service),
-                ConnectionPool(target.host, target.port),
-                tools.ports.target,
-            ),
-            self.known.holder,
-            tools.log,
-            tools.clock,
-            time_of_day_ms,
-        )
-
-    def build_entry(self) -> MeshEntry:
-        """Build the entry of callers."""
-        tools = self.tools
-        place = OwnPlace(self.address, self.settings.service)
-        return MeshEntry(
-            EntryTools(
-                tools.ports.callers,
-                MeshAdmission(self.address, self.known.holder),
-                self.gate.find_parent,
-                self.duties.exchanger,
-                MeshAccess(place, self.gate, self.known.members, self.links),
-                create_router(self.settings.zone, self.address, tools.rng),
-                self.known.budget,
-                tools.metrics,
-                tools.log,
-                tools.clock,
-            ),
-        )
-
     def connect_parts(self) -> None:
         """Let the parts hear of each other."""
         pressure = self.entry.pressure
--- /dev/null
+++ b/src/ebonycleat/internal/process/peer_calls.py
@@ -0,0 +1,156 @@
+"""Serves the calls of other nodes, and sorts what comes in on links."""
+
+import itertools
+from collections.abc import Callable
+
+from ebonycleat.internal.connection.mesh_link import (
+    LinkHandler,
+    LinkTable,
+    MeshLink,
+)
+from ebonycleat.internal.connection.mesh_messages import (
+    AnyMeshMessage,
+    CallAnswered,
+    CallRefused,
+    CancelCall,
+    RunCall,
+)
+from ebonycleat.internal.process.gate_calls import GateCall
+from ebonycleat.internal.process.load_reports import (
+    MILLISECONDS_PER_S,
+    write_load,
+)
+from ebonycleat.internal.process.mesh_gate import MeshGate
+from ebonycleat.internal.request.call import (
+    Answer,
+    Call,
+    CallResult,
+    Priority,
+)
+from ebonycleat.internal.request.refusal import Outcome
+
+
+class PeerCalls:
+    """Calls that other nodes offer to the own gate."""
+
+    def __init__(self, gate: MeshGate) -> None:
+        """Offer calls to ``gate``."""
+        self.gate = gate
+        self.numbers = itertools.count(1)
+        self.by_link: dict[MeshLink, dict[int, str]] = {}
+
+    def message_received(
+        self,
+        link: MeshLink,
+        message: RunCall | CancelCall,
+    ) -> None:
+        """Offer or cancel a call."""
+        if isinstance(message, RunCall):
+            self.offer(link, message)
+        else:
+            self.cancel(link, message.number)
+
+    def offer(self, link: MeshLink, message: RunCall) -> None:
+        """Offer one call; its result goes back over the link."""
+        now = self.gate.clock()
+        call = Call(
+            call_id=f'{link.node}/{next(self.numbers)}',
+            root_id=message.request_id,
+            team=message.team,
+            route=message.route,
+            service=message.service,
+            priority=Priority(min(max(message.priority, 0), max(Priority))),
+            idempotent=message.is_idempotent,
+            deadline=now + message.left_ms / MILLISECONDS_PER_S,
+            method=message.method,
+            path=message.target,
+            headers=message.headers,
+            body=message.body,
+            key_digest=message.key_mark.hex(),
+            depth=message.depth,
+        )
+        self.by_link.setdefault(link, {})[message.number] = call.call_id
+        self.gate.offer(
+            GateCall(
+                call,
+                message.request_id,
+                message.host,
+                message.origin_service,
+                message.key_mark,
+            ),
+            lambda result: self.finish(link, message, result),
+        )
+
+    def finish(
+        self,
+        link: MeshLink,
+        message: RunCall,
+        result: CallResult,
+    ) -> None:
+        """Send a result back, with the present load."""
+        number = message.number
+        self.by_link.get(link, {}).pop(number, None)
+        load = write_load(self.gate.load(message.route))
+        if isinstance(result, Answer):
+            link.send(
+                CallAnswered(
+                    number,
+                    result.status,
+                    result.headers,
+                    result.body,
+                    load,
+                ),
+            )
+            return
+        refusal = result.refusal
+        link.send(
+            CallRefused(
+                number,
+                refusal.reason.value,
+                refusal.outcome is Outcome.NOT_RUN,
+                int(refusal.retry_after_s * MILLISECONDS_PER_S),
+                load,
+            ),
+        )
+
+    def cancel(self, link: MeshLink, number: int) -> None:
+        """Drop a call whose caller has left."""
+        call_id = self.by_link.get(link, {}).pop(number, None)
+        if call_id is not None:
+            self.gate.cancel(call_id)
+
+    def drop_link(self, link: MeshLink) -> None:
+        """Drop all calls of a node that cannot be answered any more."""
+        for call_id in self.by_link.pop(link, {}).values():
+            self.gate.cancel(call_id)
+
+
+class CallTraffic(LinkHandler):
+    """Sorts the messages of links to those that they are for."""
+
+    def __init__(self) -> None:
+        """Start without receivers; they are set while a node is built."""
+        self.calls: PeerCalls | None = None
+        self.links: LinkTable | None = None
+        self.others: Callable[[MeshLink, AnyMeshMessage], None] | None = None
+
+    def message_received(
+        self,
+        link: MeshLink,
+        message: AnyMeshMessage,
+    ) -> None:
+        """Hand a message on."""
+        if isinstance(message, (CallAnswered, CallRefused)):
+            link.take_reply(message.number, message)
+        elif isinstance(message, (RunCall, CancelCall)):
+            if self.calls is not None:
+                self.calls.message_received(link, message)
+        elif self.others is not None:
+            self.others(link, message)
+
+    def link_closed(self, link: MeshLink) -> None:
+        """Forget a link and the calls that came over it."""
+        if self.calls is not None:
+            self.calls.drop_link(link)
+        if self.links is not None:
+            self.links.forget(link)
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -7,11 +7,9 @@
 """
 
 import asyncio
-import dataclasses
 from collections.abc import Awaitable, Callable
 
 from ebonycleat.internal.connection.errors import (
-    AppendUnknown,
     LogUnavailable,
     OffsetExpired,
 )
@@ -32,11 +30,8 @@
     ConfigurationHolder,
 )
 from ebonycleat.internal.process.decision_log import DecisionLog
-from ebonycleat.internal.process.mesh_members import (
-    MemberRecord,
-    MeshMembers,
-    encode_member,
-)
+from ebonycleat.internal.process.mesh_members import MeshMembers
+from ebonycleat.internal.process.retry_pause import Retry
 from ebonycleat.internal.process.zone_leader import ZoneLeader
 
 CONFIGURATION_WAIT_S = 1.0
@@ -62,27 +57,6 @@
 SUBSCRIPTION_S = 3.0
 """Nodes that asked within this time are told of changes at once."""
 
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 1.0
-"""Pauses between failed calls double up to this; with a node per zone the
-store then sees a few calls a second when it returns."""
-
-
-@dataclasses.dataclass(slots=True)
-class Retry:
-    """Pauses between failed calls, doubled each time."""
-
-    pause_s: float = FIRST_RETRY_S
-
-    async def wait(self) -> None:
-        """Wait for the next pause."""
-        await asyncio.sleep(self.pause_s)
-        self.pause_s = min(self.pause_s * 2, LONGEST_RETRY_S)
-
-    def reset(self) -> None:
-        """Begin with the shortest pause again."""
-        self.pause_s = FIRST_RETRY_S
-
 
 class StoreFollower:
     """Reads the store, or learns from the leader of the zone."""
@@ -352,62 +326,5 @@
         link.send(ProofGiven(ask.number, self.holder.version, age_ms))
 
 
-class MemberWriter:
-    """Keeps this node's own record in the store as it should be."""
-
-    def __init__(
-        self,
-        ports: PlatformPorts,
-        members: MeshMembers,
-        log: DecisionLog,
-    ) -> None:
-        """Write through the store of ``ports``."""
-        self.ports = ports
-        self.members = members
-        self.log = log
-        self.wanted: MemberRecord | None = None
-        self.written = b''
-        self.changed = asyncio.Event()
-        self.calls = 0
-
-    def want(self, record: MemberRecord) -> None:
-        """State what the store should say of this node."""
-        self.wanted = record
-        self.changed.set()
-
-    def recall(self, encoded: bytes) -> None:
-        """Learn what the store says, maybe from before a restart."""
-        self.written = encoded
-
-    async def write_until_cancelled(self) -> None:
-        """Write whenever the store says something else."""
-        retry = Retry()
-        while True:
-            await self.changed.wait()
-            self.changed.clear()
-            record = self.wanted
-            if record is None:
-                continue
-            encoded = encode_member(record)
-            if encoded == self.written:
-                continue
-            if await self.write(record.address, encoded):
-                retry.reset()
-            else:
-                self.changed.set()
-                await retry.wait()
-
-    async def write(self, address: str, encoded: bytes) -> bool:
-        """Write once; a lost answer is written again, which is harmless."""
-        self.calls += 1
-        try:
-            await self.ports.store.write(StoreTopic.MEMBERS, address, encoded)
-        except (LogUnavailable, AppendUnknown) as error:
-            self.log.note('member record not written', detail=str(error))
-            return False
-        self.written = encoded
-        return True
-
-
 def _do_nothing() -> None:
     """Stand in for a listener."""
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -17,11 +17,9 @@
     TokensExchange,
     TokensGiven,
 )
-from ebonycleat.internal.process.quota_tokens import (
-    TOKEN_LIFE_S,
-    QuotaTokens,
-    TokenWant,
-)
+from ebonycleat.internal.process.quota_tokens import QuotaTokens
+from ebonycleat.internal.process.token_pool import TOKEN_LIFE_S
+from ebonycleat.internal.process.tokens import TokenWant
 from ebonycleat.internal.process.zone_leader import ZoneLeader
 
 EXCHANGE_INTERVAL_S = 0.2
--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -17,8 +17,8 @@
     HttpAnswer,
     encode_request,
 )
-from ebonycleat.internal.connection.http_requester import (
-    ConnectionPool,
+from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.http_sends import (
     OutgoingRequest,
     SendFailure,
     SendResult,
--- a/src/ebonycleat_tools/platform/target.py
+++ b/src/ebonycleat_tools/platform/target.py
@@ -14,8 +14,8 @@
     encode_request,
     find_header,
 )
-from ebonycleat.internal.connection.http_requester import (
-    ConnectionPool,
+from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.http_sends import (
     OutgoingRequest,
     SendResult,
 )
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -3,6 +3,16 @@
 import asyncio
 
 import pytest
+from tests.loop_tools import (
+    HOST,
+    WHOLE,
+    Recorder,
+    ScriptedTarget,
+    exchange_bytes,
+    run,
+    send,
+    serving,
+)
 
 from ebonycleat.internal.connection.http_listener import MAX_PIPELINED
 from ebonycleat.internal.connection.http_messages import (
@@ -12,20 +22,10 @@
     encode_request,
     find_header,
 )
-from ebonycleat.internal.connection.http_requester import (
+from ebonycleat.internal.connection.http_sends import (
     SendFailure,
     SendFailureKind,
 )
-from tests.loop_tools import (
-    HOST,
-    WHOLE,
-    Recorder,
-    ScriptedTarget,
-    exchange_bytes,
-    run,
-    send,
-    serving,
-)
 
 CLOSE = b'connection: close\r\n'
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -1,14 +1,6 @@
 """The gate beside a target: the last word before a send."""
 
 import pytest
-
-from ebonycleat import Answer, Outcome, Reason
-from ebonycleat.internal.connection.http_requester import SendFailureKind
-from ebonycleat.internal.connection.mesh_ports import Farewell
-from ebonycleat.internal.process.mesh_access import MeshAccess, OwnPlace
-from ebonycleat.internal.process.mesh_admission import AdmittedRequest
-from ebonycleat.internal.process.mesh_members import MeshMembers
-from ebonycleat.internal.process.target_records import Member
 from tests.mesh_fakes import (
     SERVICE,
     Clock,
@@ -18,6 +10,16 @@
     create_mesh_gate,
 )
 
+from ebonycleat import Answer, Outcome, Reason
+from ebonycleat.internal.connection.http_sends import (
+    SendFailureKind,
+)
+from ebonycleat.internal.connection.mesh_ports import Farewell
+from ebonycleat.internal.process.mesh_access import MeshAccess, OwnPlace
+from ebonycleat.internal.process.mesh_admission import AdmittedRequest
+from ebonycleat.internal.process.mesh_members import MeshMembers
+from ebonycleat.internal.process.target_records import Member
+
 
 @pytest.fixture(name='clock')
 def fixture_clock():
--- a/tests/cover/test_quota_leases.py
+++ b/tests/cover/test_quota_leases.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from ebonycleat.internal.process.quota_tokens import (
+from ebonycleat.internal.process.quota_tokens import QuotaTokens
+from ebonycleat.internal.process.token_pool import (
     CLOCK_DRIFT,
     LEASE_S,
     TOKEN_LIFE_S,
-    QuotaTokens,
-    TokenWant,
 )
+from ebonycleat.internal.process.tokens import TokenWant
 from ebonycleat.internal.version.mesh_configuration import MeshTeam
 
 TEAM = MeshTeam('shop', ('key',), 60, 60)
--- a/tests/loop_tools.py
+++ b/tests/loop_tools.py
@@ -12,8 +12,8 @@
     listening,
 )
 from ebonycleat.internal.connection.http_messages import HttpAnswer
-from ebonycleat.internal.connection.http_requester import (
-    ConnectionPool,
+from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.http_sends import (
     OutgoingRequest,
 )
 
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -3,7 +3,7 @@
 import random
 
 from ebonycleat.internal.connection.http_messages import HttpAnswer
-from ebonycleat.internal.connection.http_requester import (
+from ebonycleat.internal.connection.http_sends import (
     SendFailure,
     SendFailureKind,
 )
@@ -17,11 +17,8 @@
 )
 from ebonycleat.internal.process.decision_log import create_decision_log
 from ebonycleat.internal.process.gate import create_gate
-from ebonycleat.internal.process.mesh_gate import (
-    GateCall,
-    MeshGate,
-    TargetWay,
-)
+from ebonycleat.internal.process.gate_calls import GateCall, TargetWay
+from ebonycleat.internal.process.mesh_gate import MeshGate
 from ebonycleat.internal.process.own_target import OwnTarget
 from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.version.mesh_configuration import (
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -5,14 +5,16 @@
 import random
 import socket
 
+from tests.loop_tools import HOST
+
 from ebonycleat.internal.connection.http_listener import (
     HttpListener,
     ListenerLimits,
     listening,
 )
 from ebonycleat.internal.connection.http_messages import encode_request
-from ebonycleat.internal.connection.http_requester import (
-    ConnectionPool,
+from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.http_sends import (
     OutgoingRequest,
 )
 from ebonycleat.internal.process.boottime import boottime_s
@@ -26,7 +28,6 @@
 from ebonycleat.platform import create_platform_ports
 from ebonycleat_tools.platform.store import EmulatedStore
 from ebonycleat_tools.platform.target import EmulatedTarget, TargetPlan
-from tests.loop_tools import HOST
 
 BOUNDS = MeshBounds(5, 6, 0.2, 48, 10)
 
