A gate that does not know a key does not make its caller unknown

A remote gate's word on a key is now 'not run, come back' and another gate is tried; only the entry says 401.

--- a/src/ebonycleat/internal/process/mesh_access.py
+++ b/src/ebonycleat/internal/process/mesh_access.py
@@ -209,6 +209,10 @@
     except ValueError:
         # A newer node's reason; whether it has run is told separately.
         reason = Reason.TARGET_FAILED
+    if reason is Reason.WITHDRAWN_KEY:
+        # The gate may have an older version than this entry, which alone
+        # tells a caller that its key is unknown.
+        reason = Reason.STALE_CONFIGURATION
     if message.has_not_run:
         return refuse_not_run(
             reason,
