Nodes of the whole-mesh tests bind ports that no outgoing connection can hold

Cause: a test asked the system for a free port, closed it and let a node bind it later; an outgoing connection of another test had got the same port in between. Seen once as a time-out of 20 s, because the world also waited for a node that had failed; traced by letting the world report a failed node: two of 20 runs, four at a time, ended with 'address already in use'.

Change: each node has a loopback host of its own and fixed ports below the range of outgoing connections; the world ends a test with a failed node's own error.

After: 20 of 20 runs, four at a time, passed.

--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
+import os
 import random
-import socket
 
 from tests.loop_tools import HOST
 
@@ -29,6 +29,7 @@
 from ebonycleat_tools.platform.store import EmulatedStore
 from ebonycleat_tools.platform.target import EmulatedTarget, TargetPlan
 
+FIRST_PORT = 21_000
 BOUNDS = MeshBounds(5, 6, 0.2, 48, 10)
 
 
@@ -56,9 +57,16 @@
     }
 
 
-def free_address():
-    with socket.create_server((HOST, 0)) as listener:
-        return Address(HOST, listener.getsockname()[1])
+def place_of(number):
+    """Addresses of a node: a loopback host of its own, and fixed ports.
+
+    The ports lie below those that the system gives to outgoing connections.
+    A port asked from the system and closed again may be one of these before
+    the node binds it.
+    """
+    process = os.getpid()
+    host = f'127.{process % 250 + 1}.{process // 250 % 250}.{number + 1}'
+    return [Address(host, FIRST_PORT + offset) for offset in range(5)]
 
 
 class MeshWorld:
@@ -84,8 +92,9 @@
         self.store_address = await self.serve(self.store)
         for number, zone in enumerate(zones):
             await self.add_node(number, zone, work_s, service)
-        while not all(self.knows_all(node) for node in self.nodes):
-            await asyncio.sleep(0.01)
+        await self.until(
+            lambda: all(self.knows_all(node) for node in self.nodes),
+        )
 
     def knows_all(self, node):
         members = node.known.members
@@ -93,7 +102,7 @@
         return node.is_ready() and len(usable) == len(self.targets)
 
     async def add_node(self, number, zone, work_s, service):
-        control = free_address()
+        control, callers, peers, ready, metrics = place_of(number)
         pool = self.stack.enter_context(
             ConnectionPool(control.host, control.port),
         )
@@ -103,13 +112,13 @@
             node=f'node-{number}',
             zone=zone,
             service=service,
-            callers=free_address(),
-            peers=free_address(),
-            ready=free_address(),
+            callers=callers,
+            peers=peers,
+            ready=ready,
             control=control,
             target=await self.serve(target),
             store=self.store_address,
-            metrics_port=free_address().port,
+            metrics_port=metrics.port,
             bounds=BOUNDS,
         )
         node = create_mesh_node(
@@ -156,8 +165,12 @@
         return await self.send(node, path, **options)[1]
 
     async def until(self, condition):
+        """Wait; a node that failed ends the test with its own error."""
         while not condition():
             await asyncio.sleep(0.01)
+            for task in self.tasks:
+                if task.done():
+                    task.result()
 
 
 @contextlib.asynccontextmanager
