Names of headers are decoded once

Cause: of the 600 calls of Python functions that one request takes through emulated platform and nodes, 16 decode and lower header names that recur with every message.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -18,6 +18,7 @@
     HttpAnswer,
     HttpRequest,
     encode_answer,
+    read_header_name,
 )
 
 MAX_PIPELINED = 16
@@ -203,10 +204,7 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Add a header (parser callback)."""
-        self.headers.append((
-            name.decode('latin-1').lower(),
-            text.decode('latin-1'),
-        ))
+        self.headers.append((read_header_name(name), text.decode('latin-1')))
         self.count_header_bytes(len(name) + len(text))
 
     def on_headers_complete(self) -> None:
--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -23,6 +23,9 @@
     'upgrade',
 ))
 
+MAX_KNOWN_NAMES = 1024
+"""Header names kept decoded; common software uses about 100."""
+
 BODILESS_STATUSES = frozenset((204, 304))
 FIRST_FINAL_STATUS = 200
 
@@ -49,6 +52,22 @@
     body: bytes = b''
 
 
+_known_names: dict[bytes, str] = {}
+
+
+def read_header_name(name: bytes) -> str:
+    """Name of a header in lower case.
+
+    Names recur with each message, so they are decoded once.
+    """
+    known = _known_names.get(name)
+    if known is None:
+        known = name.decode('latin-1').lower()
+        if len(_known_names) < MAX_KNOWN_NAMES:
+            _known_names[name] = known
+    return known
+
+
 def find_header(headers: HeaderPairs, name: str) -> str:
     """Text of the first header with this lower-case name, or nothing."""
     for found, text in headers:
--- a/src/ebonycleat/internal/connection/http_requester.py
+++ b/src/ebonycleat/internal/connection/http_requester.py
@@ -16,6 +16,7 @@
     HttpAnswer,
     drop_hop_headers,
     find_header,
+    read_header_name,
 )
 from ebonycleat.internal.connection.http_sends import (
     Send,
@@ -34,6 +35,9 @@
 MAX_ANSWER_BYTES = 67_108_864
 """Answers are held whole; a larger one would endanger the process."""
 
+LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+"""Either tells where a body ends; else it ends with its connection."""
+
 _KEEP_ALIVE_S = re.compile(r'timeout=(\d+)')
 
 
@@ -122,14 +126,16 @@
         self.body = []
         self.body_size = 0
         self.has_head = False
+        self.is_delimited = False
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Add a header (parser callback)."""
-        if not self.is_whole:
-            self.headers.append((
-                name.decode('latin-1').lower(),
-                text.decode('latin-1'),
-            ))
+        if self.is_whole:
+            return
+        known = read_header_name(name)
+        self.headers.append((known, text.decode('latin-1')))
+        if known in LENGTH_HEADERS:
+            self.is_delimited = True
 
     def on_headers_complete(self) -> None:
         """Find out how the body ends (parser callback)."""
@@ -137,10 +143,6 @@
             return
         self.has_head = True
         self.status = self.parser.get_status_code()
-        self.is_delimited = any(
-            name in {'content-length', 'transfer-encoding'}
-            for name, _ in self.headers
-        )
         if self.send and self.send.request.is_head:
             self.is_whole = True
 
--- a/src/ebonycleat/internal/process/entry_pressure.py
+++ b/src/ebonycleat/internal/process/entry_pressure.py
@@ -179,8 +179,8 @@
     now: float,
 ) -> set[str]:
     """Names that were heard within a time."""
+    if not heard:
+        return set()
     return {
-        name
-        for name, heard_at in (heard or {}).items()
-        if now - heard_at < valid_s
+        name for name, heard_at in heard.items() if now - heard_at < valid_s
     }
