Fault soak: real nodes under faults drawn from a seed, and a checker of the promises

Change: ebonycleat-soak starts nodes as processes on loopback, with store and targets emulated, relays that reset, silence, delay and cut one way, and a checker that compares what callers and targets saw.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: setup test lint format demo bench bench-check capacity schedules clean
+.PHONY: setup test lint format demo soak bench bench-check capacity schedules clean
 
 setup: $(VENV)/.installed
 
@@ -35,6 +35,13 @@
 demo: setup
 	VENV=$(VENV) bash demo/run.sh
 
+# Real nodes on the emulated platform under faults drawn from SEED.
+SEED ?= 1
+soak: setup
+	mkdir -p out
+	printf 'seed = %s\n' $(SEED) > out/soak.toml
+	$(BIN)/python -m ebonycleat_tools.platform.soak --settings out/soak.toml
+
 # Writes out/capacity.json; docs/CAPACITY.md is worked out from it.
 capacity: setup
 	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -0,0 +1,132 @@
+"""What the faults of a soak do to its processes, stand-ins and proxies."""
+
+import asyncio
+import contextlib
+import signal
+import types
+
+from ebonycleat_tools.platform.history import Disturbance
+from ebonycleat_tools.platform.proxy import ProxyMode
+from ebonycleat_tools.platform.soak_plan import FLEET_WIDE, Fault, FaultKind
+from ebonycleat_tools.platform.soak_world import TEAMS, SoakNode, SoakWorld
+
+RESTART_S = 0.5
+"""A process that ended is started again after this."""
+
+AFTERMATH_S = 3.0
+"""How long after a fault a node counts as disturbed: the platform's own
+figure for the time until a machine is in touch again."""
+
+TARGET_MODES = types.MappingProxyType({
+    FaultKind.TARGET_CRASH: ProxyMode.RESET,
+    FaultKind.TARGET_LINK_SILENT: ProxyMode.SILENCE,
+    FaultKind.TARGET_ANSWERS_CUT: ProxyMode.CUT_ANSWERS,
+})
+STORE_MODES = types.MappingProxyType({
+    FaultKind.STORE_RESET: ProxyMode.RESET,
+    FaultKind.STORE_SILENT: ProxyMode.SILENCE,
+    FaultKind.STORE_SLOW: ProxyMode.DELAY,
+    FaultKind.STORE_ANSWERS_CUT: ProxyMode.CUT_ANSWERS,
+})
+
+
+class SoakFaults:
+    """Plays faults; those of one node come one after the other."""
+
+    def __init__(self, world: SoakWorld) -> None:
+        """Play faults in a world that was started."""
+        self.world = world
+        self.clock = asyncio.get_running_loop().time
+        self.plays = {
+            FaultKind.KILL: self.kill,
+            FaultKind.TERMINATE: self.terminate,
+            FaultKind.PAUSE: self.pause,
+            FaultKind.RELOAD: self.reload,
+            FaultKind.KEY_WITHDRAWN: self.withdraw_key,
+            FaultKind.CONFIGURATION_CHANGED: self.change_configuration,
+            FaultKind.STORE_DOWN: self.stop_store,
+        }
+
+    async def play(self, fault: Fault) -> None:
+        """Let one fault begin and end, and note when."""
+        began_at = self.clock()
+        node = self.world.nodes[fault.node]
+        if fault.kind is FaultKind.KILL_ALL:
+            await self.kill_all()
+        else:
+            play = self.plays.get(fault.kind, self.disturb_link)
+            async with node.lock:
+                await play(node, fault)
+        self.world.history.disturbed.append(
+            Disturbance(
+                -1 if fault.kind in FLEET_WIDE else fault.node,
+                began_at,
+                self.clock() + AFTERMATH_S,
+            ),
+        )
+
+    async def kill(self, node: SoakNode, fault: Fault) -> None:
+        """Kill a node and start it again."""
+        await node.process.kill()
+        await asyncio.sleep(RESTART_S)
+        await node.process.start()
+
+    async def kill_all(self) -> None:
+        """Kill all nodes together and start them again.
+
+        All locks are taken in one order, so that two of these never wait for
+        each other.
+        """
+        nodes = self.world.nodes
+        async with contextlib.AsyncExitStack() as locks:
+            for node in nodes:
+                await locks.enter_async_context(node.lock)
+            await asyncio.gather(*(one.process.kill() for one in nodes))
+            await asyncio.sleep(RESTART_S)
+            await asyncio.gather(*(one.process.start() for one in nodes))
+
+    async def terminate(self, node: SoakNode, fault: Fault) -> None:
+        """Stop a node as planned and start it again."""
+        await node.process.terminate()
+        await asyncio.sleep(RESTART_S)
+        await node.process.start()
+
+    async def pause(self, node: SoakNode, fault: Fault) -> None:
+        """Let a process stand still."""
+        node.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        node.process.send_signal(signal.SIGCONT)
+
+    async def reload(self, node: SoakNode, fault: Fault) -> None:
+        """Tell a process that its settings changed."""
+        node.process.send_signal(signal.SIGHUP)
+
+    async def withdraw_key(self, node: SoakNode, fault: Fault) -> None:
+        """Withdraw the second key of a team; the first stays valid."""
+        world = self.world
+        team = TEAMS[fault.node % len(TEAMS)]
+        if len(world.keys[team]) > 1:
+            key = world.keys[team].pop()
+            world.write_configuration()
+            world.history.withdrawn[key] = self.clock()
+
+    async def change_configuration(self, node: SoakNode, fault: Fault) -> None:
+        """Write a new version that says the same."""
+        self.world.write_configuration()
+
+    async def stop_store(self, node: SoakNode, fault: Fault) -> None:
+        """Let the store refuse all calls."""
+        self.world.store.is_down = True
+        await asyncio.sleep(fault.for_s)
+        self.world.store.is_down = False
+
+    async def disturb_link(self, node: SoakNode, fault: Fault) -> None:
+        """Disturb the way to a target, or the store."""
+        proxy = self.world.store_proxy
+        mode = STORE_MODES.get(fault.kind)
+        if mode is None:
+            proxy = node.proxy
+            mode = TARGET_MODES[fault.kind]
+        proxy.change_mode(mode)
+        await asyncio.sleep(fault.for_s)
+        proxy.change_mode(ProxyMode.PASS)
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import random
 
 from tests.loop_tools import HOST
@@ -26,10 +25,10 @@
     MeshSettings,
 )
 from ebonycleat.platform import create_platform_ports
+from ebonycleat_tools.platform.fleet import place_of
 from ebonycleat_tools.platform.store import EmulatedStore
 from ebonycleat_tools.platform.target import EmulatedTarget, TargetPlan
 
-FIRST_PORT = 21_000
 BOUNDS = MeshBounds(5, 6, 0.2, 48, 10)
 
 
@@ -57,18 +56,6 @@
     }
 
 
-def place_of(number):
-    """Addresses of a node: a loopback host of its own, and fixed ports.
-
-    The ports lie below those that the system gives to outgoing connections.
-    A port asked from the system and closed again may be one of these before
-    the node binds it.
-    """
-    process = os.getpid()
-    host = f'127.{process % 250 + 1}.{process // 250 % 250}.{number + 1}'
-    return [Address(host, FIRST_PORT + offset) for offset in range(5)]
-
-
 class MeshWorld:
     """Nodes, their targets and the store."""
 
@@ -102,9 +89,9 @@
         return node.is_ready() and len(usable) == len(self.targets)
 
     async def add_node(self, number, zone, work_s, service):
-        control, callers, peers, ready, metrics = place_of(number)
+        place = place_of(number)
         pool = self.stack.enter_context(
-            ConnectionPool(control.host, control.port),
+            ConnectionPool(place.control.host, place.control.port),
         )
         plan = TargetPlan(f'i-{number}', service, slots=4, work_s=work_s)
         target = EmulatedTarget(plan, pool)
@@ -112,13 +99,13 @@
             node=f'node-{number}',
             zone=zone,
             service=service,
-            callers=callers,
-            peers=peers,
-            ready=ready,
-            control=control,
+            callers=place.callers,
+            peers=place.peers,
+            ready=place.ready,
+            control=place.control,
             target=await self.serve(target),
             store=self.store_address,
-            metrics_port=metrics.port,
+            metrics_port=place.metrics.port,
             bounds=BOUNDS,
         )
         node = create_mesh_node(
