Each class keeps a quarter of its equal share of a full service

The users call a kind of request starved that is served less than a quarter as often as all.

Change: of the room of a full service each class keeps a quarter of its equal share; the rest goes by class as before. The sum stays the same.

--- a/src/ebonycleat/internal/process/entry_pressure.py
+++ b/src/ebonycleat/internal/process/entry_pressure.py
@@ -28,6 +28,11 @@
 HEARD_GAIN = 0.3
 """Several gates of a service tell different shares; this averages them."""
 
+CLASS_FLOOR = 0.25
+"""Part of its equal share that each class keeps however urgent the others
+are: the users call a kind of request starved that is served less than a
+quarter as often as all."""
+
 CLASS_MEMORY_S = 2.0
 """Over how long an entry remembers which classes its requests have."""
 
@@ -80,14 +85,17 @@
 
     def part_admitted(self, priority: Priority, share: float) -> float:
         """Part of a class that fits when the more important go first."""
+        own = self.counts[priority]
+        if own <= 0:
+            return 1
+        kept = share * CLASS_FLOOR
         total = sum(self.counts.values())
         before = sum(
             count for known, count in self.counts.items() if known < priority
         )
-        own = self.counts[priority]
-        if own <= 0:
-            return 1
-        return min(1, max(0, (share * total - before) / own))
+        # What is left when each class has its kept part.
+        room = (share - kept) * total - (1 - kept) * before
+        return min(1, kept + max(0, room / own))
 
     def admits(self, priority: Priority, part: float) -> bool:
         """Admit this part of a class, evenly spread."""
--- a/tests/cover/test_pressure.py
+++ b/tests/cover/test_pressure.py
@@ -123,6 +123,25 @@
     assert 0.1 < parts[Priority.NORMAL] < 0.6
 
 
+def test_no_class_is_starved_by_more_urgent_ones():
+    """Guards against look-ups that nobody gets while payments are served.
+
+    The load of incident inc-9ba0: two urgent classes fill the room alone.
+    """
+    parts = play_entry(
+        0.4,
+        {Priority.CRITICAL: 3, Priority.HIGH: 4, Priority.NORMAL: 3},
+        steps=3000,
+    )
+    whole = sum(
+        parts[priority] * weight
+        for priority, weight in zip(parts, (3, 4, 3), strict=True)
+    )
+    assert whole == pytest.approx(4, rel=0.1)
+    assert parts[Priority.NORMAL] > whole / 10 / 4 * 0.9
+    assert parts[Priority.CRITICAL] > 2 * parts[Priority.HIGH]
+
+
 def play_costly_look_ups(steps=2000):
     """Look-ups that need ten calls each beside payments that need one.
 
