Queues that hold nothing are looked at ten times a second, not forty

Cause: every node woke 40 times a second to look at queues that were mostly empty; with 80 nodes that is 3,200 wake-ups a second for nothing.

Change: 100 ms while nothing waits; a request that begins to wait for a token ends the interval, since it waits 50 ms at most.

--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -64,6 +64,7 @@
         self.tools = tools
         self.address = settings.peers.text
         self.stopping = asyncio.Event()
+        self.has_waiter = asyncio.Event()
         self.known = NodeKnowledge(
             ConfigurationHolder(settings.bounds.key_withdrawal_s),
             MeshMembers(),
@@ -110,6 +111,7 @@
         self.traffic.others = self.message_received
         self.known.holder.listeners.append(self.configuration_changed)
         self.duties.follower.on_members = self.members_changed
+        self.duties.exchanger.on_waiting = self.has_waiter.set
 
     def message_received(self, link: MeshLink, message: AnyMeshMessage) -> None:
         """Hand a message to the duty that it belongs to."""
@@ -193,6 +195,12 @@
         self.gate.tick()
         self.duties.exchanger.tick()
 
+    def has_waiting(self) -> bool:
+        """Whether a call or a request waits for a slot or a token."""
+        if self.gate.gate.queue:
+            return True
+        return self.duties.exchanger.has_waiting()
+
     def word_received(self, word: TargetWord) -> None:
         """Act on a message of the target."""
         log = self.tools.log
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -23,8 +23,13 @@
 METRICS_PATH = '/metrics'
 
 QUEUE_TICK_S = 0.025
-"""How often queues are looked at; refusals are at most this late. Each tick
-costs a wake-up of the process."""
+"""How often queues are looked at while something waits; refusals are at most
+this late."""
+
+IDLE_TICK_S = 0.1
+"""How often they are looked at while nothing waits: the interval of a gate's
+shares. Each look costs a wake-up of the process. A request that begins to wait
+for a token ends this interval."""
 
 LINK_TICK_S = 0.1
 """How often links are checked for silence; a twelfth of their limit."""
@@ -104,7 +109,7 @@
         duties.exchanger.exchange_until_cancelled(),
         duties.sweep.sweep_until_cancelled(),
         _write_first_record(node),
-        _tick(QUEUE_TICK_S, node.tick_queues),
+        _tick_queues(node),
         _tick(LINK_TICK_S, node.links.check_silence),
         _tick(COUNT_TICK_S, node.count_nodes),
     )
@@ -136,6 +141,17 @@
         act()
 
 
+async def _tick_queues(node: MeshNode) -> None:
+    while True:
+        if not node.has_waiting():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(node.has_waiter.wait(), IDLE_TICK_S)
+        if node.has_waiting():
+            await asyncio.sleep(QUEUE_TICK_S)
+        node.has_waiter.clear()
+        node.tick_queues()
+
+
 async def _write_first_record(node: MeshNode) -> None:
     await asyncio.sleep(FIRST_RECORD_WAIT_S)
     if node.duties.writer.wanted is None:
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -17,6 +17,7 @@
     TokensExchange,
     TokensGiven,
 )
+from ebonycleat.internal.process.gate_calls import do_nothing
 from ebonycleat.internal.process.quota_tokens import QuotaTokens
 from ebonycleat.internal.process.token_pool import TOKEN_LIFE_S
 from ebonycleat.internal.process.tokens import TokenWant
@@ -85,6 +86,7 @@
         self.clock = clock
         self.rng = rng
         self.desks: dict[str, TeamDesk] = {}
+        self.on_waiting: Callable[[], None] = do_nothing
 
     async def exchange_until_cancelled(self) -> None:
         """Exchange at the interval."""
@@ -109,6 +111,7 @@
             on_decision(False)
             return
         desk.waiters.append(Waiter(now + TOKEN_WAIT_S, on_decision))
+        self.on_waiting()
         self.ask_for_waiting(team, desk)
 
     def give_back(self, team: str, held_s: float) -> None:
@@ -231,6 +234,10 @@
             desk.granted += 1
             desk.waiters.popleft().on_decision(True)
 
+    def has_waiting(self) -> bool:
+        """Whether a request waits for a token."""
+        return any(desk.waiters for desk in self.desks.values())
+
     def tick(self) -> None:
         """Refuse those that waited too long; ask again for the others."""
         now = self.clock()
