A request that comes before the number of nodes is known is answered

Cause: a node that starts reads the configuration and the members one after the other. In between a request of a limited team asked for tokens of a team whose part was not divided yet, and a KeyError closed the caller's connection without an answer.

Change: it asks without drawing ahead, and is refused as not run after its wait when no token comes. do_nothing stands once.

--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -80,10 +80,6 @@
     return refuse_outcome_unknown(reason, failure.detail)
 
 
-def do_nothing() -> None:
-    """Stand in until the node listens for crashes."""
-
-
 OTHER_SERVICE = refuse_not_run(
     Reason.NO_TARGET,
     'this node serves another service',
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -19,6 +19,7 @@
     TargetRequest,
     TargetWord,
 )
+from ebonycleat.internal.process.callbacks import do_nothing
 from ebonycleat.internal.process.concurrency_limit import DeclaredLimit
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
@@ -35,7 +36,6 @@
     Held,
     ResultHandler,
     TargetWay,
-    do_nothing,
     refusal_of,
     run_result_of,
 )
--- a/src/ebonycleat/internal/process/quota_tokens.py
+++ b/src/ebonycleat/internal/process/quota_tokens.py
@@ -178,7 +178,11 @@
 
     def want(self, team: str, waiting: int, now: float) -> TokenWant:
         """Tokens for requests that wait, and ahead of those to come."""
-        needed = self.demands[team].per_s * AHEAD_S + 1
+        demand = self.demands.get(team)
+        if demand is None:
+            # Nothing is divided before the number of nodes is known.
+            return TokenWant(team, waiting, 0)
+        needed = demand.per_s * AHEAD_S + 1
         ahead = max(0, needed - self.drawn[team].total(now))
         return TokenWant(team, waiting, ahead)
 
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -26,6 +26,7 @@
     StoreTopic,
     TopicPage,
 )
+from ebonycleat.internal.process.callbacks import do_nothing
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
 )
@@ -81,7 +82,7 @@
         self.clock = clock
         self.configuration_offset: int | None = None
         self.subscribers: dict[MeshLink, float] = {}
-        self.on_members: Callable[[], None] = _do_nothing
+        self.on_members: Callable[[], None] = do_nothing
         self.is_store_away = False
         self.calls = 0
 
@@ -324,7 +325,3 @@
         age_s = self.holder.proof_age_s(now)
         age_ms = -1 if age_s is None else int(age_s * 1000) + 1
         link.send(ProofGiven(ask.number, self.holder.version, age_ms))
-
-
-def _do_nothing() -> None:
-    """Stand in for a listener."""
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -17,7 +17,7 @@
     TokensExchange,
     TokensGiven,
 )
-from ebonycleat.internal.process.gate_calls import do_nothing
+from ebonycleat.internal.process.callbacks import do_nothing
 from ebonycleat.internal.process.quota_tokens import QuotaTokens
 from ebonycleat.internal.process.token_pool import TOKEN_LIFE_S
 from ebonycleat.internal.process.tokens import TokenWant
