--- a/src/ebonycleat/internal/process/entry_pressure.py
+++ b/src/ebonycleat/internal/process/entry_pressure.py
@@ -180,7 +180,13 @@
     def full_on_path(self, route: str, now: float) -> list[ServiceShares]:
         """Full services that requests on a route lead to."""
         path = _not_older(self.paths.get(route), PATH_VALID_S, now)
-        return [self.heard[name].at(name, now) for name in sorted(path)]
+        return [
+            dataclasses.replace(
+                self.heard[name].at(name, now),
+                calls=self.heard[name].calls_by_route.get(route, 1),
+            )
+            for name in sorted(path)
+        ]
 
     def part_admitted(self, call: Call, now: float) -> float:
         """Part of the requests like this one that the way can take.
@@ -198,8 +204,7 @@
                 (full.service, is_direct),
                 ClassShares(now),
             )
-            calls = self.heard[full.service].calls_by_route.get(call.route, 1)
-            classes.count(call.priority, calls, now)
+            classes.count(call.priority, full.calls, now)
             if share < OPEN_SHARE:
                 part = min(part, classes.part_admitted(call.priority, share))
         return part
--- a/tests/cover/test_pressure.py
+++ b/tests/cover/test_pressure.py
@@ -267,3 +267,13 @@
     clock.now += 4
     full = entry.full_on_path('fetch', clock.now)
     assert full[0].called == 1
+
+
+def test_the_log_can_name_what_a_request_costs_a_full_service():
+    """Guards against a log that shows another cost than was counted."""
+    clock = Clock()
+    entry = EntryPressure(RouteCosts())
+    one = admitted(clock, 'fetch', Priority.NORMAL)
+    entry.hear(one, (ServiceShares('deep', 1, 0.5, 8),), clock.now)
+    full = entry.full_on_path('fetch', clock.now)
+    assert full[0].calls == 8
