--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -147,7 +147,6 @@
         self.last_activity = listener.clock()
         self.is_receiving = False
         self.is_paused = False
-        self.has_head = False
         self.refused_status = 0
         self.start_message()
 
--- a/src/ebonycleat/internal/process/ingress.py
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
-import msgspec
-
 from ebonycleat.internal.process.directory import Directory
 from ebonycleat.internal.process.effects import AnswerRequest
 from ebonycleat.internal.process.gate_events import GateLoad
@@ -205,15 +203,12 @@
         now: float,
     ) -> RouteChoice:
         """Choose a member, one that was not lost before if there is one."""
-        wanted = RouteRequest(
-            request.call,
-            members,
-            request.refused_zones,
-            request.lost_nodes,
-        )
+        call = request.call
+        zones = request.refused_zones
+        wanted = RouteRequest(call, members, zones, request.lost_nodes)
         choice = self.router.choose(wanted, now)
         if isinstance(choice, Refusal) and request.lost_nodes:
-            anywhere = msgspec.structs.replace(wanted, avoid_nodes=frozenset())
+            anywhere = RouteRequest(call, members, zones)
             return self.router.choose(anywhere, now)
         return choice
 
