--- a/src/ebonycleat_tools/platform/soak_faults.py
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -18,7 +18,7 @@
 figure for the time until a machine is in touch again."""
 
 TARGET_MODES = types.MappingProxyType({
-    FaultKind.TARGET_CRASH: ProxyMode.RESET,
+    FaultKind.TARGET_RESET: ProxyMode.RESET,
     FaultKind.TARGET_LINK_SILENT: ProxyMode.SILENCE,
     FaultKind.TARGET_ANSWERS_CUT: ProxyMode.CUT_ANSWERS,
 })
--- a/src/ebonycleat_tools/platform/soak_plan.py
+++ b/src/ebonycleat_tools/platform/soak_plan.py
@@ -19,7 +19,7 @@
     PAUSE = 'pause'
     TERMINATE = 'terminate'
     RELOAD = 'reload'
-    TARGET_CRASH = 'target-crash'
+    TARGET_RESET = 'target-reset'
     TARGET_LINK_SILENT = 'target-link-silent'
     TARGET_ANSWERS_CUT = 'target-answers-cut'
     STORE_DOWN = 'store-down'
@@ -45,6 +45,10 @@
 LONGEST_FAULT_S = 4.0
 """Spans shorter and longer than leases, links' silence and key bounds."""
 
+REPEATABLE_SHARE = 0.6
+LEAVING_SHARE = 0.05
+"""Parts of the load that may be repeated, and whose callers give up."""
+
 Duration = Annotated[
     float,
     Meta(ge=0, le=86400, description='seconds, 0 to 86400'),
@@ -130,8 +134,3 @@
             rng.randrange(teams),
             rng.uniform(0, 0.1) if rng.random() < LEAVING_SHARE else None,
         )
-
-
-REPEATABLE_SHARE = 0.6
-LEAVING_SHARE = 0.05
-"""Parts of the load that may be repeated, and whose callers give up."""
--- a/src/ebonycleat_tools/platform/soak_world.py
+++ b/src/ebonycleat_tools/platform/soak_world.py
@@ -33,7 +33,15 @@
 class WatchedTarget(EmulatedTarget):
     """Tells the history of each run."""
 
-    history: History
+    def __init__(
+        self,
+        plan: TargetPlan,
+        control: ConnectionPool,
+        history: History,
+    ) -> None:
+        """Note runs in ``history``."""
+        super().__init__(plan, control)
+        self.history = history
 
     def run(self, exchange: Exchange) -> None:
         """Note a run and begin it."""
@@ -53,11 +61,16 @@
 class SoakNode:
     """One node with its target, the proxy between them and its callers."""
 
-    def __init__(self, process: NodeProcess, proxy: FaultyProxy) -> None:
-        """Belong to a process."""
+    def __init__(
+        self,
+        process: NodeProcess,
+        proxy: FaultyProxy,
+        callers: ConnectionPool,
+    ) -> None:
+        """Belong to a process; ``callers`` connects to it as callers do."""
         self.process = process
         self.proxy = proxy
-        self.callers: ConnectionPool
+        self.callers = callers
         self.lock = asyncio.Lock()
 
 
@@ -116,8 +129,8 @@
                 work_s=self.plan.work_ms / 1000,
             ),
             control,
+            self.history,
         )
-        target.history = self.history
         proxy = FaultyProxy(HOST, await self.listen(target), PROXY_DELAY_S)
         port = await self.stack.enter_async_context(relaying(proxy, HOST))
         process = NodeProcess(
@@ -125,14 +138,13 @@
             self.boot_settings(number, place, port),
             self.folder,
         )
-        node = SoakNode(process, proxy)
-        node.callers = self.stack.enter_context(
+        callers = self.stack.enter_context(
             ConnectionPool(place.callers.host, place.callers.port),
         )
         self.stack.push_async_callback(process.kill)
         announcing = asyncio.ensure_future(target.announce_until_cancelled())
         self.stack.callback(announcing.cancel)
-        return node
+        return SoakNode(process, proxy, callers)
 
     def boot_settings(
         self,
