--- a/src/ebonycleat/commands/mesh_node.py
+++ b/src/ebonycleat/commands/mesh_node.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import gc
 import os
 import pathlib
@@ -42,9 +43,17 @@
 for the same processor time."""
 
 
-def run_until_stopped(path: pathlib.Path) -> int:
-    """Run a node until the process is told to stop."""
+def run_until_stopped(
+    path: pathlib.Path, metrics_port: int | None = None
+) -> int:
+    """Run a node until the process is told to stop.
+
+    ``metrics_port`` replaces the port that the platform expects, so that
+    several nodes can run on one address.
+    """
     settings = load_platform_settings(path)
+    if metrics_port is not None:
+        settings = dataclasses.replace(settings, metrics_port=metrics_port)
     set_up_logging(LOG_LEVEL, settings.node, create_stdout_stream())
     gc.set_threshold(GC_THRESHOLD)
     gc.freeze()
--- a/src/ebonycleat/commands/mesh_node_options.py
+++ b/src/ebonycleat/commands/mesh_node_options.py
@@ -41,16 +41,24 @@
             help='check the settings file and exit',
         ),
     ] = False
+    metrics_port: Annotated[
+        int | None,
+        cappa.Arg(
+            long='--metrics-port',
+            help='port of the metrics instead of the one of the platform',
+        ),
+    ] = None
 
 
 def run_with_options(
-    run: Callable[[pathlib.Path], int],
+    run: Callable[[pathlib.Path, int | None], int],
     arguments: Sequence[str],
     environment_path: str | None,
 ) -> int:
     """Parse the arguments, then run or check the settings.
 
-    ``run`` runs a node with a settings file and returns the exit code.
+    ``run`` runs a node with a settings file and a port for metrics, which is
+    None for that of the platform, and returns the exit code.
     ``environment_path`` is the settings file that the environment names; the
     option ``--settings`` replaces it.
     """
@@ -77,7 +85,7 @@
         )
         return EXIT_USAGE_ERROR
     try:
-        return _run(run, path, only_check=options.check_settings)
+        return _run(run, path, options)
     except InvalidSettings as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_USAGE_ERROR
@@ -86,13 +94,12 @@
 
 
 def _run(
-    run: Callable[[pathlib.Path], int],
+    run: Callable[[pathlib.Path, int | None], int],
     path: pathlib.Path,
-    *,
-    only_check: bool,
+    options: MeshNodeOptions,
 ) -> int:
-    if not only_check:
-        return run(path)
+    if not options.check_settings:
+        return run(path, options.metrics_port)
     load_platform_settings(path)
     sys.stdout.write(f'{path}: the settings can be used\n')
     return EXIT_OK
--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -118,15 +118,18 @@
     """Encode one response with a declared length.
 
     ``close`` announces that the connection closes; ``is_head`` leaves out the
-    body and its length, for the response to a HEAD request.
+    body and its length, for the response to a HEAD request. They are left out
+    too where the status allows none, because the receiver would take the body
+    for the next response.
     """
+    has_body = not is_head and response.status not in STATUSES_WITHOUT_BODY
     phrase = _PHRASES.get(response.status, 'Unknown')
     lines = [f'HTTP/1.1 {response.status} {phrase}']
     lines += [f'{name}: {text}' for name, text in response.headers]
-    if response.status not in STATUSES_WITHOUT_BODY and not is_head:
+    if has_body:
         lines.append(f'content-length: {len(response.body)}')
     if close:
         lines.append('connection: close')
     lines.append('\r\n')
     head = '\r\n'.join(lines).encode('latin-1')
-    return head if is_head else head + response.body
+    return head + response.body if has_body else head
--- a/src/ebonycleat/internal/process/slot_claims.py
+++ b/src/ebonycleat/internal/process/slot_claims.py
@@ -89,6 +89,10 @@
     retry_at: float = 0
     next_ask_at: float = float('-inf')
 
+    def is_claim_in_flight(self, now: float) -> bool:
+        """Tell whether the latest claim may still be confirmed."""
+        return bool(self.operation_id) and now < self.retry_at
+
 
 class SlotClaims:
     """All attempts of one node to gain slots."""
@@ -125,7 +129,10 @@
         for slot, attempt in self._due_attempts(now):
             claim = self._find_supported_claim(slot, attempt, now)
             if claim is not None:
-                claims.append(self._append_claim(attempt, claim, now))
+                # Only claims count: attempts without enough support must not
+                # keep others from claiming.
+                if self._count_claims_in_flight(now) < MAX_CLAIMS_IN_FLIGHT:
+                    claims.append(self._append_claim(attempt, claim, now))
             elif now >= attempt.next_ask_at:
                 attempt.next_ask_at = now + _ask_interval_s(
                     now - attempt.started_at
@@ -134,11 +141,7 @@
                     asked_by_witness.setdefault(witness, []).append(
                         RequestedSlot(slot, attempt.epoch),
                     )
-        requests = [
-            SendToPeer(recipient, SupportAsk(tuple(slots)))
-            for recipient, slots in asked_by_witness.items()
-        ]
-        return [*claims, *requests]
+        return claims + _create_support_requests(asked_by_witness)
 
     def record_support(self, witness: str, given: SupportGiven) -> None:
         """Count a witness's support for the epochs that it names."""
@@ -176,7 +179,6 @@
 
     def _due_attempts(self, now: float) -> list[tuple[SlotId, ClaimAttempt]]:
         due = []
-        in_flight = 0
         for slot, rank in self.ranks.items():
             attempt = self._find_attempt(slot, now)
             if (
@@ -184,11 +186,15 @@
                 or now < attempt.started_at + rank * RANK_DELAY_S
             ):
                 continue
-            if attempt.operation_id and now < attempt.retry_at:
-                in_flight += 1
-            else:
+            if not attempt.is_claim_in_flight(now):
                 due.append((slot, attempt))
-        return due[: max(MAX_CLAIMS_IN_FLIGHT - in_flight, 0)]
+        return due
+
+    def _count_claims_in_flight(self, now: float) -> int:
+        return sum(
+            attempt.is_claim_in_flight(now)
+            for attempt in self.attempts.values()
+        )
 
     def _find_attempt(self, slot: SlotId, now: float) -> ClaimAttempt | None:
         state = self.fold.state_of(slot)
@@ -274,6 +280,15 @@
         return AppendToLog(LogStream.OWNERSHIP, claim, claim.operation_id)
 
 
+def _create_support_requests(
+    asked_by_witness: dict[str, list[RequestedSlot]],
+) -> list[Effect]:
+    return [
+        SendToPeer(witness, SupportAsk(tuple(slots)))
+        for witness, slots in asked_by_witness.items()
+    ]
+
+
 def _ask_interval_s(waited_s: float) -> float:
     return (
         HEARTBEAT_INTERVAL_S
--- a/src/ebonycleat/internal/process/unreachable_member_sweep.py
+++ b/src/ebonycleat/internal/process/unreachable_member_sweep.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ebonycleat.internal.connection.errors import (
     StorageUnavailable,
@@ -28,6 +28,9 @@
 DEREGISTER_AFTER_S = 30.0
 """Longer than a restart, a graceful stop or a short network partition."""
 
+PROBE_TIMEOUT_S = 1.0
+"""Twice the time-out for opening a link."""
+
 
 class UnreachableMemberSweep:
     """Probes the members of a zone while this node is the zone's leader."""
@@ -67,13 +70,12 @@
         At most one record is removed for each check, and none while every
         other node is unreachable.
         """
-        now = self.clock()
         addresses = self.leader.members.list_addresses(self.leader.zone)
         others = [node for node in addresses if node != self.leader.node]
-        for address in others:
-            self.links.request_link(
-                address, self.create_reachability_callback(address)
-            )
+        for gone in set(self.unreached_since).difference(others):
+            self.unreached_since.pop(gone)
+        await self.probe(others)
+        now = self.clock()
         expired = [
             node
             for node in others
@@ -84,17 +86,37 @@
         if expired and len(expired) < len(others):
             await self.deregister(expired[0])
 
-    def create_reachability_callback(
-        self, address: str
-    ) -> Callable[[object], None]:
-        """Return a callback that records whether a link could be opened."""
-        return lambda link: self.record_reachability(
-            address, is_reached=link is not None
-        )
+    async def probe(self, addresses: Sequence[str]) -> None:
+        """Wait until all links have opened or failed, and record the results.
+
+        Deciding before that would judge a node by its last probe, although it
+        may have returned since. Links that take too long are left as they are
+        until the next check.
+        """
+        probes = [
+            asyncio.ensure_future(self.probe_one(address))
+            for address in addresses
+        ]
+        if not probes:
+            return
+        _, unfinished = await asyncio.wait(probes, timeout=PROBE_TIMEOUT_S)
+        for probe in unfinished:
+            probe.cancel()
 
-    def record_reachability(self, address: str, *, is_reached: bool) -> None:
-        """Record whether a node accepted a connection."""
-        if is_reached:
+    async def probe_one(self, address: str) -> None:
+        """Record whether a node accepts a connection."""
+        reached_future: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.links.request_link(
+            address,
+            lambda link: (
+                None
+                if reached_future.done()
+                else reached_future.set_result(link is not None)
+            ),
+        )
+        if await reached_future:
             self.unreached_since.pop(address, None)
         else:
             self.unreached_since.setdefault(address, self.clock())
@@ -110,3 +132,5 @@
             self.log.write_always(
                 'member deregistration failed', detail=str(error)
             )
+        else:
+            self.unreached_since.pop(address, None)
--- a/src/ebonycleat/internal/process/worker_threads.py
+++ b/src/ebonycleat/internal/process/worker_threads.py
@@ -65,7 +65,14 @@
         work: Callable[[], Any],
         on_result: Callable[[Any, float], list[NodeEffect]],
     ) -> None:
-        """Run ``work`` and pass its result to the loop; called on a thread."""
+        """Run ``work`` and pass its result to the loop; called on a thread.
+
+        Work that still waits for a thread when the node stops is dropped. An
+        unreachable log service can leave hundreds of appends waiting, each of
+        which would end only at its time-out.
+        """
+        if self.stopped:
+            return
         try:
             work_result = work()
         except Exception:
--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -40,6 +40,9 @@
 MILLISECONDS_PER_S = 1000
 STATUS_OK = 200
 STATUS_GONE = 410
+FIRST_SERVER_ERROR = 500
+# The store guarantees that it has appended nothing.
+NOT_APPENDED_STATUSES = frozenset((503, 507))
 
 NAME_BY_TOPIC = types.MappingProxyType({
     StoreTopic.CONFIGURATION: 'keyed.op',
@@ -88,9 +91,7 @@
         while True:
             response = await self.send_request('GET', '/log-newest', query)
             page = _decode_newest(response)
-            records.extend(
-                (item.key, base64.b64decode(item.value)) for item in page.items
-            )
+            records.extend(_decode_items(page))
             # The log may grow between two pages. Reading on from the end of the
             # log as of the first page gets all changes that a page may lack.
             first_end = page.end if first_end is None else first_end
@@ -126,7 +127,12 @@
         keyed = bytes((len(encoded_key),)) + encoded_key + record
         body = len(keyed).to_bytes(LENGTH_BYTES, 'big') + keyed
         query = {'topic': NAME_BY_TOPIC[topic], 'part': 0}
-        _require_ok(await self.send_request('POST', '/log-append', query, body))
+        response = await self.send_request('POST', '/log-append', query, body)
+        if _may_have_had_effect(response.status):
+            raise WriteOutcomeUnknown(
+                f'the store responded with status {response.status}'
+            )
+        _require_ok(response)
 
     async def send_request(
         self,
@@ -184,6 +190,10 @@
     return WriteOutcomeUnknown(detail)
 
 
+def _may_have_had_effect(status: int) -> bool:
+    return status >= FIRST_SERVER_ERROR and status not in NOT_APPENDED_STATUSES
+
+
 def _require_ok(response: HttpResponse) -> HttpResponse:
     if response.status != STATUS_OK:
         raise StorageUnavailable(
@@ -201,6 +211,18 @@
         ) from error
 
 
+def _decode_items(page: _NewestPage) -> list[tuple[str, bytes]]:
+    try:
+        return [
+            (item.key, base64.b64decode(item.value, validate=True))
+            for item in page.items
+        ]
+    except ValueError as error:
+        raise StorageUnavailable(
+            f'the response of the store is invalid: {error}'
+        ) from error
+
+
 def _decode_first_offset(response: HttpResponse) -> int:
     try:
         return _expired_decoder.decode(response.body).first
@@ -214,7 +236,9 @@
     """Decode the records of a response, which begins with two offsets.
 
     These are the end of the log and its first kept record, and are not used.
-    Each record follows its length of four bytes.
+    Each record follows its length of four bytes. A record that is shorter than
+    its key is skipped: reading it again would give the same, and the other
+    records hold.
     """
     position = 2 * OFFSET_BYTES
     if len(body) < position:
@@ -223,6 +247,7 @@
             'it is too short for two offsets'
         )
     records: list[tuple[str, bytes]] = []
+    next_offset = offset
     while position < len(body):
         start = position + LENGTH_BYTES
         length = int.from_bytes(body[position:start], 'big')
@@ -232,12 +257,17 @@
                 'the response of the store is invalid: '
                 'it has a truncated record'
             )
-        records.append(_decode_keyed(body[start:position]))
-    return TopicPage(tuple(records), offset + len(records))
+        next_offset += 1
+        decoded = _decode_keyed(body[start:position])
+        if decoded is not None:
+            records.append(decoded)
+    return TopicPage(tuple(records), next_offset)
 
 
-def _decode_keyed(record: bytes) -> tuple[str, bytes]:
+def _decode_keyed(record: bytes) -> tuple[str, bytes] | None:
     key_end = 1 + record[0]
+    if key_end > len(record):
+        return None
     # A key that another program wrote may be invalid UTF-8. The replacement
     # characters keep it from matching any key that a node uses.
     return record[1:key_end].decode(errors='replace'), record[key_end:]
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -327,3 +327,12 @@
     assert encode_response(
         COMPLETE_RESPONSE, close=False, is_head=True
     ).endswith(b'\r\n\r\n')
+
+
+@pytest.mark.parametrize('status', [204, 304])
+def test_an_answer_whose_status_has_no_body_is_sent_without_one(status):
+    """Guards against bytes that the caller takes for its next response."""
+    encoded = encode_response(
+        HttpResponse(status, (), b'whole'), close=False, is_head=False
+    )
+    assert encoded.endswith(b'\r\n\r\n')
--- a/tests/cover/test_member_sweep.py
+++ b/tests/cover/test_member_sweep.py
@@ -1,5 +1,7 @@
 """Member records of unreachable nodes and of nodes that are leaving."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -37,6 +39,15 @@
         on_link(self if address in self.reachable else None)
 
 
+class AsynchronousLinks(FakeLinks):
+    """Opens links in a later iteration of the event loop, as sockets do."""
+
+    def request_link(self, address, on_link):
+        asyncio.get_running_loop().call_soon(
+            super().request_link, address, on_link
+        )
+
+
 class FakeStore:
     """Keeps what is written, or raises an error."""
 
@@ -50,17 +61,15 @@
         self.written.append((key, value))
 
 
-def run_sweep(seconds, reachable, store):
-    clock = ManualClock()
+def create_sweep(links, store, clock):
     members = MeshMembers()
     members.apply(
         1,
         [(node, encode_member(create_record(node))) for node in NODES],
         is_complete=True,
     )
-    links = FakeLinks(set(reachable))
     leader = ZoneLeaderChoice('n1:1', 'a', members, links)
-    sweep = UnreachableMemberSweep(
+    return UnreachableMemberSweep(
         store,
         leader,
         links,
@@ -68,6 +77,11 @@
         clock,
     )
 
+
+def run_sweep(seconds, reachable, store):
+    clock = ManualClock()
+    sweep = create_sweep(FakeLinks(set(reachable)), store, clock)
+
     async def run_checks():
         end = clock.now + seconds
         while clock.now < end:
@@ -100,6 +114,38 @@
     assert not run_sweep(DEREGISTER_AFTER_S * 2, ['n2:1'], store)
 
 
+def test_a_node_that_returns_after_its_removal_keeps_its_new_record():
+    """Guards against removing a record because of an absence before it.
+
+    The node registers again between two checks of the leader, and its link
+    opens only after the check has begun.
+    """
+    clock = ManualClock()
+    store = FakeStore()
+    links = AsynchronousLinks({'n2:1'})
+    sweep = create_sweep(links, store, clock)
+
+    async def run_checks():
+        while not store.written:
+            await sweep.deregister_unreachable()
+            await asyncio.sleep(0)
+            clock.now += CHECK_INTERVAL_S
+        links.reachable.add('n3:1')
+        await sweep.deregister_unreachable()
+
+    run_with_timeout(run_checks())
+    assert store.written == [('n3:1', b'')]
+
+
+def test_members_that_left_the_list_are_forgotten():
+    """Guards against a leader whose memory grows with each node it ever saw."""
+    clock = ManualClock()
+    sweep = create_sweep(FakeLinks({'n2:1'}), FakeStore(), clock)
+    sweep.unreached_since['n9:1'] = clock.now
+    run_with_timeout(sweep.deregister_unreachable())
+    assert set(sweep.unreached_since) == {'n3:1'}
+
+
 @pytest.mark.parametrize(('serves', 'count'), [(True, 1), (False, 0)])
 def test_a_node_that_leaves_with_its_target_is_not_counted_as_serving(
     serves, count
--- a/tests/cover/test_mesh_program.py
+++ b/tests/cover/test_mesh_program.py
@@ -85,7 +85,13 @@
     path = tmp_path / 'node.json'
     path.write_text(json.dumps(boot))
     with subprocess.Popen(
-        [sys.executable, '-m', 'ebonycleat.commands.mesh_node'],
+        [
+            sys.executable,
+            '-m',
+            'ebonycleat.commands.mesh_node',
+            '--metrics-port',
+            str(free_port()),
+        ],
         env=os.environ | {SETTINGS_VARIABLE: str(path), 'PYTHONPATH': 'src'},
         stdout=subprocess.PIPE,
         text=True,
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -12,6 +12,7 @@
 from ebonycleat.internal.connection.errors import (
     OffsetExpired,
     StorageUnavailable,
+    WriteOutcomeUnknown,
 )
 from ebonycleat.internal.connection.http_messages import (
     HttpResponse,
@@ -423,6 +424,45 @@
         return
 
 
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        (500, WriteOutcomeUnknown),
+        (502, WriteOutcomeUnknown),
+        (504, WriteOutcomeUnknown),
+        (503, StorageUnavailable),
+        (429, StorageUnavailable),
+        (507, StorageUnavailable),
+    ],
+)
+def test_a_write_has_had_no_effect_only_if_the_store_says_so(status, error):
+    """Guards against taking a failed write for one without effect."""
+    store = PlatformStore(ScriptedPool(json_response({}, status)), 's')
+    with pytest.raises(error):
+        run_with_timeout(store.write(StoreTopic.MEMBERS, 'n1', b'record'))
+
+
+@pytest.mark.parametrize('text', ['a', '=', 'é', '****='])
+def test_records_in_damaged_base64_are_an_error_of_the_store(text):
+    """Guards against a damaged page that ends the task of the reader."""
+    pool = ScriptedPool(
+        json_response({'items': [{'key': 'a', 'value': text}], 'end': 1})
+    )
+    with pytest.raises(StorageUnavailable):
+        run_with_timeout(
+            PlatformStore(pool, 's').read_newest(StoreTopic.MEMBERS)
+        )
+
+
+def test_a_record_that_is_shorter_than_its_key_is_skipped():
+    """Guards against a record that is taken for one with a shorter key."""
+    records = b'\0\0\0\3\5ab' + b'\0\0\0\3\1bv'
+    body = bytes(16) + records
+    store = PlatformStore(ScriptedPool(HttpResponse(200, (), body)), 's')
+    page = run_with_timeout(store.wait_for_changes(StoreTopic.MEMBERS, 5, 1))
+    assert page == TopicPage((('b', b'v'),), 7)
+
+
 def write_settings(folder, tree):
     path = folder / 'node.json'
     path.write_text(json.dumps(tree))
