A configuration that a node knows only in part is used; one that it cannot use says why

Change: uploads are a kind of route; any other word is served as not idempotent and logged once for each route. A record that cannot be used is logged with its place and reason and counted (configuration.rejected), the version in force stays.

--- a/src/ebonycleat/internal/connection/errors.py
+++ b/src/ebonycleat/internal/connection/errors.py
@@ -32,6 +32,10 @@
     """Data from a peer or the log that is not a valid known message."""
 
 
+class InvalidConfiguration(ConnectionLayerError):
+    """A record that is not a valid configuration; says where and why."""
+
+
 class LinkClosed(ConnectionLayerError):
     """The link to a peer closed.
 
--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -220,8 +220,12 @@
     """The format in which operators write the configuration to the store."""
 
     @abc.abstractmethod
-    def parse_configuration(self, record: bytes) -> MeshConfiguration | None:
-        """Decode a record; return None if it is not a valid configuration."""
+    def parse_configuration(self, record: bytes) -> MeshConfiguration:
+        """Decode a record as a whole.
+
+        Raises ``InvalidConfiguration``, which names the place and the reason,
+        if any part of it cannot be used.
+        """
 
     @abc.abstractmethod
     def select_newest_record(self, page: TopicPage) -> bytes:
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -312,6 +312,7 @@
         return self.dependencies.metrics.render({
             'configuration.version': holder.version,
             'configuration.proof_age_s': -1 if age_s is None else age_s,
+            'configuration.rejected': background.follower.rejected_configurations,
             'gate.queued': load.queued,
             'gate.running': load.running,
             'gate.limit': load.limit,
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from ebonycleat.internal.connection.errors import (
+    InvalidConfiguration,
     OffsetExpired,
     StorageUnavailable,
 )
@@ -36,6 +37,7 @@
 from ebonycleat.internal.process.mesh_members import MeshMembers
 from ebonycleat.internal.process.retry_backoff import RetryBackoff
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
+from ebonycleat.internal.version.mesh_configuration import MeshConfiguration
 
 CONFIGURATION_WAIT_S = 1.0
 """How long a leader's read waits for a change. Each answer proves the state
@@ -94,6 +96,8 @@
         self.on_members_changed: Callable[[], None] = do_nothing
         self.is_store_unreachable = False
         self.store_calls = 0
+        self.rejected_configurations = 0
+        self.logged_kinds: set[tuple[str, str]] = set()
 
     async def follow_configuration(self) -> None:
         """Keep the configuration and its proof recent, until cancelled.
@@ -207,13 +211,21 @@
         A record that cannot be decoded is logged, and the configuration in
         force stays.
         """
-        configuration = self.platform.configuration.parse_configuration(record)
-        if configuration is None:
+        try:
+            configuration = self.platform.configuration.parse_configuration(
+                record
+            )
+        except InvalidConfiguration as error:
+            self.rejected_configurations += 1
             self.log.write_always(
-                'configuration cannot be decoded', size=len(record)
+                'configuration cannot be used; the one in force stays',
+                detail=str(error),
+                size=len(record),
+                version=self.holder.version,
             )
             return
         if self.holder.apply_if_newer(configuration):
+            self.log_unknown_kinds(configuration)
             self.log.write_always(
                 'configuration in force',
                 version=configuration.version,
@@ -223,6 +235,18 @@
             message = ConfigurationUpdate(configuration.version, record)
             self.notify_subscribers(message)
 
+    def log_unknown_kinds(self, configuration: MeshConfiguration) -> None:
+        """Log once for each route that its kind is not known here."""
+        unknown_kinds = set(configuration.unknown_kinds)
+        for route, word in sorted(unknown_kinds - self.logged_kinds):
+            self.log.write_always(
+                'route has an unknown kind and is served as not idempotent',
+                route=route,
+                kind=word,
+                version=configuration.version,
+            )
+        self.logged_kinds = unknown_kinds
+
     async def read_members(self) -> None:
         """Read members once: the complete list first, later only changes.
 
--- a/src/ebonycleat/internal/version/mesh_configuration.py
+++ b/src/ebonycleat/internal/version/mesh_configuration.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 import hashlib
 from collections.abc import Mapping
 
@@ -19,6 +20,19 @@
     return hashlib.blake2b(key.encode(), digest_size=FINGERPRINT_BYTES).digest()
 
 
+class RouteKind(enum.Enum):
+    """What the requests of a route are, and therefore what may be repeated.
+
+    An ``UPLOAD`` has a large body. Only ``IDEMPOTENT`` requests may run more
+    than once. A kind that this version does not know is ``UNKNOWN``.
+    """
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non-idempotent'
+    UPLOAD = 'upload'
+    UNKNOWN = 'unknown'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
     """A service that runs a share of a route's requests.
@@ -46,13 +60,18 @@
     host: str
     path_prefix: str
     weighted_services: tuple[WeightedService, ...]
-    is_idempotent: bool
+    kind: RouteKind
     attempts: int
     timeout_s: float
     latency_objective_s: float
     priority: int
     is_open_to_all: bool
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request of the route may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT
+
     @property
     def services(self) -> set[str]:
         """Names of the services that may run the route's requests."""
@@ -101,7 +120,8 @@
     """One version of the configuration.
 
     ``encoded_record`` is the record of the store that it was decoded from;
-    nodes send it on to other nodes.
+    nodes send it on to other nodes. ``unknown_kinds`` has pairs of a route and
+    the word for its kind that this version does not know.
     """
 
     version: int
@@ -110,6 +130,7 @@
     services: Mapping[str, MeshService]
     limits: CallerLimits
     encoded_record: bytes = b''
+    unknown_kinds: tuple[tuple[str, str], ...] = ()
 
 
 class ConfigurationIndex:
--- a/src/ebonycleat/platform/configuration_format.py
+++ b/src/ebonycleat/platform/configuration_format.py
@@ -1,9 +1,11 @@
 """The format in which operators write the configuration on the platform."""
 
-from typing import Annotated, Literal
+import types
+from typing import Annotated, Any
 
 import msgspec
 
+from ebonycleat.internal.connection.errors import InvalidConfiguration
 from ebonycleat.internal.connection.platform_interfaces import (
     ConfigurationFormat,
     TopicPage,
@@ -14,12 +16,19 @@
     MeshRoute,
     MeshService,
     MeshTeam,
+    RouteKind,
     WeightedService,
 )
 
 CONFIGURATION_KEY = 'config'
 VERSION_BASE = 16
 
+KIND_BY_WORD = types.MappingProxyType({
+    'idempotent': RouteKind.IDEMPOTENT,
+    'non_idempotent': RouteKind.NON_IDEMPOTENT,
+    'upload': RouteKind.UPLOAD,
+})
+
 _NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
 _Version = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{8}$')]
 
@@ -32,7 +41,7 @@
 class _Route(msgspec.Struct, frozen=True, rename='camel'):
     host: str
     path_prefix: str
-    route_type: Literal['idempotent', 'non_idempotent']
+    route_type: str
     attempts: Annotated[int, msgspec.Meta(ge=1)]
     timeout_s: Annotated[float, msgspec.Meta(gt=0)]
     priority: int = 0
@@ -72,6 +81,12 @@
 
 _decoder = msgspec.json.Decoder(_Configuration)
 
+_ENTRY_TYPES = types.MappingProxyType({
+    'routes': _Route,
+    'services': _Service,
+    'tenants': _Tenant,
+})
+
 
 class PlatformConfigurationFormat(ConfigurationFormat):
     """Reads the configuration, one JSON record of the platform's store."""
@@ -84,12 +99,14 @@
                 newest = record
         return newest
 
-    def parse_configuration(self, record: bytes) -> MeshConfiguration | None:
-        """Decode a record; return None if it is not a valid configuration."""
+    def parse_configuration(self, record: bytes) -> MeshConfiguration:
+        """Decode a record as a whole."""
         try:
             decoded = _decoder.decode(record)
-        except (msgspec.DecodeError, RecursionError):
-            return None
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise InvalidConfiguration(
+                _find_invalid_entry(record) or str(error)
+            ) from error
         return MeshConfiguration(
             version=int(decoded.version, VERSION_BASE),
             routes=tuple(
@@ -115,9 +132,38 @@
                 decoded.limits.idle_timeout_s,
             ),
             encoded_record=record,
+            unknown_kinds=tuple(
+                (name, route.route_type)
+                for name, route in decoded.routes.items()
+                if route.route_type not in KIND_BY_WORD
+            ),
         )
 
 
+def _find_invalid_entry(record: bytes) -> str:
+    """Return the first entry of a table that is invalid, and why.
+
+    The decoder itself names the table and the field, but not the entry.
+    Returns an empty string if no entry of a table is the cause.
+    """
+    try:
+        tree: Any = msgspec.json.decode(record)
+    except (msgspec.DecodeError, RecursionError):
+        return ''
+    if not isinstance(tree, dict):
+        return ''
+    for table, entry_type in _ENTRY_TYPES.items():
+        entries = tree.get(table)
+        if not isinstance(entries, dict):
+            continue
+        for name, entry in entries.items():
+            try:
+                msgspec.convert(entry, entry_type)
+            except msgspec.ValidationError as error:
+                return f'{table}.{name}: {error}'
+    return ''
+
+
 def _create_route(name: str, route: _Route) -> MeshRoute:
     weighted_services = tuple(
         WeightedService(part.service, part.weight)
@@ -130,7 +176,8 @@
         path_prefix=route.path_prefix,
         weighted_services=weighted_services
         or (WeightedService(route.service, 1),),
-        is_idempotent=route.route_type == 'idempotent',
+        # What is not known to be idempotent must not run twice.
+        kind=KIND_BY_WORD.get(route.route_type, RouteKind.UNKNOWN),
         attempts=route.attempts,
         timeout_s=route.timeout_s,
         latency_objective_s=route.target_latency_s,
