Targets that never answer, and answers that never end

Cause: a call that is not idempotent kept its slot for good when its target never answered (a full target of the ledger answers nothing), and a planned stop then waited for it; heads, chunk sizes, trailers and interim answers without end were held without limit, bodies up to 64 MiB on each connection. Change: a run without an answer 0.5 s after its deadline ends with an unknown outcome and a closed connection, and lowers the limit below the number of calls that ran when it was sent, if the target was nearly full; a slow target still answers at the deadline that it was told. Framing is limited to 64 KiB besides eight bytes for each byte of body, the bodies of all connections together to 64 MiB. Failures are counted by kind in the metrics, log lines name what ran.

--- a/src/ebonycleat/internal/connection/client_requests.py
+++ b/src/ebonycleat/internal/connection/client_requests.py
@@ -26,6 +26,8 @@
     TRUNCATED = 'truncated'
     MALFORMED = 'malformed'
     TOO_LARGE = 'too-large'
+    ENDLESS = 'endless'
+    SILENT = 'silent'
     CANCELLED = 'cancelled'
 
 
@@ -99,11 +101,9 @@
             self.connection = None
             self.on_result(result)
 
-    def cancel(self) -> None:
-        """Report ``CANCELLED`` and close the connection of the request."""
+    def cancel(self, kind: SendFailureKind = SendFailureKind.CANCELLED) -> None:
+        """Report a failure and close the connection of the request."""
         connection = self.connection
-        self.finish(
-            SendFailure(SendFailureKind.CANCELLED, self.was_sent),
-        )
+        self.finish(SendFailure(kind, self.was_sent))
         if connection is not None:
             connection.abort()
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -7,6 +7,7 @@
 
 import abc
 import asyncio
+import dataclasses
 import re
 
 import httptools
@@ -39,6 +40,18 @@
 MAX_RESPONSE_BYTES = 67_108_864
 """Limit of the body of a response, which is kept in memory as a whole."""
 
+MAX_HELD_BYTES = 67_108_864
+"""Limit of the bodies that all connections of a pool hold at a time. Servers
+in trouble may send bodies without end on many connections at once."""
+
+MAX_HEAD_BYTES = 65_536
+"""Limit of all that is not body: headers, interim responses, sizes of chunks
+and trailers. The parser itself knows no limit."""
+
+FRAMING_BYTES_PER_BODY_BYTE = 8
+"""Framing that is allowed besides ``MAX_HEAD_BYTES`` for each byte of the body:
+a chunk with a single byte needs five more."""
+
 LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 """Headers that tell where a body ends.
 
@@ -63,6 +76,31 @@
     def count_unmatched_response(self) -> None:
         """Count a response that belongs to no request in flight."""
 
+    @abc.abstractmethod
+    def hold_bytes(self, count: int) -> bool:
+        """Account for ``count`` more bytes of bodies; False if over the limit.
+
+        A negative count frees bytes.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class ResponseSizes:
+    """Bytes since a request was sent.
+
+    ``body`` counts the bodies of all responses among those ``received``, and
+    ``held`` the part of the current body that is in memory.
+    """
+
+    received: int = 0
+    body: int = 0
+    held: int = 0
+
+    def is_endless(self) -> bool:
+        """Tell whether far more was received than the bodies account for."""
+        allowed = self.body * FRAMING_BYTES_PER_BODY_BYTE + MAX_HEAD_BYTES
+        return self.received - self.body > allowed
+
 
 class ClientConnection(AbortableConnection, asyncio.Protocol):
     """One connection of a pool: writes requests and parses responses.
@@ -90,7 +128,7 @@
         """
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
-        self.body_size = 0
+        self.sizes = ResponseSizes()
         self.has_headers = False
         self.is_delimited = False
         self.is_complete = False
@@ -125,15 +163,24 @@
         if self.in_flight is None:
             self.close()
             return
+        self.sizes.received += len(received)
         try:
             self.parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.failure_kind = self.failure_kind or SendFailureKind.MALFORMED
+        if self.sizes.is_endless():
+            self.failure_kind = self.failure_kind or SendFailureKind.ENDLESS
         if self.failure_kind is not None and not self.is_complete:
             self.fail(self.failure_kind)
         elif self.is_complete:
             self.complete()
 
+    def free_body(self) -> None:
+        """Drop the body that was received so far."""
+        self.pool.hold_bytes(-self.sizes.held)
+        self.sizes.held = 0
+        self.body = []
+
     def on_message_begin(self) -> None:
         """Start a response (parser callback).
 
@@ -143,8 +190,7 @@
             self.failure_kind = SendFailureKind.MALFORMED
             return
         self.headers = []
-        self.body = []
-        self.body_size = 0
+        self.free_body()
         self.has_headers = False
         self.is_delimited = False
 
@@ -170,9 +216,15 @@
         """Add a part of the body (parser callback)."""
         if self.is_complete:
             return
-        self.body_size += len(part)
-        if self.body_size > MAX_RESPONSE_BYTES:
+        sizes = self.sizes
+        sizes.body += len(part)
+        if self.failure_kind is not None:
+            return
+        sizes.held += len(part)
+        is_held = self.pool.hold_bytes(len(part))
+        if not is_held or sizes.held > MAX_RESPONSE_BYTES:
             self.failure_kind = SendFailureKind.TOO_LARGE
+            self.free_body()
             return
         self.body.append(part)
 
@@ -205,7 +257,7 @@
             b''.join(self.body),
         )
         self.in_flight = None
-        self.body = []
+        self.free_body()
         if self.is_reusable(headers, in_flight):
             self.idle_limit_s = _parse_idle_limit_s(headers)
             self.pool.release(self)
@@ -246,6 +298,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request in flight (asyncio callback)."""
         self.transport = None
+        self.free_body()
         self.pool.remove(self)
         kind = SendFailureKind.CLOSED
         if self.has_headers:
--- a/src/ebonycleat/internal/connection/http_pool.py
+++ b/src/ebonycleat/internal/connection/http_pool.py
@@ -1,6 +1,7 @@
 """A pool of HTTP connections to one server."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import Self
 
@@ -12,6 +13,7 @@
     SendResult,
 )
 from ebonycleat.internal.connection.http_client import (
+    MAX_HELD_BYTES,
     ClientConnection,
     ConnectionOwner,
 )
@@ -28,7 +30,7 @@
     """Connections to one server, reused for later requests.
 
     The pool does not limit its size: the user of the pool limits the number
-    of requests in flight.
+    of requests in flight, and counts failures by kind in ``failure_counts``.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -40,6 +42,8 @@
         self.connecting_tasks: set[asyncio.Task[None]] = set()
         self.unmatched_responses = 0
         self.connections_opened = 0
+        self.held_bytes = 0
+        self.failure_counts: collections.Counter[str] = collections.Counter()
 
     def __enter__(self) -> Self:
         """Return the pool."""
@@ -136,6 +140,11 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def hold_bytes(self, count: int) -> bool:
+        """Account for bytes of bodies that the connections hold."""
+        self.held_bytes += count
+        return self.held_bytes <= MAX_HELD_BYTES
+
     def count_unmatched_response(self) -> None:
         """Count a response that belongs to no request in flight."""
         self.unmatched_responses += 1
--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -31,6 +31,11 @@
 """Added to the limit for each success during a slow start. The limit of a
 busy target grows by at least half per service time."""
 
+MIN_FULL_SHARE = 0.75
+"""Share of the allowed calls from which on a target counts as full when it
+leaves a call without an answer."""
+
+SILENCE_RECOVERY_S = 1.0
 HEALTH_VALID_S = 2
 PROBE_FAILURE_VALID_S = 0.5
 INITIAL_BACKOFF_S = 0.25
@@ -98,6 +103,12 @@
     It fits targets whose service times say little about their load, because
     they wait for other services during most of a call. The target is
     unavailable while none is declared, and during the backoff after a crash.
+
+    A target may leave calls without any answer when its own queue is full.
+    Calls of an earlier process of this node can take its slots, so that it is
+    full before all of them are in use here. Each such call lowers the limit
+    below the number of calls that ran when it was sent; one call is added
+    again after each ``SILENCE_RECOVERY_S`` without another.
     """
 
     def __init__(self, slots: int = 1) -> None:
@@ -105,26 +116,52 @@
         super().__init__(slots)
         self.backoff = TargetBackoff()
         self.has_target = False
+        self.calls_before_silence: int | None = None
+        self.silent_at: float = 0
 
     def declare_slots(self, slots: int) -> None:
         """Allow this many calls, at least one, from now on."""
         self.slots = max(1, slots)
         self.has_target = True
 
+    def record_silence(self, running_when_sent: int, now: float) -> None:
+        """Lower the limit after a call that got no answer at its deadline.
+
+        Nothing is learned from a call that was sent while the target had many
+        free slots: its answer was lost for another reason.
+        """
+        allowed = self.limit_after_silence(now)
+        if running_when_sent >= allowed * MIN_FULL_SHARE:
+            self.calls_before_silence = max(
+                1, min(running_when_sent - 1, allowed)
+            )
+            self.silent_at = now
+
+    def limit_after_silence(self, now: float) -> int:
+        """Return the slots that may be used since the last silent call."""
+        if self.calls_before_silence is None:
+            return self.slots
+        recovered = int((now - self.silent_at) / SILENCE_RECOVERY_S)
+        limited = self.calls_before_silence + recovered
+        if limited >= self.slots:
+            self.calls_before_silence = None
+        return min(limited, self.slots)
+
     def remove_target(self) -> None:
         """Allow no calls until slots are declared again."""
         self.has_target = False
 
     def reset_backoff(self) -> None:
-        """Forget the crashes of an earlier target at this address."""
+        """Forget the failures of an earlier target at this address."""
         self.backoff = TargetBackoff()
+        self.calls_before_silence = None
 
     def allowed_calls(self, now: float) -> int:
         """Return the slots, 1 for the trial call after a backoff, or 0."""
         if not self.has_target:
             return 0
         limited = self.backoff.allowed_calls(now)
-        return self.slots if limited is None else limited
+        return self.limit_after_silence(now) if limited is None else limited
 
     def record_outcome(self, outcome: RunOutcome, now: float) -> None:
         """Back off after a crash; any other result shows a live target."""
--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -51,13 +51,15 @@
 class PendingCall:
     """A call that waits at the gate or runs at the target.
 
-    ``in_flight`` and ``sent_at`` are set when the call is sent to the target.
+    ``in_flight``, ``sent_at`` and ``running_when_sent``, the number of calls
+    at the target including this one, are set when the call is sent.
     """
 
     gate_call: GateCall
     on_result: ResultHandler
     in_flight: InFlightRequest | None = None
     sent_at: float = 0
+    running_when_sent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -70,6 +70,11 @@
 this many seconds. The target may be closing an older one while the request is
 written, and the request must not be sent twice."""
 
+SILENCE_GRACE_S = 0.5
+"""Time after the deadline of a call until its target counts as silent. A slow
+target still answers at the deadline that it was told, with a failure; one that
+does not queue a call for lack of room never answers it."""
+
 CRASH_RETRY_AFTER_S = 600.0
 """Retry-After of a request that crashes targets, so that it does not return
 soon."""
@@ -187,9 +192,10 @@
         self.apply_decisions(self.gate.offer(gate_call.call, self.clock()))
 
     def cancel(self, call_id: str) -> None:
-        """Drop a call whose caller has disconnected.
+        """Drop a call whose caller has disconnected or got its answer.
 
-        A non-idempotent call that was sent already is not cancelled.
+        A non-idempotent call that was sent already is not cancelled. Past the
+        deadline the target should have answered, so it counts as silent.
         """
         pending_call = self.pending_calls.get(call_id)
         if pending_call is None:
@@ -197,7 +203,22 @@
         if pending_call.in_flight is None:
             self.apply_decisions(self.gate.cancel(call_id, self.clock()))
         elif pending_call.gate_call.call.idempotent:
-            pending_call.in_flight.cancel()
+            is_late = pending_call.gate_call.call.deadline <= self.clock()
+            pending_call.in_flight.cancel(
+                SendFailureKind.SILENT if is_late else SendFailureKind.CANCELLED
+            )
+
+    def cancel_silent_runs(self) -> None:
+        """End the runs whose target should have answered long ago.
+
+        Only the connection of such a run is closed. The other runs of the
+        target go on: each has a connection of its own.
+        """
+        now = self.clock()
+        for pending_call in tuple(self.pending_calls.values()):
+            deadline = pending_call.gate_call.call.deadline
+            if pending_call.in_flight and now > deadline + SILENCE_GRACE_S:
+                pending_call.in_flight.cancel(SendFailureKind.SILENT)
 
     def tick(self) -> None:
         """Refuse expired calls, start waiting ones, update the backpressure."""
@@ -240,6 +261,7 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         pending_call.sent_at = now
+        pending_call.running_when_sent = len(self.gate.running)
         self.call_counts.record_run(call.route, now)
         self.running_by_request_id[pending_call.gate_call.request_id] = (
             pending_call.gate_call
@@ -323,7 +345,7 @@
         if isinstance(result, SendFailure):
             self.end_run(call, RunOutcome(run_result_of(result), service_s))
             self.log_failure(pending_call, result)
-            self.record_failure(call, result)
+            self.record_failure(pending_call, result)
             refusal = refusal_of(result)
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
@@ -371,13 +393,23 @@
             )
             pending_call.on_result(result)
 
-    def record_failure(self, call: Call, failure: SendFailure) -> None:
-        """Record a failure that may be due to a crash of the target."""
+    def record_failure(
+        self, pending_call: PendingCall, failure: SendFailure
+    ) -> None:
+        """Count a failure, and learn from one that the target caused.
+
+        A closed connection may be due to a crash, a missing answer to a full
+        queue of the target.
+        """
+        self.pool.failure_counts[failure.kind.value] += 1
+        now = self.clock()
         if failure.kind is SendFailureKind.NOT_CONNECTED:
             self.record_target_crash()
+        elif failure.kind is SendFailureKind.SILENT:
+            self.limit.record_silence(pending_call.running_when_sent, now)
         elif failure.kind is not SendFailureKind.CANCELLED:
             self.crashes.record_closed_connection(
-                fingerprint_call(call), self.clock()
+                fingerprint_call(pending_call.gate_call.call), now
             )
 
     def log_failure(
@@ -392,4 +424,8 @@
             kind=failure.kind.value,
             was_sent=failure.was_sent,
             detail=failure.detail,
+            running=len(self.gate.running),
+            running_when_sent=pending_call.running_when_sent,
+            sent_s_ago=round(self.clock() - pending_call.sent_at, 3),
+            limit=self.limit.allowed_calls(self.clock()),
         )
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -319,6 +319,11 @@
             'gate.connections': len(pool.connections),
             'gate.connections_opened': pool.connections_opened,
             'gate.foreign_answers': pool.unmatched_responses,
+            'gate.held_bytes': pool.held_bytes,
+            **{
+                f'gate.failed.{kind}': count
+                for kind, count in pool.failure_counts.items()
+            },
             'links.open': len(self.links.links) + len(self.links.accepted),
             'members.nodes': self.fleet.members.count_serving_nodes(),
             'store.calls': background.follower.store_calls
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -34,6 +34,9 @@
 LINK_TICK_S = 0.1
 """Interval of the checks for silent links: a twelfth of the silence limit."""
 
+RUN_TICK_S = 0.25
+"""Interval of the checks for runs that their target should have ended."""
+
 COUNT_TICK_S = 1
 """Interval at which nodes are counted again. A lower count takes effect only
 after some seconds, so the count is also passed on when it has not changed."""
@@ -118,6 +121,7 @@
         _write_first_record(node),
         _tick_queues(node),
         _tick(LINK_TICK_S, node.links.check_silence),
+        _tick(RUN_TICK_S, node.gate.cancel_silent_runs),
         _tick(COUNT_TICK_S, node.update_node_count),
     )
     loop = asyncio.get_running_loop()
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -10,6 +10,7 @@
     TargetDeregistration,
 )
 from ebonycleat.internal.process.mesh_admission import AdmittedRequest
+from ebonycleat.internal.process.mesh_gate import SILENCE_GRACE_S
 from ebonycleat.internal.process.mesh_gate_client import (
     LocalNode,
     MeshGateClient,
@@ -57,6 +58,89 @@
     assert results == [Answer('call-0', 203, (('x-kept', 'yes'),), b'map')]
 
 
+def pass_time(gate, clock, seconds):
+    """Advance the clock in the steps in which a node ticks its queues."""
+    end = clock.now + seconds
+    while clock.now < end:
+        clock.now += 0.1
+        gate.tick()
+        gate.cancel_silent_runs()
+
+
+def test_a_call_that_is_never_answered_frees_its_slot_and_may_have_run(clock):
+    """Guards against slots that silent targets keep for good.
+
+    A non-idempotent call is not cancelled by its caller, so only the gate ends
+    it, some time after its deadline. It must not be sent a second time.
+    """
+    gate = create_mesh_gate(clock, slots=2)
+    results = offer_calls(gate, clock, idempotent=False)
+    pass_time(gate, clock, 1 + SILENCE_GRACE_S - 0.2)
+    assert not results
+    pass_time(gate, clock, 1)
+    assert find_refusal(results).outcome is Outcome.UNKNOWN
+    assert len(gate.pool.sends) == 1
+    assert not gate.gate.running
+    assert gate.pool.failure_counts['silent'] == 1
+
+
+def test_other_runs_of_a_silent_target_go_on(clock):
+    """Guards against ending runs that the target still works on."""
+    gate = create_mesh_gate(clock, slots=4)
+    results = []
+    for number, seconds in enumerate((1, 3)):
+        gate.offer(
+            create_gate_call(
+                clock, number, idempotent=False, deadline=clock() + seconds
+            ),
+            results.append,
+        )
+    pass_time(gate, clock, 2)
+    assert [result.call_id for result in results] == ['call-0']
+    assert list(gate.gate.running) == ['call-1']
+
+
+def test_a_target_that_leaves_calls_unanswered_when_full_gets_fewer(clock):
+    """Guards against overfilling a target again and again.
+
+    It has room for two calls beside those of an earlier process of this node,
+    and never answers the others.
+    """
+    gate = create_mesh_gate(clock, slots=4)
+    results = offer_calls(gate, clock, 4, deadline=clock() + 1)
+    for answered in gate.pool.sends[:2]:
+        answered.answer()
+    clock.now += 1.08
+    for number in (2, 3):
+        gate.cancel(f'call-{number}')
+    assert len([one for one in results if isinstance(one, Answer)]) == 2
+    assert gate.limit.allowed_calls(clock()) == 2
+    pass_time(gate, clock, 4)
+    assert gate.limit.allowed_calls(clock()) == 4
+
+
+def test_a_lost_answer_of_an_idle_target_lowers_no_limit(clock):
+    """Guards against taking each missing answer for a full target."""
+    gate = create_mesh_gate(clock, slots=4)
+    offer_calls(gate, clock)
+    clock.now += 1.08
+    gate.cancel('call-0')
+    assert gate.pool.failure_counts['silent'] == 1
+    assert gate.limit.allowed_calls(clock()) == 4
+
+
+def test_a_slow_target_that_answers_at_the_deadline_is_not_silent(clock):
+    """Guards against fewer calls to a target that is only slow."""
+    gate = create_mesh_gate(clock, slots=2)
+    results = offer_calls(gate, clock, 2)
+    clock.now += 1.05
+    for send in gate.pool.sends:
+        send.answer(504)
+    gate.tick()
+    assert [result.status for result in results] == [504, 504]
+    assert gate.limit.allowed_calls(clock()) == 2
+
+
 def test_no_more_calls_run_than_the_target_has_slots(clock):
     """Guards against sending a target more calls than it accepts."""
     gate = create_mesh_gate(clock, slots=2)
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -1,5 +1,6 @@
 """Fakes and factory functions for tests of single parts of a mesh node."""
 
+import collections
 import random
 
 from ebonycleat.internal.connection.client_requests import (
@@ -61,9 +62,9 @@
     def fail(self, kind=SendFailureKind.CLOSED, *, was_sent=True):
         self.on_result(SendFailure(kind, was_sent=was_sent))
 
-    def cancel(self):
+    def cancel(self, kind=SendFailureKind.CANCELLED):
         self.is_cancelled = True
-        self.fail(SendFailureKind.CANCELLED)
+        self.fail(kind)
 
 
 class FakePool:
@@ -74,6 +75,8 @@
         self.connections = set()
         self.connections_opened = 0
         self.unmatched_responses = 0
+        self.held_bytes = 0
+        self.failure_counts = collections.Counter()
 
     def send(self, request, on_result):
         send = FakeSend(request, on_result)
