Requests behind one another on a caller's connection run side by side

Cause: callers of the ledger send further idempotent requests before the first is answered; each waited for the one before it, and a stop could drop what had been received behind an answer. Heads that never end were kept without limit (the parser reports a header only when it is complete), and slow ones had no limit of total time. Change: up to eight requests of a connection run side by side if their route is idempotent, others start when everything before them is answered; answers keep the order. Nothing runs behind a request that closes the connection. A stop answers all that was received and waits for requests that are still being received. Framing and time of heads are limited.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -1,8 +1,12 @@
 """HTTP/1.1 server on the event loop, for callers and for the node's own target.
 
-The requests of one connection are handled one at a time, in their order. A
-request is passed on only when it is complete, so that a client that
-disconnects midway never leaves a partial request at a target.
+A client may send further requests before the first has been answered. Those
+that the handler allows run side by side, the others one at a time; all are
+answered in their order. Requests behind an answer that closes the connection
+have not been read: clients send them again whatever their kind, so a request
+that must not run twice starts only when nothing before it can close the
+connection any more. A request is passed on only when it is complete, so that a
+client that disconnects midway never leaves a partial request at a target.
 """
 
 import abc
@@ -27,6 +31,14 @@
 This limits the memory that one connection can use.
 """
 
+MAX_CONCURRENT_REQUESTS = 8
+"""Requests of one connection that may run side by side."""
+
+FRAMING_SLACK_BYTES = 16_384
+FRAMING_BYTES_PER_BODY_BYTE = 8
+"""Sizes of chunks and trailers may take ``FRAMING_SLACK_BYTES``, and this many
+bytes more for each byte of the body; a chunk with one byte needs five."""
+
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 """Interval between checks of time-outs; short compared with the time-outs."""
 
@@ -47,8 +59,8 @@
 class ListenerLimits:
     """Limits on the size of requests and on the time of connections.
 
-    Both time-outs limit the time without received data: ``header_timeout_s``
-    while the headers of a request arrive, ``idle_timeout_s`` while its body
+    ``header_timeout_s`` limits the time in which the headers of a request
+    arrive, ``idle_timeout_s`` the time without received data while its body
     arrives and between requests. There is no limit while a request is being
     handled.
     """
@@ -63,9 +75,17 @@
     """One request and its response.
 
     ``on_abandoned`` is called if the connection closes before the response.
+    ``response`` is kept until the responses to all earlier requests of the
+    connection have been written.
     """
 
-    __slots__ = ('connection', 'is_finished', 'on_abandoned', 'request')
+    __slots__ = (
+        'connection',
+        'is_finished',
+        'on_abandoned',
+        'request',
+        'response',
+    )
 
     def __init__(
         self,
@@ -76,6 +96,7 @@
         self.connection = connection
         self.request = request
         self.is_finished = False
+        self.response: HttpResponse | None = None
         self.on_abandoned: Callable[[], None] | None = None
 
     def respond(self, response: HttpResponse) -> None:
@@ -84,7 +105,8 @@
             return
         self.is_finished = True
         self.on_abandoned = None
-        self.connection.finish_exchange(self, response)
+        self.response = response
+        self.connection.write_responses()
 
     def abandon(self) -> None:
         """Finish the exchange because its connection closed first."""
@@ -103,6 +125,14 @@
     def handle_exchange(self, exchange: Exchange) -> None:
         """Handle one exchange; ``exchange.respond`` may be called later."""
 
+    def may_run_beside(self, request: HttpRequest) -> bool:
+        """Tell whether a request may run before earlier ones are answered.
+
+        The client sends it again if an earlier answer closes the connection,
+        so it must be a request that may run more than once.
+        """
+        return False
+
 
 class HttpListener:
     """All connections to one listening address."""
@@ -119,14 +149,17 @@
         self.clock = clock
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
+        self.unread_requests = 0
 
     def create_connection(self) -> 'ServerConnection':
         """Create the protocol object of an accepted connection."""
         return ServerConnection(self)
 
     def count_open_exchanges(self) -> int:
-        """Return the number of connections with a request in progress."""
-        return sum(1 for connection in self.connections if connection.is_busy())
+        """Return the number of requests that are received or unanswered."""
+        return sum(
+            connection.count_open_exchanges() for connection in self.connections
+        )
 
     def close_idle(self) -> None:
         """Close idle connections now, and the others after their response."""
@@ -147,6 +180,21 @@
             connection.close_if_timed_out(now)
 
 
+class ReceivedRequest:
+    """The request of which a connection receives the parts."""
+
+    def __init__(self) -> None:
+        """Start without any part."""
+        self.request_target = b''
+        self.method = ''
+        self.headers: list[tuple[str, str]] = []
+        self.header_size = 0
+        self.body: list[bytes] = []
+        self.body_size = 0
+        self.framing_size = 0
+        self.has_headers = False
+
+
 class ServerConnection(asyncio.Protocol):
     """Parses the requests of one connection and writes the responses.
 
@@ -162,22 +210,13 @@
         self.queued_requests: collections.deque[HttpRequest] = (
             collections.deque()
         )
-        self.current_exchange: Exchange | None = None
+        self.exchanges: collections.deque[Exchange] = collections.deque()
+        self.is_starting = False
         self.last_activity_at = listener.clock()
-        self.is_receiving = False
+        self.receiving_since: float | None = None
         self.is_paused = False
         self.refusal_status = 0
-        self.reset_request()
-
-    def reset_request(self) -> None:
-        """Reset the fields that hold the request being received."""
-        self.request_target = b''
-        self.method = ''
-        self.headers: list[tuple[str, str]] = []
-        self.header_size = 0
-        self.body: list[bytes] = []
-        self.body_size = 0
-        self.has_headers = False
+        self.received = ReceivedRequest()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport (asyncio callback)."""
@@ -185,13 +224,12 @@
         self.listener.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Abandon the exchange in progress (asyncio callback)."""
+        """Abandon the exchanges in progress (asyncio callback)."""
         self.listener.connections.discard(self)
         self.transport = None
-        self.queued_requests.clear()
-        if self.current_exchange is not None:
-            self.current_exchange.abandon()
-            self.current_exchange = None
+        self.drop_unread_requests()
+        while self.exchanges:
+            self.exchanges.popleft().abandon()
 
     def eof_received(self) -> bool:
         """Close when the client ends its sending side (asyncio callback).
@@ -205,90 +243,136 @@
         if self.refusal_status:
             return
         self.last_activity_at = self.listener.clock()
+        request = self.received
+        body_size_before = request.body_size
+        was_receiving = self.receiving_since is not None
         try:
             self.parser.feed_data(received)
         except httptools.HttpParserUpgrade:
             self.refusal_status = BAD_REQUEST
         except httptools.HttpParserError:
             self.refusal_status = self.refusal_status or BAD_REQUEST
-        self.start_next_exchange()
+        # Bytes that end one request and begin the next are not counted.
+        if was_receiving and self.received is request:
+            self.count_framing(
+                len(received) - request.body_size + body_size_before
+            )
+        self.start_exchanges()
+
+    def count_framing(self, count: int) -> None:
+        """Refuse a request with a head or with framing that does not end.
+
+        The parser reports a header or a chunk only when it is complete.
+        """
+        self.received.framing_size += count
+        limits = self.listener.limits
+        if not self.received.has_headers:
+            if self.received.framing_size > limits.header_bytes:
+                self.refusal_status = HEADERS_TOO_LARGE
+            return
+        allowed = self.received.body_size * FRAMING_BYTES_PER_BODY_BYTE
+        allowed += limits.header_bytes + FRAMING_SLACK_BYTES
+        if self.received.framing_size > allowed:
+            self.refusal_status = BAD_REQUEST
 
     def on_message_begin(self) -> None:
         """Start a new request (parser callback)."""
-        self.is_receiving = True
-        self.reset_request()
+        self.receiving_since = self.listener.clock()
+        self.received = ReceivedRequest()
 
     def on_url(self, part: bytes) -> None:
         """Add a part of the request target (parser callback)."""
-        self.request_target += part
+        self.received.request_target += part
         self.count_header_bytes(len(part))
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Add a header (parser callback)."""
-        self.headers.append((decode_header_name(name), text.decode('latin-1')))
+        self.received.headers.append((
+            decode_header_name(name),
+            text.decode('latin-1'),
+        ))
         self.count_header_bytes(len(name) + len(text))
 
     def on_headers_complete(self) -> None:
         """Store the method and answer ``Expect`` (parser callback)."""
-        self.has_headers = True
+        self.received.has_headers = True
         # Read now: the parser may continue with the next request in the same
         # data, and then returns the method of that one.
-        self.method = self.parser.get_method().decode('latin-1')
-        if self.transport and ('expect', '100-continue') in self.headers:
+        self.received.method = self.parser.get_method().decode('latin-1')
+        if (
+            self.transport
+            and ('expect', '100-continue') in self.received.headers
+        ):
             self.transport.write(CONTINUE_LINE)
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body (parser callback)."""
-        self.body_size += len(part)
-        if self.body_size > self.listener.limits.body_bytes:
+        self.received.body_size += len(part)
+        if self.received.body_size > self.listener.limits.body_bytes:
             self.refusal_status = BODY_TOO_LARGE
-            self.body.clear()
+            self.received.body.clear()
             return
-        self.body.append(part)
+        self.received.body.append(part)
 
     def on_message_complete(self) -> None:
         """Queue the complete request (parser callback)."""
-        self.is_receiving = False
+        self.receiving_since = None
         if self.refusal_status:
             return
         self.queued_requests.append(
             HttpRequest(
-                self.method,
-                self.request_target.decode('latin-1'),
-                tuple(self.headers),
-                b''.join(self.body),
+                self.received.method,
+                self.received.request_target.decode('latin-1'),
+                tuple(self.received.headers),
+                b''.join(self.received.body),
                 self.parser.should_keep_alive(),
             ),
         )
-        self.reset_request()
+        self.received = ReceivedRequest()
 
     def count_header_bytes(self, count: int) -> None:
         """Refuse a request whose target and headers exceed the limit."""
-        self.header_size += count
-        if self.header_size > self.listener.limits.header_bytes:
+        self.received.header_size += count
+        if self.received.header_size > self.listener.limits.header_bytes:
             self.refusal_status = HEADERS_TOO_LARGE
 
-    def start_next_exchange(self) -> None:
-        """Start the next queued request, or send a pending refusal.
+    def start_exchanges(self) -> None:
+        """Start the queued requests that may run now.
 
-        Does nothing while another exchange of the connection is in progress.
+        A pending refusal is sent when all requests before it are answered.
         """
-        if self.transport is None or self.current_exchange is not None:
-            self.update_reading()
+        if self.is_starting:
             return
-        if self.queued_requests:
-            self.current_exchange = Exchange(
-                self, self.queued_requests.popleft()
-            )
-            self.update_reading()
-            self.listener.handler.handle_exchange(self.current_exchange)
-        elif self.refusal_status:
+        self.is_starting = True
+        while self.queued_requests and self.may_start(self.queued_requests[0]):
+            exchange = Exchange(self, self.queued_requests.popleft())
+            self.exchanges.append(exchange)
+            self.listener.handler.handle_exchange(exchange)
+        self.is_starting = False
+        self.update_reading()
+        if self.refusal_status and not self.is_busy() and self.transport:
             response = HttpResponse(self.refusal_status)
             self.transport.write(
                 encode_response(response, close=True, is_head=False),
             )
             self.transport.close()
 
+    def may_start(self, request: HttpRequest) -> bool:
+        """Tell whether the first queued request may run now.
+
+        Behind other requests only those run that may run twice, and none
+        behind the last one that the connection will answer.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if not self.exchanges:
+            return True
+        if len(self.exchanges) >= MAX_CONCURRENT_REQUESTS:
+            return False
+        if not self.exchanges[-1].request.keep_alive:
+            return False
+        return self.listener.handler.may_run_beside(request)
+
     def update_reading(self) -> None:
         """Pause or resume reading by the number of queued requests."""
         if self.transport is None or self.transport.is_closing():
@@ -302,15 +386,29 @@
         else:
             self.transport.resume_reading()
 
-    def finish_exchange(
-        self, exchange: Exchange, response: HttpResponse
+    def write_responses(self) -> None:
+        """Write the responses that are next in order, and start requests."""
+        while self.exchanges and self.exchanges[0].response is not None:
+            exchange = self.exchanges.popleft()
+            if exchange.response is not None:
+                self.write_response(exchange.request, exchange.response)
+        if self.queued_requests or self.refusal_status:
+            # Deferred, because a handler that responds at once would recurse.
+            asyncio.get_running_loop().call_soon(self.start_exchanges)
+
+    def write_response(
+        self, request: HttpRequest, response: HttpResponse
     ) -> None:
-        """Write a response and continue with the next request."""
-        self.current_exchange = None
+        """Write one response; close after the last one of the connection.
+
+        While the listener closes, requests that were read already are answered
+        first.
+        """
         if self.transport is None or self.transport.is_closing():
             return
-        request = exchange.request
-        must_close = not request.keep_alive or self.listener.is_closing
+        must_close = not request.keep_alive
+        if self.listener.is_closing and not self.is_busy():
+            must_close = True
         self.transport.write(
             encode_response(
                 response,
@@ -321,30 +419,38 @@
         self.last_activity_at = self.listener.clock()
         if must_close:
             self.transport.close()
-        elif self.queued_requests or self.refusal_status:
-            # Deferred, because a handler that responds at once would recurse.
-            asyncio.get_running_loop().call_soon(self.start_next_exchange)
+            self.drop_unread_requests()
+
+    def drop_unread_requests(self) -> None:
+        """Drop requests that were received but will not be answered."""
+        self.listener.unread_requests += len(self.queued_requests)
+        self.queued_requests.clear()
 
     def is_busy(self) -> bool:
         """Return whether a complete request has no response yet."""
-        return self.current_exchange is not None or bool(self.queued_requests)
+        return bool(self.exchanges or self.queued_requests)
+
+    def count_open_exchanges(self) -> int:
+        """Return how many requests are being received or are unanswered."""
+        is_receiving = self.receiving_since is not None
+        return len(self.exchanges) + len(self.queued_requests) + is_receiving
 
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or partly received."""
-        if self.transport and not self.is_busy() and not self.is_receiving:
+        if self.transport and not self.count_open_exchanges():
             self.transport.close()
 
     def close_if_timed_out(self, now: float) -> None:
-        """Close if idle for too long; refuse headers that stop arriving."""
+        """Close if idle for too long; refuse headers that do not end."""
         if self.transport is None or self.is_busy():
             return
         limits = self.listener.limits
-        idle_s = now - self.last_activity_at
-        if self.is_receiving and not self.has_headers:
-            if idle_s > limits.header_timeout_s:
+        since = self.receiving_since
+        if since is not None and not self.received.has_headers:
+            if now - since > limits.header_timeout_s:
                 self.refusal_status = REQUEST_TIMEOUT
-                self.start_next_exchange()
-        elif idle_s > limits.idle_timeout_s:
+                self.start_exchanges()
+        elif now - self.last_activity_at > limits.idle_timeout_s:
             self.transport.close()
 
 
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -8,7 +8,10 @@
     Exchange,
     ExchangeHandler,
 )
-from ebonycleat.internal.connection.http_messages import HttpResponse
+from ebonycleat.internal.connection.http_messages import (
+    HttpRequest,
+    HttpResponse,
+)
 from ebonycleat.internal.connection.platform_interfaces import (
     CallerProtocol,
     CallerRequest,
@@ -104,6 +107,16 @@
             ),
         )
 
+    def may_run_beside(self, request: HttpRequest) -> bool:
+        """Let idempotent requests run beside others of their connection."""
+        components = self.components
+        caller_request = components.protocol.parse_request(request)
+        index = components.admission.holder.index
+        if isinstance(caller_request, Refusal) or index is None:
+            return False
+        route = index.find_route(caller_request.host, caller_request.path)
+        return route is not None and route.is_idempotent
+
     def check_backpressure(
         self,
         admitted: AdmittedRequest,
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -329,6 +329,7 @@
             'store.calls': background.follower.store_calls
             + background.record_writer.store_calls,
             'callers.connections': len(self.listener.connections),
+            'callers.unread_requests': self.listener.unread_requests,
         })
 
     def count_open_requests(self) -> int:
