Tokens of a team are pooled at one holder for all zones

Cause: nodes lent their parts of a rate to the leader of their zone. A zone's pool held at most the zone's part of the burst, so slow teams never had a whole token anywhere, and callers that are skewed over zones found their zone's pool empty. A lease also counted from its arrival at the holder, so a delayed message lent for longer than the owner waited. Change: teams are in four groups, each with one holder in the whole region: the first reachable node of the first zone in an order that all nodes share. Parts of a group are lent together, so a renewal does not grow with the number of teams. A pool with the parts of most nodes may fill to one token (no other pool can have one then). Leases count from the holder's last reply that the lender has seen; a new holder gets parts only after the lease of the old one, at once if that one stops as planned. Exchange between zones goes with the old way. Ruled out as the cause: processor time (0.011 cores a node).

--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -168,24 +168,34 @@
 class TokenExchangeRequest(MeshMessage, frozen=True, tag=12):
     """Lends parts of the rates of teams to the receiver and asks for tokens.
 
-    ``lent`` lists the teams of which the sender lends its part of the rate for
-    the time of one lease, with the tokens that it holds for them. ``wanted``
-    lists teams with the tokens that are needed now and those that could be
-    used soon.
-    ``is_same_zone`` is False between the leaders of two zones.
+    ``groups`` are the groups of teams whose parts the sender lends for the time
+    of one lease, and ``lent`` lists the teams of which it has tokens. The lease
+    counts from ``holder_time_s``, the time on the receiver's clock in its
+    latest reply on this link, so that a delayed message lends for less; without
+    one nothing is lent. ``wanted`` lists teams with the tokens that are needed
+    now and those that could be used soon. ``is_same_zone`` is always true;
+    earlier versions read it.
     """
 
     number: int
     lent: tuple[tuple[str, float], ...]
     wanted: tuple[tuple[str, float, float], ...]
-    is_same_zone: bool
+    is_same_zone: bool = True
+    groups: tuple[int, ...] = ()
+    holder_time_s: float | None = None
 
 
 class TokenExchangeReply(MeshMessage, frozen=True, tag=13):
-    """Reply to a ``TokenExchangeRequest``: tokens granted for each team."""
+    """Reply to a ``TokenExchangeRequest``: tokens granted for each team.
+
+    ``holder_time_s`` is the sender's clock. A sender that ``is_leaving`` stops
+    and has given up all parts that were lent to it.
+    """
 
     number: int
     granted: tuple[tuple[str, float], ...]
+    holder_time_s: float | None = None
+    is_leaving: bool = False
 
 
 AnyMeshMessage: TypeAlias = (
--- a/src/ebonycleat/internal/process/mesh_components.py
+++ b/src/ebonycleat/internal/process/mesh_components.py
@@ -37,6 +37,7 @@
 from ebonycleat.internal.process.router import create_router
 from ebonycleat.internal.process.store_follower import StoreFollower
 from ebonycleat.internal.process.token_exchange import TokenExchanger
+from ebonycleat.internal.process.token_holders import TokenHolders
 from ebonycleat.internal.process.unreachable_member_sweep import (
     UnreachableMemberSweep,
 )
@@ -106,7 +107,7 @@
         MemberRecordWriter(dependencies.platform.store, dependencies.log),
         TokenExchanger(
             fleet.quotas,
-            leader,
+            TokenHolders(fleet.quotas, leader, links),
             links,
             dependencies.clock,
             dependencies.rng,
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -189,6 +189,7 @@
     )
     log.write_always('node stopping', open=node.count_open_requests())
     node.gate.gate.drain()
+    node.background.token_exchanger.stop_holding()
     # The record tells other nodes whether this node still serves callers:
     # it does not when its target leaves too.
     node.update_own_record()
--- a/src/ebonycleat/internal/process/node_quotas.py
+++ b/src/ebonycleat/internal/process/node_quotas.py
@@ -4,15 +4,21 @@
 instead, for which nodes must agree on the owner of each team's tokens.
 
 Each team's rate and burst are divided into as many parts as there are nodes,
-and each node owns one part of each. It lends its parts, by leases of less than
-a second, to the leader of its zone. The leader pools them and gives single
-tokens to the nodes that have callers. A part is used either by its owner or by
-the one node that holds the lease. Therefore a network partition, a crash or a
-second leader can lose tokens but never use them twice.
+and each node owns one part of each. It lends its parts, by leases of a second,
+to a holder: one node for each group of teams in the whole region, or the first
+that it can reach. The holder pools them and gives single tokens to the nodes
+that have callers. A part is used either by its owner or by the one node that
+holds the lease. Therefore a network partition, a crash or a second holder can
+lose tokens but never use them twice.
 """
 
-from collections.abc import Iterable
+import dataclasses
+from collections.abc import Iterable, Mapping
 
+from ebonycleat.internal.process.team_groups import (
+    GROUP_COUNT,
+    group_of_team,
+)
 from ebonycleat.internal.process.token_pool import (
     MAX_CLOCK_DRIFT,
     PART_LEASE_S,
@@ -81,6 +87,15 @@
         self.lent_until = max(lent_until, self.lent_until or 0)
         return level
 
+    def take_back(self, level: float, now: float) -> None:
+        """End the lease early; ``level`` are the tokens that the holder had.
+
+        Only a holder that has given up the part may be taken back from.
+        """
+        self.lent_until = None
+        self.refilled_at = now
+        self.level = min(self.burst, self.level + level)
+
     def spend(self, tokens: float, now: float) -> float:
         """Take tokens of a part that is not lent, and return how many."""
         self.refill(now)
@@ -91,8 +106,19 @@
         return taken
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loan:
+    """The parts of one group are lent to a node until a time."""
+
+    holder: str
+    ends_at: float
+
+
 class NodeQuotas:
-    """The parts and the tokens of all teams at one node."""
+    """The parts and the tokens of all teams at one node.
+
+    ``loans`` has the latest loan of each group of teams.
+    """
 
     def __init__(self) -> None:
         """Start without teams."""
@@ -100,6 +126,7 @@
         self.own_parts: dict[str, QuotaPart] = {}
         self.drawn_tokens: dict[str, TokenStore] = {}
         self.demands: dict[str, DemandMean] = {}
+        self.loans: dict[int, Loan] = {}
         self.pool = TokenPool()
         self.node_count = 0
         self.lower_count_since: float | None = None
@@ -146,10 +173,14 @@
         for team, part in parts.items():
             if team not in self.own_parts:
                 self.own_parts[team] = QuotaPart(now)
+                # The holder has the parts of all teams of a group.
+                loan = self.find_loan(group_of_team(team), now)
+                if loan is not None:
+                    self.own_parts[team].lent_until = loan.ends_at
                 self.drawn_tokens[team] = TokenStore()
                 self.demands[team] = DemandMean(now)
             self.own_parts[team].configure(*part, now)
-        self.pool.configure(parts, now)
+        self.pool.configure(parts, self.node_count, now)
 
     def is_limited(self, team: str) -> bool:
         """Tell whether the requests of a team need tokens."""
@@ -174,14 +205,51 @@
         if demand is not None:
             demand.record()
 
-    def lend_all(self, now: float) -> dict[str, float]:
-        """Lend all own parts for one lease; return the tokens in them by team."""
+    def update_demands(self, now: float) -> None:
+        """Update the measured demand of all teams."""
         for demand in self.demands.values():
             demand.update(now)
-        return {
+
+    def find_loan(self, group: int, now: float) -> Loan | None:
+        """Return the loan of a group, None if its parts are not lent."""
+        loan = self.loans.get(group)
+        return None if loan is None or loan.ends_at <= now else loan
+
+    def lend(
+        self, group: int, holder: str, now: float
+    ) -> dict[str, float] | None:
+        """Lend the own parts of a group, or renew the lease of the holder.
+
+        Returns the tokens in the parts by team, without those that have none.
+        Returns None, and lends nothing, while another node may hold them.
+        """
+        loan = self.find_loan(group, now)
+        if loan is not None and loan.holder != holder:
+            return None
+        levels = {
             team: own_part.lend(now)
             for team, own_part in self.own_parts.items()
+            if group_of_team(team) == group
         }
+        lent_for_s = PART_LEASE_S * (1 + MAX_CLOCK_DRIFT)
+        self.loans[group] = Loan(holder, now + lent_for_s)
+        return {team: level for team, level in levels.items() if level > 0}
+
+    def take_back(
+        self, group: int, levels: Mapping[str, float], now: float
+    ) -> None:
+        """End the loan of a group whose holder has given it up."""
+        self.loans.pop(group, None)
+        for team, own_part in self.own_parts.items():
+            if group_of_team(team) == group:
+                own_part.take_back(levels.get(team, 0), now)
+
+    def take_back_from(self, holder: str, now: float) -> None:
+        """End all loans of a holder that has given them up without tokens."""
+        for group in range(GROUP_COUNT):
+            loan = self.loans.get(group)
+            if loan is not None and loan.holder == holder:
+                self.take_back(group, {}, now)
 
     def create_request(
         self, team: str, waiting: int, now: float
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -1,8 +1,9 @@
-"""Moves tokens of teams from zone leaders to nodes, and between zones.
+"""Moves tokens of teams between their holders and the nodes with callers.
 
 A request of a caller whose node has no token waits a short time for one from
-the leader of its zone. At most one message for a team is in flight at a time,
-so a surge costs one message for each round trip and not one for each request.
+the holder of its team's group. At most one message for a team is in flight at
+a time, so a surge costs one message for each round trip and not one for each
+request.
 """
 
 import asyncio
@@ -19,11 +20,18 @@
 )
 from ebonycleat.internal.process.callbacks import do_nothing
 from ebonycleat.internal.process.node_quotas import NodeQuotas
-from ebonycleat.internal.process.token_pool import TOKEN_LIFETIME_S
+from ebonycleat.internal.process.team_groups import (
+    GROUP_COUNT,
+    group_of_team,
+)
+from ebonycleat.internal.process.token_holders import TokenHolders
+from ebonycleat.internal.process.token_pool import (
+    PART_LEASE_S,
+    TOKEN_LIFETIME_S,
+)
 from ebonycleat.internal.process.token_store import TokenRequest
-from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 
-EXCHANGE_INTERVAL_S = 0.2
+EXCHANGE_INTERVAL_S = 0.25
 """Interval at which leases of parts are renewed: four times in one lease."""
 
 MAX_TOKEN_WAIT_S = 0.05
@@ -69,19 +77,19 @@
 
 
 class TokenExchanger:
-    """Exchanges tokens for one node, and for its zone if it is the leader."""
+    """Exchanges tokens for one node, and for all if it is a holder."""
 
     def __init__(
         self,
         quotas: NodeQuotas,
-        leader: ZoneLeaderChoice,
+        holders: TokenHolders,
         links: LinkPool,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         """Exchange the tokens of ``quotas``; ``rng`` spreads retries."""
         self.quotas = quotas
-        self.leader = leader
+        self.holders = holders
         self.links = links
         self.clock = clock
         self.rng = rng
@@ -145,82 +153,93 @@
         now = self.clock()
         queue.is_request_in_flight = True
         request = self.quotas.create_request(team, len(queue.waiters), now)
-        self.exchange_with_leader({}, [request], now)
+        holder = self.holders.find_holder(group_of_team(team), now)
+        self.exchange_with(holder, (), [request], now)
 
     def exchange(self) -> None:
-        """Renew the leases, draw tokens ahead of need, and balance the zones."""
+        """Renew the leases, and draw tokens ahead of need."""
         now = self.clock()
         for queue in self.wait_queues.values():
             queue.decay_counts(1 - EXCHANGE_INTERVAL_S)
-        lent = self.quotas.lend_all(now)
-        self.exchange_with_leader(
-            lent, self.quotas.create_prefetch_requests(now), now
-        )
-        if self.leader.is_own_node(now):
-            self.balance_zones(now)
+        self.quotas.update_demands(now)
+        self.holders.avoid_silent_holders(now)
+        requests_by_holder: dict[str, list[TokenRequest]] = {}
+        for request in self.quotas.create_prefetch_requests(now):
+            holder = self.holders.find_holder(group_of_team(request.team), now)
+            requests_by_holder.setdefault(holder, []).append(request)
+        groups_by_holder = self.holders.choose_lent_groups(now)
+        for holder in groups_by_holder | requests_by_holder:
+            self.exchange_with(
+                holder,
+                groups_by_holder.get(holder, ()),
+                requests_by_holder.get(holder, ()),
+                now,
+            )
 
-    def exchange_with_leader(
+    def exchange_with(
         self,
-        lent: Mapping[str, float],
+        holder: str,
+        groups: Sequence[int],
         requests: Sequence[TokenRequest],
         now: float,
     ) -> None:
-        """Lend parts to the leader and draw tokens from its pool."""
-        leader = self.leader.choose_leader(now)
-        if leader == self.leader.node:
-            granted_tokens = self.serve_locally(lent, requests, now)
+        """Lend groups to a holder and draw tokens from its pool."""
+        if holder == self.holders.node:
+            granted_tokens = self.serve_locally(groups, requests, now)
             self.receive_tokens(granted_tokens, requests, now)
             return
-        link = self.links.find_open_link(leader)
+        link = self.links.find_open_link(holder)
         if link is None:
-            self.connect_to_leader(leader)
             self.receive_tokens({}, requests, now)
             return
+        lent_groups, levels = self.holders.lend(link, groups, now)
         number = next(link.request_numbers)
-        if requests:
-            link.expect_reply(
-                number,
-                lambda reply: self.receive_tokens(
-                    dict(_read_granted(reply)),
-                    requests,
-                    now,
-                ),
-            )
+        link.expect_reply(
+            number,
+            lambda reply: self.handle_reply(link, reply, requests, now),
+        )
+        self.holders.record_sent(link, now)
         link.send(
             TokenExchangeRequest(
                 number,
-                tuple(lent.items()),
+                tuple(levels.items()),
                 tuple(requests),
-                is_same_zone=True,
+                groups=lent_groups,
+                holder_time_s=self.holders.holder_time_s(link),
             ),
         )
 
-    def connect_to_leader(self, leader: str) -> None:
-        """Connect to a leader, and record it as unreachable on a failure."""
-        self.links.request_link(
-            leader,
-            lambda link: self.handle_leader_connection(leader, link),
-        )
-
-    def handle_leader_connection(
-        self, leader: str, link: MeshLink | None
-    ) -> None:
-        """Record that a leader accepted no connection, to avoid it."""
-        if link is None:
-            self.leader.record_no_answer(leader, self.clock())
-
     def serve_locally(
         self,
-        lent: Mapping[str, float],
+        groups: Sequence[int],
         requests: Sequence[TokenRequest],
         now: float,
     ) -> dict[str, float]:
-        """Lend to and draw from the pool of this node, which is the leader."""
+        """Lend to and draw from the pool of this node, which is the holder."""
         pool = self.quotas.pool
-        for team, level in lent.items():
-            pool.hold_part(team, self.leader.node, level, now)
+        node = self.holders.node
+        for group in groups:
+            levels = self.quotas.lend(group, node, now)
+            if levels is not None:
+                pool.hold(group, node, levels, now + PART_LEASE_S, now)
         return {request.team: pool.draw(request, now) for request in requests}
 
+    def handle_reply(
+        self,
+        link: MeshLink,
+        reply: AnyMeshMessage | None,
+        requests: Sequence[TokenRequest],
+        requested_at: float,
+    ) -> None:
+        """Record what a reply says about its sender, and take the tokens."""
+        granted_tokens: dict[str, float] = {}
+        if isinstance(reply, TokenExchangeReply):
+            self.holders.record_reply(link, reply, self.clock())
+            granted_tokens.update(reply.granted)
+        else:
+            self.holders.record_closed(link, self.clock())
+        self.receive_tokens(granted_tokens, requests, requested_at)
+
     def receive_tokens(
         self,
         granted_tokens: Mapping[str, float],
@@ -262,48 +281,6 @@
             self.serve_waiters(team, queue)
             self.request_for_waiters(team, queue)
 
-    def balance_zones(self, now: float) -> None:
-        """Draw what this zone is short of from the pools of other zones."""
-        shortages = self.quotas.pool.create_requests(now)
-        other_leaders = self.leader.choose_leaders_of_other_zones(now)
-        if not shortages or not other_leaders:
-            return
-        requests = tuple(
-            shortage._replace(wanted=shortage.wanted / len(other_leaders))
-            for shortage in shortages
-        )
-        for leader in other_leaders:
-            self.request_from_other_zone(leader, requests, now)
-
-    def request_from_other_zone(
-        self,
-        leader: str,
-        requests: tuple[TokenRequest, ...],
-        now: float,
-    ) -> None:
-        """Request tokens from the leader of another zone."""
-        link = self.links.find_open_link(leader)
-        if link is None:
-            self.connect_to_leader(leader)
-            return
-        number = next(link.request_numbers)
-        link.expect_reply(
-            number,
-            lambda reply: self.receive_other_zone_tokens(reply, now),
-        )
-        link.send(
-            TokenExchangeRequest(number, (), requests, is_same_zone=False)
-        )
-
-    def receive_other_zone_tokens(
-        self,
-        reply: AnyMeshMessage | None,
-        requested_at: float,
-    ) -> None:
-        """Add another zone's tokens to the pool."""
-        for team, tokens in _read_granted(reply):
-            self.quotas.pool.add_other_zone_tokens(team, tokens, requested_at)
-
     def message_received(self, link: MeshLink, message: AnyMeshMessage) -> None:
         """Process the messages of the exchange."""
         if isinstance(message, TokenExchangeReply):
@@ -316,20 +293,47 @@
     ) -> None:
         """Hold the parts that are lent, and give the tokens that are wanted."""
         now = self.clock()
-        pool = self.quotas.pool
-        for team, level in message.lent:
-            pool.hold_part(team, link.node, level, now)
-        if not message.wanted:
-            return
-        draw = pool.draw if message.is_same_zone else pool.draw_for_other_zone
-        granted_tokens = tuple(
-            (request[0], draw(TokenRequest(*request), now))
-            for request in message.wanted
+        granted_tokens: tuple[tuple[str, float], ...] = ()
+        is_leaving = self.holders.is_leaving
+        if not is_leaving:
+            self.hold_parts(link.node, message, now)
+            granted_tokens = tuple(
+                (request[0], self.quotas.pool.draw(TokenRequest(*request), now))
+                for request in message.wanted
+            )
+        link.send(
+            TokenExchangeReply(message.number, granted_tokens, now, is_leaving)
         )
-        link.send(TokenExchangeReply(message.number, granted_tokens))
 
+    def hold_parts(
+        self, node: str, message: TokenExchangeRequest, now: float
+    ) -> None:
+        """Hold the parts that a node lends.
+
+        The lease counts from this node's own earlier reply, which the lender
+        had received before it lent the parts. The lender's lease therefore
+        ends later, however long the message was on its way.
+        """
+        holder_time_s = message.holder_time_s
+        if holder_time_s is None or holder_time_s > now:
+            return
+        for group in message.groups:
+            if 0 <= group < GROUP_COUNT:
+                levels = {
+                    team: level
+                    for team, level in message.lent
+                    if group_of_team(team) == group
+                }
+                self.quotas.pool.hold(
+                    group, node, levels, holder_time_s + PART_LEASE_S, now
+                )
+
+    def stop_holding(self) -> None:
+        """Give up the parts of other nodes, because this node stops.
 
-def _read_granted(
-    reply: AnyMeshMessage | None,
-) -> tuple[tuple[str, float], ...]:
-    return reply.granted if isinstance(reply, TokenExchangeReply) else ()
+        Their next exchange is answered with this, and they lend to another
+        node at once instead of after the end of their leases.
+        """
+        self.holders.is_leaving = True
+        self.quotas.pool.release_all()
+        self.quotas.take_back_from(self.holders.node, self.clock())
--- a/src/ebonycleat/internal/process/zone_leader.py
+++ b/src/ebonycleat/internal/process/zone_leader.py
@@ -37,10 +37,18 @@
         """Return the address of the own zone's leader, maybe this node."""
         return self.find_available_node(self.zone, now) or self.node
 
-    def find_available_node(self, zone: str, now: float) -> str:
-        """Return the first node of a zone that is not avoided, else ''."""
+    def find_available_node(
+        self, zone: str, now: float, *, skips_own: bool = False
+    ) -> str:
+        """Return the first node of a zone that is not avoided, else ''.
+
+        This node itself is never avoided; ``skips_own`` leaves it out.
+        """
         for address in self.members.list_addresses(zone):
-            if address == self.node or not self.is_avoided(address, now):
+            if address == self.node:
+                if not skips_own:
+                    return address
+            elif not self.is_avoided(address, now):
                 return address
         return ''
 
--- a/tests/cover/test_token_waiting.py
+++ b/tests/cover/test_token_waiting.py
@@ -10,25 +10,27 @@
     MAX_TOKEN_WAIT_S,
     TokenExchanger,
 )
+from ebonycleat.internal.process.token_holders import TokenHolders
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 from ebonycleat.internal.version.mesh_configuration import MeshTeam
 from tests.mesh_fakes import ManualClock
 
-LEADER = '127.0.0.1:1'
+HOLDER = '127.0.0.1:1'
 
 
 def create_exchanger(clock):
     """Return the exchanger of a node that does not know the node count yet.
 
-    Its leader cannot be reached, so it receives no tokens.
+    The holder cannot be reached, so it receives no tokens.
     """
     links = LinkPool(None, Hello('own', 'maps'), clock)
     links.request_link = lambda address, on_link: None
-    leader = ZoneLeaderChoice('own', 'a', MeshMembers(), links)
-    leader.choose_leader = lambda now: LEADER
     quota = NodeQuotas()
     quota.set_teams((MeshTeam('shop', (), rate_per_s=1, burst=1),), clock())
-    return TokenExchanger(quota, leader, links, clock, random.Random(1))
+    leader = ZoneLeaderChoice('own', 'a', MeshMembers(), links)
+    holders = TokenHolders(quota, leader, links)
+    holders.find_holder = lambda group, now: HOLDER
+    return TokenExchanger(quota, holders, links, clock, random.Random(1))
 
 
 def test_a_request_that_begins_to_wait_wakes_the_node():
--- a/tests/nocover/test_quota_schedules.py
+++ b/tests/nocover/test_quota_schedules.py
@@ -1,6 +1,6 @@
 """Random schedules of quota leases between many nodes, in simulated time.
 
-Leaders change at random for some of the nodes, and messages to them are delayed
+Holders change at random for some of the nodes, and messages to them are delayed
 by up to the time after which a silent link is closed. The checker only counts
 the tokens spent. Mutation tests show that it detects a part that is used twice.
 """
@@ -13,10 +13,13 @@
 import pytest
 
 from ebonycleat.internal.process.node_quotas import NodeQuotas, QuotaPart
+from ebonycleat.internal.process.team_groups import group_of_team
+from ebonycleat.internal.process.token_pool import PART_LEASE_S
 from ebonycleat.internal.process.token_store import TokenRequest
 from ebonycleat.internal.version.mesh_configuration import MeshTeam
 
 TEAM = MeshTeam('shop', ('key',), 60, 60)
+GROUP = group_of_team(TEAM.name)
 NODES = 12
 SECONDS = 20
 STEP_S = 0.05
@@ -32,7 +35,11 @@
 
 
 class Schedule:
-    """Nodes that lend their parts to leaders; they may disagree on the leader."""
+    """Nodes that lend their parts to holders; they may disagree on the holder.
+
+    ``replied_at`` has the time of the latest reply of each holder that each
+    node has received.
+    """
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
@@ -40,8 +47,9 @@
         for quota in self.quotas:
             quota.set_teams((TEAM,), 0)
             quota.change_node_count(NODES, 0)
-        self.leaders = [0 for _ in range(NODES)]
+        self.holders = [0 for _ in range(NODES)]
         self.delays = [DELAYS_S[0] for _ in range(NODES)]
+        self.replied_at = [{} for _ in range(NODES)]
         self.messages = []
         self.message_numbers = itertools.count()
         self.spent_at = []
@@ -49,7 +57,7 @@
     def run(self):
         for step in range(int(SECONDS / STEP_S)):
             now = step * STEP_S
-            self.change_leaders_and_delays()
+            self.change_holders_and_delays()
             self.deliver(now)
             if step % EXCHANGE_STEPS == 0:
                 self.lend_parts(now)
@@ -60,11 +68,11 @@
     def choose_nodes(self):
         return self.rng.sample(range(NODES), self.rng.randrange(1, NODES + 1))
 
-    def change_leaders_and_delays(self):
+    def change_holders_and_delays(self):
         if self.rng.random() < CHANGE_PROBABILITY:
-            leader = self.rng.randrange(NODES)
+            holder = self.rng.randrange(NODES)
             for node in self.choose_nodes():
-                self.leaders[node] = leader
+                self.holders[node] = holder
         if self.rng.random() < CHANGE_PROBABILITY:
             delay_s = self.rng.choice(DELAYS_S)
             for node in self.choose_nodes():
@@ -72,33 +80,41 @@
 
     def lend_parts(self, now):
         for node, quota in enumerate(self.quotas):
-            leader = self.leaders[node]
-            delay_s = 0 if leader == node else self.delays[node]
-            heapq.heappush(
-                self.messages,
-                (
-                    now + delay_s,
-                    next(self.message_numbers),
-                    leader,
-                    node,
-                    quota.lend_all(now),
-                ),
-            )
+            quota.update_demands(now)
+            holder = self.holders[node]
+            levels = None
+            replied_at = self.replied_at[node].get(holder)
+            if replied_at is not None:
+                levels = quota.lend(GROUP, str(holder), now)
+            self.push(node, now, (holder, node, levels, replied_at))
+
+    def push(self, node, now, message):
+        delay_s = 0 if message[0] == node else self.delays[node]
+        number = next(self.message_numbers)
+        heapq.heappush(self.messages, (now + delay_s, number, message))
 
     def deliver(self, now):
         while self.messages and self.messages[0][0] <= now:
-            at, _, leader, node, level_by_team = heapq.heappop(self.messages)
-            for team, level in level_by_team.items():
-                self.quotas[leader].pool.hold_part(team, str(node), level, at)
+            at, _, message = heapq.heappop(self.messages)
+            if len(message) == 2:
+                node, reply = message
+                self.replied_at[node].update(reply)
+                continue
+            holder, node, levels, replied_at = message
+            if levels is not None:
+                self.quotas[holder].pool.hold(
+                    GROUP, str(node), levels, replied_at + PART_LEASE_S, at
+                )
+            self.push(node, at, (node, {holder: at}))
 
     def handle_request(self, node, now):
         quota = self.quotas[node]
         quota.record_demand(TEAM.name)
         if not quota.spend_token(TEAM.name, now):
-            leader = self.leaders[node]
-            if leader == node or self.delays[node] < MAX_DRAW_DELAY_S:
+            holder = self.holders[node]
+            if holder == node or self.delays[node] < MAX_DRAW_DELAY_S:
                 token_request = TokenRequest(TEAM.name, 1, 0)
-                tokens = self.quotas[leader].pool.draw(token_request, now)
+                tokens = self.quotas[holder].pool.draw(token_request, now)
                 quota.add_tokens(TEAM.name, tokens, now)
             if not quota.spend_token(TEAM.name, now):
                 return
@@ -114,7 +130,7 @@
 
 @pytest.mark.parametrize('seed', range(20))
 def test_no_schedule_spends_more_than_the_rate_allows(seed):
-    """Guards against quota parts that two leaders use at the same time."""
+    """Guards against quota parts that two holders use at the same time."""
     assert Schedule(seed).run().max_spent_in_window() <= MAX_ALLOWED
 
 
