Only leaders go on reading the store

Cause: a leader's proof becomes two waits of its reads old, 2.0 s, before the next answer renews it; the other nodes read the store themselves from 1.9 s on. Change: waits and ages are shares of the withdrawal time: a read waits 0.3 of it (1.5 s at 5 s), a node reads by itself from 0.74 of it (3.7 s) on; keys are refused from 0.95 of it, as before. The leader pauses 0.5 s between reads of members.

--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -39,15 +39,25 @@
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 from ebonycleat.internal.version.mesh_configuration import MeshConfiguration
 
-CONFIGURATION_WAIT_S = 1.0
-"""How long a leader's read waits for a change. Each answer proves the state
-at the time when the read was sent, so proofs become about this old."""
+UNLIMITED_WITHDRAWAL_S = 5.0
+"""Withdrawal time by which the intervals are chosen where keys have none."""
+
+CONFIGURATION_WAIT_SHARE = 0.3
+"""Share of the withdrawal time for which a leader's read waits for a change.
+Each answer proves the state at the time when the read was sent, and the next
+answer comes a whole wait later: a leader's proof becomes two waits old."""
+
+MAX_PROOF_AGE_SHARE = 0.74
+"""A node reads the store itself if its proof is older than this share of the
+withdrawal time. Without failures a proof becomes two waits and
+``ASK_INTERVAL_S`` old. The rest, up to the age at which keys are refused, is
+for that read."""
 
 MEMBERS_WAIT_S = 20.0
 """How long a read of members waits for a change. The member list needs no
 proof of its age, so a long wait saves calls."""
 
-MEMBERS_PAUSE_S = 0.25
+MEMBERS_PAUSE_S = 0.5
 """Pause after each read of members, so that one call returns many changes."""
 
 ASK_INTERVAL_S = 0.5
@@ -56,11 +66,6 @@
 ASK_TIMEOUT_S = 0.4
 """Time limit for the leader's answer; within a zone it takes about 1 ms."""
 
-MAX_PROOF_AGE_S = 1.9
-"""A node whose proof is older reads the store itself. Without failures a proof
-is at most about 1.5 s old: ``CONFIGURATION_WAIT_S`` plus
-``ASK_INTERVAL_S``."""
-
 SUBSCRIPTION_LIFETIME_S = 3.0
 """How long after its last request a node is sent changes immediately."""
 
@@ -128,7 +133,12 @@
         if self.configuration_offset is None or self.leader.is_own_node(now):
             return True
         age_s = self.holder.proof_age_s(now)
-        return age_s is None or age_s > MAX_PROOF_AGE_S
+        max_age_s = self.withdrawal_s() * MAX_PROOF_AGE_SHARE
+        return age_s is None or age_s > max_age_s
+
+    def withdrawal_s(self) -> float:
+        """Return the time in seconds after which withdrawn keys must end."""
+        return self.holder.key_withdrawal_s or UNLIMITED_WITHDRAWAL_S
 
     async def follow_members(self) -> None:
         """Keep the member list up to date, until cancelled.
@@ -189,7 +199,7 @@
                 page = await self.platform.store.wait_for_changes(
                     topic,
                     self.configuration_offset,
-                    CONFIGURATION_WAIT_S,
+                    self.withdrawal_s() * CONFIGURATION_WAIT_SHARE,
                 )
             except OffsetExpired:
                 self.configuration_offset = None
