Unused tokens go back to their holder before they expire

Cause: tokens that nodes drew ahead of need expired there. Change: with each exchange a node returns the drawn tokens that would expire before the next one. A simulation of 16 to 195 nodes refuses at most 0.5% inside the rate; with tokens that expire one of its cases failed.

--- a/src/ebonycleat/internal/process/node_quotas.py
+++ b/src/ebonycleat/internal/process/node_quotas.py
@@ -41,6 +41,10 @@
 It is a little less than the lifetime of a token. A team within its rate then
 needs one message for many requests."""
 
+RETURN_BEFORE_EXPIRY_S = 0.25
+"""Drawn tokens with less time left go back to the holder: they would expire
+before the next exchange."""
+
 MIN_PREFETCH_DEMAND_PER_S = 0.3
 """Tokens drawn ahead for a team with less demand would mostly expire."""
 
@@ -220,14 +224,17 @@
     ) -> dict[str, float] | None:
         """Lend the own parts of a group, or renew the lease of the holder.
 
-        Returns the tokens in the parts by team, without those that have none.
-        Returns None, and lends nothing, while another node may hold them.
+        Returns the tokens that go to the holder by team, without teams that
+        have none: those in the parts, and those drawn ahead that would expire
+        before the next renewal. Without that, teams with callers at many nodes
+        lost a third of their rate. Returns None, and lends nothing, while
+        another node may hold the parts.
         """
         loan = self.find_loan(group, now)
         if loan is not None and loan.holder != holder:
             return None
         levels = {
-            team: own_part.lend(now)
+            team: own_part.lend(now) + self.take_unused(team, now)
             for team, own_part in self.own_parts.items()
             if group_of_team(team) == group
         }
@@ -235,6 +242,12 @@
         self.loans[group] = Loan(holder, now + lent_for_s)
         return {team: level for team, level in levels.items() if level > 0}
 
+    def take_unused(self, team: str, now: float) -> float:
+        """Take the drawn tokens of a team that are about to expire."""
+        drawn_tokens = self.drawn_tokens[team]
+        drawn_tokens.count(now)
+        return drawn_tokens.take_expiring(now + RETURN_BEFORE_EXPIRY_S)
+
     def take_back(
         self, group: int, levels: Mapping[str, float], now: float
     ) -> None:
--- a/src/ebonycleat/internal/process/token_store.py
+++ b/src/ebonycleat/internal/process/token_store.py
@@ -48,6 +48,13 @@
                 self.batches.popleft()
         return taken
 
+    def take_expiring(self, before: float) -> float:
+        """Take the tokens that expire before a time, and return how many."""
+        taken: float = 0
+        while self.batches and self.batches[0].expires_at <= before:
+            taken += self.batches.popleft().tokens
+        return taken
+
 
 class TokenRequest(NamedTuple):
     """Tokens of one team that a node wants from a pool.
