Requests of a team inside its rate wait up to 0.3 s for a token

Cause: a request was refused after 0.05 s without a token, though its team kept to its rate and the next token was some tenths of a second away; a refused caller comes back later than that, and at most once. Change: the wait is 0.3 s unless the team has more than one refused request for four granted ones, then 0.05 s as before. The token of a caller that left while it waited goes back. The log line of a refusal names the holder.

--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -162,8 +162,13 @@
         admitted: AdmittedRequest,
         granted: bool,
     ) -> None:
-        """Send a request whose team has a token for it; else refuse it."""
+        """Send a request whose team has a token for it; else refuse it.
+
+        The token of a caller that has left goes back to its team.
+        """
         if exchange.is_finished:
+            if granted:
+                self.components.tokens.return_token(admitted.call.team, 0)
             return
         if granted:
             self.run(exchange, admitted)
@@ -178,6 +183,7 @@
             'request refused: team over its rate',
             request=admitted.request_id,
             team=team,
+            holder=self.components.tokens.find_holder(team),
             retry_after_s=refusal.retry_after_s,
             version=self.components.admission.holder.version,
         )
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -34,9 +34,16 @@
 EXCHANGE_INTERVAL_S = 0.25
 """Interval at which leases of parts are renewed: four times in one lease."""
 
-MAX_TOKEN_WAIT_S = 0.05
-"""How long a request may wait for a token: some round trips to the leader, and
-little compared with the shortest latency objective of 120 ms."""
+MAX_TOKEN_WAIT_S = 0.3
+"""How long a request may wait for a token if its team keeps to its rate. A
+token is there sooner than a refused caller would return."""
+
+MIN_TOKEN_WAIT_S = 0.05
+"""How long a request of a team beyond its rate may wait: some round trips to
+the holder. Most of its requests would wait in vain, and are told so soon."""
+
+MAX_REFUSED_RATIO = 0.25
+"""A team with more refused requests for each granted one is beyond its rate."""
 
 MAX_WAITING = 256
 """Requests of one team that may wait for tokens at a node."""
@@ -70,6 +77,21 @@
         self.granted: float = 0
         self.refused: float = 0
 
+    def max_wait_s(self) -> float:
+        """Return how long the next request may wait."""
+        if self.refused > self.granted * MAX_REFUSED_RATIO:
+            return MIN_TOKEN_WAIT_S
+        return MAX_TOKEN_WAIT_S
+
+    def pop_expired(self, now: float) -> list[Waiter]:
+        """Take the requests that have waited long enough out of the queue."""
+        expired = [one for one in self.waiters if one.expires_at <= now]
+        if expired:
+            self.waiters = collections.deque(
+                one for one in self.waiters if one.expires_at > now
+            )
+        return expired
+
     def decay_counts(self, factor: float) -> None:
         """Multiply the counts by ``factor``, so that old ones lose weight."""
         self.granted *= factor
@@ -123,7 +145,7 @@
             queue.refused += 1
             on_decision(False)
             return
-        queue.waiters.append(Waiter(now + MAX_TOKEN_WAIT_S, on_decision))
+        queue.waiters.append(Waiter(now + queue.max_wait_s(), on_decision))
         self.on_waiting()
         self.request_for_waiters(team, queue)
 
@@ -146,6 +168,10 @@
         wait_s *= self.rng.uniform(1, MAX_JITTER_FACTOR)
         return min(wait_s, MAX_RETRY_AFTER_S)
 
+    def find_holder(self, team: str) -> str:
+        """Return the node that the tokens of a team are drawn from now."""
+        return self.holders.find_holder(group_of_team(team), self.clock())
+
     def request_for_waiters(self, team: str, queue: TeamWaitQueue) -> None:
         """Request tokens for waiting requests, unless a request is in flight."""
         if queue.is_request_in_flight or not queue.waiters:
@@ -153,8 +179,7 @@
         now = self.clock()
         queue.is_request_in_flight = True
         request = self.quotas.create_request(team, len(queue.waiters), now)
-        holder = self.holders.find_holder(group_of_team(team), now)
-        self.exchange_with(holder, (), [request], now)
+        self.exchange_with(self.find_holder(team), (), [request], now)
 
     def exchange(self) -> None:
         """Renew the leases, and draw tokens ahead of need."""
@@ -275,10 +300,10 @@
         """Refuse requests that waited too long; request tokens for the others."""
         now = self.clock()
         for team, queue in self.wait_queues.items():
-            while queue.waiters and queue.waiters[0].expires_at <= now:
-                queue.refused += 1
-                queue.waiters.popleft().on_decision(False)
             self.serve_waiters(team, queue)
+            for expired in queue.pop_expired(now):
+                queue.refused += 1
+                expired.on_decision(False)
             self.request_for_waiters(team, queue)
 
     def message_received(self, link: MeshLink, message: AnyMeshMessage) -> None:
--- a/tests/cover/test_quota_fleets.py
+++ b/tests/cover/test_quota_fleets.py
@@ -64,7 +64,8 @@
     """
     rng = random.Random(node_count * 1000 + int(rate_per_s))
     fleet = Fleet(node_count, rate_per_s, max(1, rate_per_s))
-    weights = [skew] + [1] * (node_count - 1)
+    weights = [1 for _ in range(node_count)]
+    weights[0] = skew
     exchange_steps = round(EXCHANGE_INTERVAL_S / STEP_S)
     next_arrival = 10.0
     for step in range(int(SECONDS / STEP_S)):
--- a/tests/cover/test_token_waiting.py
+++ b/tests/cover/test_token_waiting.py
@@ -8,6 +8,7 @@
 from ebonycleat.internal.process.node_quotas import NodeQuotas
 from ebonycleat.internal.process.token_exchange import (
     MAX_TOKEN_WAIT_S,
+    MIN_TOKEN_WAIT_S,
     TokenExchanger,
 )
 from ebonycleat.internal.process.token_holders import TokenHolders
@@ -59,3 +60,22 @@
     exchanger.tick()
     assert decisions == [False]
     assert not exchanger.has_waiters()
+
+
+def test_requests_of_a_team_beyond_its_rate_wait_only_shortly():
+    """Guards against holding requests that wait in vain.
+
+    One of them is behind a request that still has a longer wait.
+    """
+    clock = ManualClock()
+    exchanger = create_exchanger(clock)
+    decisions = []
+    exchanger.acquire('shop', lambda granted: decisions.append('first'))
+    exchanger.wait_queues['shop'].refused = 5
+    exchanger.acquire('shop', lambda granted: decisions.append('second'))
+    clock.now += MIN_TOKEN_WAIT_S
+    exchanger.tick()
+    assert decisions == ['second']
+    clock.now += MAX_TOKEN_WAIT_S
+    exchanger.tick()
+    assert decisions == ['second', 'first']
