--- a/src/ebonycleat/internal/process/mesh_metrics.py
+++ b/src/ebonycleat/internal/process/mesh_metrics.py
@@ -28,7 +28,12 @@
 
     def render(self, gauges: dict[str, float]) -> str:
         """Return one line for each metric: its name, a space, its value."""
-        lines = [f'{name} {figure:g}' for name, figure in gauges.items()]
+        lines = [
+            f'{name} {figure}'
+            if isinstance(figure, int)
+            else f'{name} {figure:g}'
+            for name, figure in gauges.items()
+        ]
         lines.extend(
             f'{name} {total}'
             for name, total in sorted(self.counters.totals.items())
--- a/tests/cover/test_configuration_adoption.py
+++ b/tests/cover/test_configuration_adoption.py
@@ -129,8 +129,10 @@
     node, caplog
 ):
     """Guards against a fleet that serves nothing and does not say why."""
-    newer = node.fleet.configuration.version + 1
+    newer = node.fleet.configuration.version + 12_345_678
     apply_records(node, with_version(CONFIGURATION, newer))
+    # Versions are compared with those of the store, so all digits count.
+    assert f'configuration.version {newer}\n' in node.render_metrics()
     broken = copy.deepcopy(CONFIGURATION)
     broken['routes']['r-renew']['attempts'] = 0
     rejected_before = node.background.follower.rejected_configurations
