--- a/src/ebonycleat_tools/platform/target.py
+++ b/src/ebonycleat_tools/platform/target.py
@@ -28,13 +28,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EmulatedTargetOptions:
-    """Identity, slots and service time of an emulated target."""
+    """Identity, slots and service time of an emulated target.
+
+    ``slots`` is what it reports. Without ``usable_slots`` it refuses what it
+    cannot run; with it, it runs that many requests and leaves the others, and
+    all that follow on their connections, without any answer.
+    """
 
     instance: str
     service: str
     started_ms: int = 1
     slots: int = 4
     work_s: float = 0
+    usable_slots: int | None = None
 
 
 class EmulatedTarget(ExchangeHandler):
@@ -49,6 +55,7 @@
         self.received_requests: list[HttpRequest] = []
         self.running = 0
         self.abandoned = 0
+        self.unanswered = 0
         self.sequence = 0
         self.state = 'ready'
 
@@ -62,12 +69,20 @@
         expected = find_header(request.headers, 'x-expected-instance')
         if expected and expected != self.options.instance:
             exchange.respond(HttpResponse(MISDIRECTED))
-        elif self.running < self.options.slots:
+        elif self.running < self.count_usable_slots():
             self.run(exchange)
-        else:
+        elif self.options.usable_slots is None:
             exchange.respond(
                 HttpResponse(UNAVAILABLE, (('x-not-executed', '1'),)),
             )
+        else:
+            self.unanswered += 1
+
+    def count_usable_slots(self) -> int:
+        """Return how many requests may run at a time."""
+        if self.options.usable_slots is None:
+            return self.options.slots
+        return self.options.usable_slots
 
     def run(self, exchange: Exchange) -> None:
         """Record a request, and answer it after the service time."""
--- a/tests/mesh_environment.py
+++ b/tests/mesh_environment.py
@@ -51,6 +51,7 @@
             'fetch': route | {'pathPrefix': '/fetch/'},
             'renew': route
             | {'pathPrefix': '/renew/', 'routeType': 'non_idempotent'},
+            'import': route | {'pathPrefix': '/import/', 'routeType': 'upload'},
             'open': route | {'pathPrefix': '/open/', 'authExempt': True},
         },
         'services': {'maps': {}},
@@ -80,7 +81,8 @@
         )
         return Address(HOST, port)
 
-    async def start(self, zones, work_s=0, service='maps'):
+    async def start(self, zones, work_s=0, service='maps', **target_options):
+        self.target_options = target_options
         self.store_address = await self.serve(self.store)
         for number, zone in enumerate(zones):
             await self.add_node(number, zone, work_s, service)
@@ -99,7 +101,11 @@
             ConnectionPool(addresses.control.host, addresses.control.port),
         )
         plan = EmulatedTargetOptions(
-            f'i-{number}', service, slots=4, work_s=work_s
+            f'i-{number}',
+            service,
+            slots=4,
+            work_s=work_s,
+            **self.target_options,
         )
         target = EmulatedTarget(plan, pool)
         settings = MeshSettings(
@@ -140,7 +146,7 @@
         headers = [
             ('host', 'maps.example'),
             ('x-request-id', request_id),
-            ('x-deadline-ms', '5000'),
+            ('x-deadline-ms', str(options.get('deadline_ms', 5000))),
         ]
         if key:
             headers.append(('authorization', f'Bearer {key}'))
