Permissions are checked again when a connection is open; calls of the store share none

A call was checked before its connection was opened, which takes up to a second and longer in a paused process, and then written unchecked: the key's proof, the deadline or the target's instance could have ended. Answers of the store name no call, so a late copy of one would be taken for the answer to the next call on its connection: an empty page for a proof, an old page of members for a new one. Change: a request is checked again right before it is written on a new connection, and ends as not run if that fails; each call of the store has a connection of its own. A request that was never sent no longer counts as a suspect of a crash.

--- a/src/ebonycleat/internal/connection/client_requests.py
+++ b/src/ebonycleat/internal/connection/client_requests.py
@@ -28,6 +28,7 @@
     TOO_LARGE = 'too-large'
     ENDLESS = 'endless'
     SILENT = 'silent'
+    EXPIRED = 'expired'
     CANCELLED = 'cancelled'
 
 
@@ -47,6 +48,11 @@
 SendResult: TypeAlias = HttpResponse | SendFailure
 
 
+def always_allow() -> bool:
+    """Allow a request that needs no permission."""
+    return True
+
+
 class OutgoingRequest(msgspec.Struct, frozen=True):
     """An encoded request, to be sent once.
 
@@ -54,13 +60,18 @@
     to this request: a server may first send a late extra response to an
     earlier one. ``is_head`` is True for a HEAD request, whose response has no
     body. An idle connection is used only if it has been idle for at most
-    ``max_idle_s`` seconds; a negative value always opens a new one.
+    ``max_idle_s`` seconds; a negative value always opens a new one. A request
+    that ``is_single`` has a connection of its own. Opening a connection takes
+    time, in which the process may even be paused: ``may_send`` is asked again
+    right before the request is written on a new one.
     """
 
     encoded: bytes
     is_own_response: Callable[[HeaderPairs], bool]
     is_head: bool = False
     max_idle_s: float = DEFAULT_MAX_IDLE_S
+    is_single: bool = False
+    may_send: Callable[[], bool] = always_allow
 
 
 class AbortableConnection(abc.ABC):
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -275,6 +275,8 @@
             return False
         if in_flight is None or in_flight.request.is_head:
             return False
+        if in_flight.request.is_single:
+            return False
         if 'close' in find_header(headers, 'connection').lower():
             return False
         return self.transport is not None and not self.transport.is_closing()
--- a/src/ebonycleat/internal/connection/http_pool.py
+++ b/src/ebonycleat/internal/connection/http_pool.py
@@ -70,7 +70,9 @@
         ``on_result`` is called exactly once with the response or the failure.
         """
         in_flight = InFlightRequest(request, on_result)
-        connection = self.take_idle(request.max_idle_s)
+        connection = None
+        if not request.is_single:
+            connection = self.take_idle(request.max_idle_s)
         if connection is None:
             loop = asyncio.get_running_loop()
             connect_task = loop.create_task(self.connect_and_start(in_flight))
@@ -126,8 +128,17 @@
         self.connections.add(connection)
         if in_flight.is_finished:
             self.release(connection)
-        else:
+        elif in_flight.request.may_send():
             connection.start(in_flight)
+        else:
+            self.release(connection)
+            in_flight.finish(
+                SendFailure(
+                    SendFailureKind.EXPIRED,
+                    was_sent=False,
+                    detail='the permission ended while connecting',
+                ),
+            )
 
     def release(self, connection: ClientConnection) -> None:
         """Put a connection back into the pool."""
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -326,6 +326,7 @@
             ),
         )
         request_id = gate_call.request_id
+        instance = self.target.instance
         max_idle_s = NON_IDEMPOTENT_MAX_IDLE_S
         if call.idempotent:
             max_idle_s = DEFAULT_MAX_IDLE_S
@@ -336,8 +337,16 @@
             ),
             is_head=call.method == 'HEAD',
             max_idle_s=max_idle_s,
+            may_send=lambda: self.may_still_send(gate_call, instance),
         )
 
+    def may_still_send(self, gate_call: GateCall, instance: str) -> bool:
+        """Check a call again that names an instance of the target."""
+        if self.target.instance != instance:
+            return False
+        refusal = self.find_dispatch_refusal(gate_call, self.clock())
+        return refusal is None
+
     def send_finished(self, call: Call, result: SendResult) -> None:
         """Handle the result of a request that was sent to the target."""
         pending_call = self.pending_calls[call.call_id]
@@ -407,7 +416,9 @@
             self.record_target_crash()
         elif failure.kind is SendFailureKind.SILENT:
             self.limit.record_silence(pending_call.running_when_sent, now)
-        elif failure.kind is not SendFailureKind.CANCELLED:
+        elif failure.kind is SendFailureKind.CANCELLED:
+            return
+        elif failure.was_sent:
             self.crashes.record_closed_connection(
                 fingerprint_call(pending_call.gate_call.call), now
             )
--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -34,7 +34,6 @@
 """The store answers in a few milliseconds, or in some hundred when it is slow.
 If a response is lost, no further responses come on that connection."""
 
-MAX_IDLE_CONNECTION_S = 4.0
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 MILLISECONDS_PER_S = 1000
@@ -149,9 +148,16 @@
         """
         target = f'{path}?{urlencode(query)}'
         request = OutgoingRequest(
-            encode_request(method, target, (('host', self.host),), body),
+            encode_request(
+                method,
+                target,
+                (('host', self.host), ('connection', 'close')),
+                body,
+            ),
             _accept_any_response,
-            max_idle_s=MAX_IDLE_CONNECTION_S,
+            # Answers name no call: a late copy of one would be taken for the
+            # answer to the next call on its connection.
+            is_single=True,
         )
         finished: asyncio.Future[SendResult] = (
             asyncio.get_running_loop().create_future()
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -69,6 +69,10 @@
         server.close()
 
 
+def forbid():
+    return False
+
+
 def is_own(headers):
     return ('id', 'old') not in headers
 
@@ -154,6 +158,63 @@
     assert result.body == body
 
 
+def test_a_request_that_is_not_allowed_any_more_is_not_written():
+    """Guards against acting on a permission that ended while connecting.
+
+    The process may be paused between the check and the open connection.
+    """
+    received = []
+
+    async def serve(reader, writer):
+        received.append(await reader.read())
+        writer.close()
+
+    async def run_exchange():
+        server = await asyncio.start_server(serve, HOST, 0)
+        with ConnectionPool(HOST, server.sockets[0].getsockname()[1]) as pool:
+            result = await send(pool, may_send=forbid)
+        while not received:
+            await asyncio.sleep(0)
+        server.close()
+        return result
+
+    result = run_with_timeout(run_exchange())
+    assert result.kind is SendFailureKind.EXPIRED
+    assert not result.was_sent
+    assert received == [b'']
+
+
+def test_a_single_request_shares_its_connection_with_no_other():
+    """Guards against a late copy of an answer without an id.
+
+    The first answer comes twice, the second time only after the next request
+    of the pool has been sent.
+    """
+    connection_count = 0
+
+    async def serve(reader, writer):
+        nonlocal connection_count
+        connection_count += 1
+        own = b'%d' % connection_count
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(HEAD + b'content-length: 1\r\n\r\n' + own)
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(HEAD + b'content-length: 1\r\n\r\n' + own)
+            await reader.read()
+        writer.close()
+
+    async def run_exchange():
+        server = await asyncio.start_server(serve, HOST, 0)
+        with ConnectionPool(HOST, server.sockets[0].getsockname()[1]) as pool:
+            results = [await send(pool, is_single=True) for _ in range(2)]
+            assert not pool.connections
+        server.close()
+        return [result.body for result in results]
+
+    assert run_with_timeout(run_exchange()) == [b'1', b'2']
+
+
 def test_bytes_that_follow_an_answer_reach_no_later_request():
     """Guards against a late second copy on a connection in use again.
 
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -141,6 +141,38 @@
     assert gate.limit.allowed_calls(clock()) == 2
 
 
+@pytest.mark.parametrize('change', ['key', 'deadline', 'leaving', 'instance'])
+def test_a_permission_is_checked_again_when_the_connection_is_open(
+    clock, change
+):
+    """Guards against sending after a pause between check and connection."""
+    gate = create_mesh_gate(clock)
+    offer_calls(gate, clock, deadline=clock() + 30)
+    may_send = gate.pool.sends[0].request.may_send
+    assert may_send()
+    if change == 'key':
+        clock.now += 5
+    elif change == 'deadline':
+        clock.now += 31
+        gate.holder.record_proof(1, clock())
+    elif change == 'leaving':
+        gate.handle_target_message(TargetDeregistration('i-1', 100))
+    else:
+        gate.handle_target_message(
+            create_heartbeat('i-2', started_ms=200, sequence=1)
+        )
+    assert not may_send()
+
+
+def test_a_request_that_was_not_sent_for_lack_of_permission_has_not_run(clock):
+    """Guards against an unknown outcome for what never left the node."""
+    gate = create_mesh_gate(clock)
+    results = offer_calls(gate, clock)
+    gate.pool.sends[0].fail(SendFailureKind.EXPIRED, was_sent=False)
+    assert find_refusal(results).outcome is Outcome.NOT_RUN
+    assert not gate.crashes.closed_connections
+
+
 def test_no_more_calls_run_than_the_target_has_slots(clock):
     """Guards against sending a target more calls than it accepts."""
     gate = create_mesh_gate(clock, slots=2)
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -378,8 +378,10 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.requests = []
+        self.shares_connections = False
 
     def send(self, request, on_result):
+        self.shares_connections |= not request.is_single
         self.requests.append(request.encoded)
         on_result(self.answers.pop(0))
         return self
@@ -497,6 +499,19 @@
     assert page == TopicPage((('b', b'v'),), 7)
 
 
+def test_calls_of_the_store_share_no_connection():
+    """Guards against an answer that is taken for that of the next call.
+
+    Answers of the store name no call, so a late copy cannot be recognised.
+    """
+    pool = ScriptedPool(framed_response(), json_response({}))
+    store = PlatformStore(pool, 's')
+    run_with_timeout(store.wait_for_changes(StoreTopic.MEMBERS, 5, 1))
+    run_with_timeout(store.write(StoreTopic.MEMBERS, 'n1', b'record'))
+    assert len(pool.requests) == 2
+    assert not pool.shares_connections
+
+
 def write_settings(folder, tree):
     path = folder / 'node.json'
     path.write_text(json.dumps(tree))
