--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -1,7 +1,10 @@
 """Links between the nodes of a mesh: one connection carries many calls.
 
-A link is closed if nothing arrives on it while a reply is awaited, so that the
-calls on it are resolved while there is still time to retry them.
+If nothing arrives on a link while a reply is awaited, the calls that can be
+sent elsewhere are resolved as lost, while there is still time to do so. The
+other node may only be paused, so the calls that must not be repeated go on
+waiting for their reply on this link; it takes no new ones and closes after the
+last of them.
 """
 
 import abc
@@ -76,6 +79,12 @@
         Its awaited replies have been resolved as lost before this call.
         """
 
+    def link_silent(self, link: 'MeshLink') -> None:
+        """Handle that a link fell silent but still has awaited replies.
+
+        It must not be used for new messages that need a reply.
+        """
+
 
 ReplyHandler: TypeAlias = Callable[[AnyMeshMessage | None], None]
 
@@ -88,6 +97,8 @@
     handler of each awaited reply by request number. ``silent_since`` is the
     time from which silence (no received data while a reply is awaited) is
     measured; None after data has arrived, until the next silence is noticed.
+    ``patient_numbers`` are the awaited replies that silence does not end. A
+    link that ``is_set_aside`` was silent and takes no new calls.
     """
 
     def __init__(
@@ -101,6 +112,8 @@
         self.transport: asyncio.Transport | None = None
         self.decoder = FrameDecoder()
         self.reply_handlers: dict[int, ReplyHandler] = {}
+        self.patient_numbers: set[int] = set()
+        self.is_set_aside = False
         self.request_numbers = itertools.count(1)
         self.last_received_at = clock()
         self.last_sent_at = self.last_received_at
@@ -152,27 +165,59 @@
         self.transport.write(encode_frame(message))
         return True
 
-    def expect_reply(self, number: int, on_reply: ReplyHandler) -> None:
+    def expect_reply(
+        self,
+        number: int,
+        on_reply: ReplyHandler,
+        *,
+        waits_in_silence: bool = False,
+    ) -> None:
         """Register a handler for the reply with this number.
 
-        It is called with None if the link closes before the reply arrives.
+        It is called with None if the link closes before the reply arrives, and
+        unless it ``waits_in_silence`` also if the link falls silent.
         """
         if not self.reply_handlers:
             self.silent_since = self.clock()
         self.reply_handlers[number] = on_reply
+        if waits_in_silence:
+            self.patient_numbers.add(number)
+
+    def forget_reply(self, number: int) -> None:
+        """Await a reply no longer; its handler is not called."""
+        self.reply_handlers.pop(number, None)
+        self.patient_numbers.discard(number)
 
     def resolve_reply(self, number: int, message: AnyMeshMessage) -> None:
         """Pass a reply to its handler; unknown numbers are ignored."""
         on_reply = self.reply_handlers.pop(number, None)
+        self.patient_numbers.discard(number)
         if on_reply is not None:
             on_reply(message)
 
+    def give_up_replies(self) -> None:
+        """Resolve as lost the replies that silence ends; close if none is left."""
+        given_up = self.reply_handlers.keys() - self.patient_numbers
+        for number in given_up:
+            on_reply = self.reply_handlers.pop(number, None)
+            if on_reply is not None:
+                on_reply(None)
+        if self.reply_handlers:
+            self.is_set_aside = True
+            self.handler.link_silent(self)
+        else:
+            self.close()
+
     def check_silence(self) -> None:
-        """Ping or close the link if nothing arrives while a reply is awaited.
+        """Ping if nothing arrives while a reply is awaited, or give replies up.
 
         An unused link is closed after ``IDLE_CLOSE_S``.
         """
         now = self.clock()
+        if self.is_set_aside:
+            if not self.reply_handlers:
+                self.close()
+            return
         if not self.reply_handlers:
             self.silent_since = None
             if (
@@ -187,7 +232,7 @@
                 self.silent_since = self.last_received_at
                 self.send(Ping())
         elif now - since > SILENCE_TIMEOUT_S:
-            self.close()
+            self.give_up_replies()
         elif now - since > PING_AFTER_S:
             self.send(Ping())
 
@@ -229,6 +274,7 @@
         self.link_receivers: dict[str, list[LinkReceiver]] = {}
         self.failed_at: dict[str, float] = {}
         self.accepted: set[MeshLink] = set()
+        self.silent_links: set[MeshLink] = set()
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.last_checked_at = clock()
 
@@ -314,15 +360,25 @@
     def remove(self, link: MeshLink) -> None:
         """Remove a closed link."""
         self.accepted.discard(link)
+        self.silent_links.discard(link)
         if self.links.get(link.node) is link:
             self.links.pop(link.node)
 
+    def set_aside(self, link: MeshLink) -> None:
+        """Keep a silent link only for the replies that it still awaits."""
+        self.remove(link)
+        self.silent_links.add(link)
+
+    def list_links(self) -> list[MeshLink]:
+        """Return all links that are not closed."""
+        return [*self.links.values(), *self.accepted, *self.silent_links]
+
     def check_silence(self) -> None:
         """Check all links for silence; call it about every 0.1 s."""
         now = self.clock()
         was_paused = now - self.last_checked_at > PAUSE_THRESHOLD_S
         self.last_checked_at = now
-        for link in (*self.links.values(), *self.accepted):
+        for link in self.list_links():
             if was_paused:
                 link.restart_silence_timer()
             link.check_silence()
@@ -331,5 +387,5 @@
         """Cancel running connects and close all links."""
         for task in tuple(self.connect_tasks):
             task.cancel()
-        for link in (*self.links.values(), *self.accepted):
+        for link in self.list_links():
             link.close()
--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -156,7 +156,11 @@
             return
         self.link = link
         self.request_number = next(link.request_numbers)
-        link.expect_reply(self.request_number, self.handle_reply)
+        link.expect_reply(
+            self.request_number,
+            self.handle_reply,
+            waits_in_silence=not self.admitted.call.idempotent,
+        )
         link.send(self.create_message(link.clock()))
 
     def create_message(self, now: float) -> CallRequest:
@@ -209,7 +213,7 @@
         """Cancel the attempt, also at the other node if it was sent."""
         self.is_cancelled = True
         if self.link is not None:
-            self.link.reply_handlers.pop(self.request_number, None)
+            self.link.forget_reply(self.request_number)
             self.link.send(CancelCall(self.request_number))
 
 
--- a/src/ebonycleat/internal/process/peer_calls.py
+++ b/src/ebonycleat/internal/process/peer_calls.py
@@ -151,6 +151,11 @@
         elif self.handle_other is not None:
             self.handle_other(link, message)
 
+    def link_silent(self, link: MeshLink) -> None:
+        """Use a silent link for no new calls."""
+        if self.links is not None:
+            self.links.set_aside(link)
+
     def link_closed(self, link: MeshLink) -> None:
         """Forget a closed link, and cancel the calls that came over it."""
         if self.peer_calls is not None:
--- /dev/null
+++ b/tests/cover/test_silent_mesh_links.py
@@ -0,0 +1,138 @@
+"""Links between mesh nodes on which nothing arrives for a while."""
+
+import pytest
+
+from ebonycleat.internal.connection.mesh_link import (
+    SILENCE_TIMEOUT_S,
+    LinkHandler,
+    LinkPool,
+    MeshLink,
+)
+from ebonycleat.internal.connection.mesh_messages import (
+    CallRefusal,
+    Hello,
+    LoadReport,
+    encode_frame,
+)
+from tests.mesh_fakes import ManualClock
+
+ADDRESS = 'n2:1'
+LOAD = LoadReport(0, 0, 4, 10, 0, False)
+CHECK_INTERVAL_S = 0.1
+
+
+class FakeTransport:
+    """Records what a link writes and whether it was closed."""
+
+    def __init__(self):
+        self.written = []
+        self.is_aborted = False
+
+    def write(self, encoded):
+        self.written.append(encoded)
+
+    def is_closing(self):
+        return self.is_aborted
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class ReplyHandler(LinkHandler):
+    """Resolves replies, and sets silent links of a pool aside."""
+
+    def __init__(self):
+        self.pool = None
+
+    def message_received(self, link, message):
+        link.resolve_reply(message.number, message)
+
+    def link_closed(self, link):
+        self.pool.remove(link)
+
+    def link_silent(self, link):
+        self.pool.set_aside(link)
+
+
+@pytest.fixture(name='clock')
+def fixture_clock():
+    return ManualClock()
+
+
+@pytest.fixture(name='pool')
+def fixture_pool(clock):
+    """Return a pool with one open link to ``ADDRESS``."""
+    handler = ReplyHandler()
+    pool = LinkPool(handler, Hello('n1:1', 'maps'), clock)
+    handler.pool = pool
+    link = MeshLink(handler, clock)
+    link.connection_made(FakeTransport())
+    link.node = ADDRESS
+    pool.register(ADDRESS, link)
+    return pool
+
+
+def pass_time(pool, clock, seconds):
+    end = clock.now + seconds
+    while clock.now < end:
+        clock.now += CHECK_INTERVAL_S
+        pool.check_silence()
+
+
+def await_replies(link):
+    """Await a reply that can be given up (1) and one that cannot (2)."""
+    replies = {}
+    link.expect_reply(1, lambda reply: replies.update({1: reply}))
+    link.expect_reply(
+        2,
+        lambda reply: replies.update({2: reply}),
+        waits_in_silence=True,
+    )
+    return replies
+
+
+def test_silence_gives_up_only_what_can_be_sent_elsewhere(pool, clock):
+    """Guards against giving up the running work of a VM that is only paused.
+
+    No new call uses the link meanwhile.
+    """
+    link = pool.find_open_link(ADDRESS)
+    replies = await_replies(link)
+    pass_time(pool, clock, SILENCE_TIMEOUT_S + 0.5)
+    assert replies == {1: None}
+    assert not link.transport.is_aborted
+    assert pool.find_open_link(ADDRESS) is None
+
+
+def test_an_answer_that_comes_after_the_silence_is_delivered(pool, clock):
+    """Guards against dropping the result of work that went on."""
+    link = pool.find_open_link(ADDRESS)
+    replies = await_replies(link)
+    pass_time(pool, clock, SILENCE_TIMEOUT_S + 0.5)
+    refusal = CallRefusal(2, 'shed', True, 0, LOAD)
+    link.data_received(encode_frame(refusal))
+    assert replies[2] == refusal
+    pass_time(pool, clock, CHECK_INTERVAL_S)
+    assert link.transport.is_aborted
+
+
+def test_a_silent_link_without_such_calls_closes_at_once(pool, clock):
+    """Guards against keeping connections that nobody needs."""
+    link = pool.find_open_link(ADDRESS)
+    replies = []
+    link.expect_reply(1, replies.append)
+    pass_time(pool, clock, SILENCE_TIMEOUT_S + 0.5)
+    assert replies == [None]
+    assert link.transport.is_aborted
+
+
+def test_a_link_that_closes_ends_the_calls_that_waited_in_its_silence(
+    pool, clock
+):
+    """Guards against callers that wait for a process which has ended."""
+    link = pool.find_open_link(ADDRESS)
+    replies = await_replies(link)
+    pass_time(pool, clock, SILENCE_TIMEOUT_S + 0.5)
+    link.connection_lost(None)
+    assert replies == {1: None, 2: None}
+    assert not pool.silent_links
