The soak plays uploads and targets that never answer

Cause: neither was played by real processes under faults. Change: a third of the requests that are not idempotent are uploads, whose bytes are compared where they run; a fault lets a target run one request at a time and leave the others unanswered.

--- a/src/ebonycleat_tools/platform/history.py
+++ b/src/ebonycleat_tools/platform/history.py
@@ -30,7 +30,8 @@
     """One request of a caller, and its answer; times are in seconds.
 
     ``status`` is 0 and ``ended_at`` is None if there is no answer yet.
-    ``signature`` names the instance of the target that answered.
+    ``signature`` names the instance of the target that answered, and
+    ``sent_checksum`` is the CRC-32 of the body that was sent.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     signature: str = ''
     body: bytes = b''
     is_cancelled: bool = False
+    sent_checksum: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
     team: str
     instance: str
     began_at: float
+    checksum: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,14 +132,23 @@
         if sent is None:
             yield f'unsent: {request_id} ran but no caller had sent it'
             continue
-        if any(run.path != sent.path for run in observed_runs):
-            yield f'changed: {request_id} ran with another path'
-        if any(run.team != sent.team for run in observed_runs):
-            yield f'changed: {request_id} ran for another team'
+        for difference in _find_differences(sent, observed_runs):
+            yield f'changed: {request_id} ran {difference}'
         if len(observed_runs) > 1 and not sent.is_idempotent:
             yield f'twice: {request_id} ran {len(observed_runs)} times'
 
 
+def _find_differences(
+    sent: SentRequest, observed_runs: list[ObservedRun]
+) -> Iterable[str]:
+    if any(run.path != sent.path for run in observed_runs):
+        yield 'with another path'
+    if any(run.team != sent.team for run in observed_runs):
+        yield 'for another team'
+    if any(run.checksum != sent.sent_checksum for run in observed_runs):
+        yield 'with another body'
+
+
 def _check_answers(
     history: History,
     runs: dict[str, list[ObservedRun]],
--- a/src/ebonycleat_tools/platform/soak.py
+++ b/src/ebonycleat_tools/platform/soak.py
@@ -12,6 +12,7 @@
 import json
 import pathlib
 import sys
+import zlib
 from collections.abc import Callable, Sequence
 
 from ebonycleat.internal.connection.client_requests import (
@@ -133,23 +134,26 @@
         """Send one request of the plan, and schedule its cancellation."""
         number = planned.number
         team = TEAMS[planned.team]
-        kind = 'fetch' if planned.is_idempotent else 'renew'
+        upload = f'{number},'.encode() * planned.upload_bytes
+        upload = upload[: planned.upload_bytes]
         # Requests also use withdrawn keys, to check that nodes refuse them.
         key = (f'key-of-{team}', f'other-{team}')[number % 2]
         request = SentRequest(
             f'id-{number}',
-            f'/{kind}/{number}',
+            f'/{planned.kind}/{number}',
             team,
             key,
             planned.is_idempotent,
             planned.node,
             self.clock(),
             REQUEST_TIMEOUT_S,
+            sent_checksum=zlib.crc32(upload),
         )
         self.environment.history.sent_requests[request.request_id] = request
         in_flight = self.send(
             request,
             lambda result: self.record_result(request, result),
+            upload,
         )
         if planned.cancel_after_s is not None:
             asyncio.get_running_loop().call_later(
@@ -163,6 +167,7 @@
         self,
         request: SentRequest,
         on_result: Callable[[SendResult], None],
+        body: bytes = b'',
     ) -> InFlightRequest:
         """Send a request to its node."""
         headers = (
@@ -174,7 +179,7 @@
         method = 'GET' if request.is_idempotent else 'POST'
         return self.environment.nodes[request.node].callers.send(
             OutgoingRequest(
-                encode_request(method, request.path, headers, b''),
+                encode_request(method, request.path, headers, body),
                 lambda headers: True,
             ),
             on_result,
--- a/src/ebonycleat_tools/platform/soak_environment.py
+++ b/src/ebonycleat_tools/platform/soak_environment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import zlib
 from typing import Any
 
 from ebonycleat.internal.connection.http_listener import (
@@ -60,13 +61,14 @@
                 find_header(headers, 'x-tenant-id'),
                 self.options.instance,
                 asyncio.get_running_loop().time(),
+                zlib.crc32(exchange.request.body),
             ),
         )
         super().run(exchange)
 
 
 class SoakNode:
-    """One node, the proxy to its target and the connections of its callers.
+    """One node, its target, the proxy between them and callers' connections.
 
     ``lock`` is held while a fault is being injected into the node.
     """
@@ -74,11 +76,13 @@
     def __init__(
         self,
         process: NodeProcess,
+        target: RecordingTarget,
         proxy: FaultyProxy,
         callers: ConnectionPool,
     ) -> None:
         """``callers`` connects to the address for callers of ``process``."""
         self.process = process
+        self.target = target
         self.proxy = proxy
         self.callers = callers
         self.lock = asyncio.Lock()
@@ -160,7 +164,7 @@
             target.send_heartbeats_until_cancelled()
         )
         self.stack.callback(heartbeat_task.cancel)
-        return SoakNode(process, proxy, callers)
+        return SoakNode(process, target, proxy, callers)
 
     def create_settings(
         self,
@@ -208,6 +212,8 @@
                 | {'pathPrefix': '/fetch/', 'routeType': 'idempotent'},
                 'renew': route
                 | {'pathPrefix': '/renew/', 'routeType': 'non_idempotent'},
+                'import': route
+                | {'pathPrefix': '/import/', 'routeType': 'upload'},
             },
             'services': {SERVICE: {}},
             'limits': {},
--- a/src/ebonycleat_tools/platform/soak_faults.py
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
 import types
 
@@ -53,6 +54,7 @@
             FaultKind.KEY_WITHDRAWN: self.withdraw_key,
             FaultKind.CONFIGURATION_CHANGED: self.change_configuration,
             FaultKind.STORE_DOWN: self.stop_store,
+            FaultKind.TARGET_UNANSWERED: self.leave_unanswered,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -128,6 +130,16 @@
         await asyncio.sleep(fault.duration_s)
         self.environment.store.is_down = False
 
+    async def leave_unanswered(self, node: SoakNode, fault: Fault) -> None:
+        """Let a target run one request at a time and never answer the others.
+
+        It goes on reporting all its slots.
+        """
+        options = node.target.options
+        node.target.options = dataclasses.replace(options, usable_slots=1)
+        await asyncio.sleep(fault.duration_s)
+        node.target.options = options
+
     async def change_proxy_mode(self, node: SoakNode, fault: Fault) -> None:
         """Change the mode of the proxy to a target or to the store."""
         proxy = self.environment.store_proxy
--- a/src/ebonycleat_tools/platform/soak_plan.py
+++ b/src/ebonycleat_tools/platform/soak_plan.py
@@ -22,6 +22,7 @@
     TARGET_RESET = 'target-reset'
     TARGET_LINK_SILENT = 'target-link-silent'
     TARGET_ANSWERS_CUT = 'target-answers-cut'
+    TARGET_UNANSWERED = 'target-unanswered'
     STORE_DOWN = 'store-down'
     STORE_RESET = 'store-reset'
     STORE_SILENT = 'store-silent'
@@ -51,6 +52,11 @@
 CANCELLED_SHARE = 0.05
 """Shares of the requests that are idempotent, and that the caller cancels."""
 
+UPLOAD_SHARE = 0.3
+MAX_UPLOAD_BYTES = 60_000
+"""Share of the requests that are not idempotent that are uploads, and their
+largest size."""
+
 Duration = Annotated[
     float,
     Meta(ge=0, le=86400, description='seconds, 0 to 86400'),
@@ -112,7 +118,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedRequest:
-    """One request; ``cancel_after_s`` is set if its caller cancels it."""
+    """One request; ``cancel_after_s`` is set if its caller cancels it.
+
+    ``upload_bytes`` is the size of an upload, 0 for any other request.
+    """
 
     number: int
     at_s: float
@@ -120,6 +129,14 @@
     is_idempotent: bool
     team: int
     cancel_after_s: float | None
+    upload_bytes: int = 0
+
+    @property
+    def kind(self) -> str:
+        """The first part of the request's path, which names its route."""
+        if self.is_idempotent:
+            return 'fetch'
+        return 'import' if self.upload_bytes else 'renew'
 
 
 def draw_requests(plan: SoakPlan, team_count: int) -> Iterator[PlannedRequest]:
@@ -132,11 +149,14 @@
         if at_s >= plan.duration_s:
             return
         number += 1
+        is_idempotent = rng.random() < IDEMPOTENT_SHARE
+        is_upload = not is_idempotent and rng.random() < UPLOAD_SHARE
         yield PlannedRequest(
             number,
             at_s,
             rng.randrange(plan.nodes),
-            rng.random() < IDEMPOTENT_SHARE,
+            is_idempotent,
             rng.randrange(team_count),
             rng.uniform(0, 0.1) if rng.random() < CANCELLED_SHARE else None,
+            rng.randint(1, MAX_UPLOAD_BYTES) if is_upload else 0,
         )
--- a/tests/cover/test_soak_history.py
+++ b/tests/cover/test_soak_history.py
@@ -101,6 +101,7 @@
         ('unsent', lambda history: add_run(history, 'id-9')),
         ('changed', lambda history: add_run(history, 'id-1', team='other')),
         ('changed', lambda history: add_run(history, 'id-1', path='/')),
+        ('changed', lambda history: add_run(history, 'id-1', checksum=7)),
         ('false refusal', refuse_executed_request),
         ('foreign answer', return_answer_to_another_request),
         ('foreign answer', return_answer_of_another_target),
