A dead target ejects its zone only for its own service

Cause: a zone in which no target of a service answered was ejected for all services, and again at each call of that service as long as the dead target was in the member list (30 s and more). Change: ejections of zones are kept for each service. Result: the test of a dead and a live target in one zone failed before.

--- a/src/ebonycleat/internal/process/mesh_members.py
+++ b/src/ebonycleat/internal/process/mesh_members.py
@@ -119,7 +119,12 @@
             self.record_by_address[address] = record
             self.by_zone.setdefault(record.zone, []).append(address)
             if record.has_target:
-                member = Member(address, record.zone, MemberState.UP)
+                member = Member(
+                    address,
+                    record.zone,
+                    MemberState.UP,
+                    service=record.service,
+                )
                 services.setdefault(record.service, []).append(member)
         self.by_service = {
             service: tuple(members) for service, members in services.items()
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -212,7 +212,7 @@
         stats = self.target_stats.stats_of(member.node)
         stats.record_ended()
         stats.record_load(load, now)
-        self.target_stats.record_zone_reachable(member.zone)
+        self.target_stats.record_zone_reachable(member)
         self.reported_levels.record(member.node, load.admission_level, now)
 
     def record_failure(self, member: Member, reached: bool, now: float) -> None:
@@ -225,7 +225,7 @@
         stats.record_ended()
         stats.record_failure(reached, now)
         if not reached:
-            self.target_stats.record_zone_unreachable(member.zone, now)
+            self.target_stats.record_zone_unreachable(member, now)
 
     def record_abandoned(self, member: Member) -> None:
         """Record that this node cancelled an attempt."""
--- a/src/ebonycleat/internal/process/target_stats_table.py
+++ b/src/ebonycleat/internal/process/target_stats_table.py
@@ -14,7 +14,7 @@
 """A zone that is reachable again is tried after at most this long."""
 
 MAX_TARGETS = 8192
-MAX_ZONES = 256
+MAX_ZONE_EJECTIONS = 1024
 
 
 class MemberState(enum.Enum):
@@ -27,22 +27,28 @@
 class Member(msgspec.Struct, frozen=True):
     """A node whose target runs a service.
 
-    ``load`` is the load that the node last announced, if any.
+    ``load`` is the load that the node last announced, if any. ``service`` is
+    the service that its target runs, empty if the node is not told.
     """
 
     node: str
     zone: str
     state: MemberState = MemberState.UP
     load: GateLoad | None = None
+    service: str = ''
 
 
 class TargetStatsTable:
-    """Observations by target (its node's id), and ejections by zone."""
+    """Observations by target (its node's id), and ejections of zones.
+
+    A zone is ejected for one service only: where the targets of one do not
+    answer because they are dead, those of others may be well.
+    """
 
     def __init__(self) -> None:
         """Start without observations."""
         self.by_node: dict[str, TargetStats] = {}
-        self.zone_ejections: dict[str, Ejection] = {}
+        self.zone_ejections: dict[tuple[str, str], Ejection] = {}
 
     def stats_of(self, node: str) -> TargetStats:
         """Return the observations of a target, new ones if there are none.
@@ -57,14 +63,15 @@
             self.by_node[node] = stats
         return stats
 
-    def ejection_of_zone(self, zone: str) -> Ejection:
-        """Return the ejection state of a zone, a new one if there is none."""
-        ejection = self.zone_ejections.get(zone)
+    def ejection_of_zone(self, member: Member) -> Ejection:
+        """Return the ejection state of a member's zone for its service."""
+        key = (member.service, member.zone)
+        ejection = self.zone_ejections.get(key)
         if ejection is None:
-            if len(self.zone_ejections) >= MAX_ZONES:
+            if len(self.zone_ejections) >= MAX_ZONE_EJECTIONS:
                 self.zone_ejections.pop(next(iter(self.zone_ejections)))
             ejection = Ejection(INITIAL_ZONE_EJECTION_S, MAX_ZONE_EJECTION_S)
-            self.zone_ejections[zone] = ejection
+            self.zone_ejections[key] = ejection
         return ejection
 
     def usable_members(
@@ -117,7 +124,7 @@
         """
         stats = self.stats_of(member.node)
         on_trial = stats.ejection.is_on_trial or (
-            self.ejection_of_zone(member.zone).is_on_trial
+            self.ejection_of_zone(member).is_on_trial
         )
         return not (on_trial and stats.in_flight)
 
@@ -154,30 +161,31 @@
         for member in members:
             failures = self.stats_of(member.node).consecutive_unreachable
             failures_by_zone.setdefault(member.zone, []).append(failures)
+        members_by_zone = {member.zone: member for member in members}
         for zone, failures_by_node in failures_by_zone.items():
             is_unreachable = min(failures_by_node) > 0
             if is_unreachable and (
                 sum(failures_by_node) >= FAILURES_TO_EJECT_ZONE
             ):
-                self.eject_zone(zone, now)
+                self.eject_zone(members_by_zone[zone], now)
         return {
-            name
-            for name in failures_by_zone
-            if self.ejection_of_zone(name).is_active(now)
+            zone
+            for zone, zone_member in members_by_zone.items()
+            if self.ejection_of_zone(zone_member).is_active(now)
         }
 
-    def eject_zone(self, zone: str, now: float) -> None:
-        """Eject a zone, unless it is ejected or on trial already."""
-        ejection = self.ejection_of_zone(zone)
+    def eject_zone(self, member: Member, now: float) -> None:
+        """Eject a member's zone, unless it is ejected or on trial already."""
+        ejection = self.ejection_of_zone(member)
         if not ejection.is_on_trial:
             ejection.eject(now)
 
-    def record_zone_unreachable(self, zone: str, now: float) -> None:
+    def record_zone_unreachable(self, member: Member, now: float) -> None:
         """Eject a zone again if it is on trial and a call got no answer."""
-        ejection = self.ejection_of_zone(zone)
+        ejection = self.ejection_of_zone(member)
         if ejection.is_on_trial:
             ejection.eject(now)
 
-    def record_zone_reachable(self, zone: str) -> None:
+    def record_zone_reachable(self, member: Member) -> None:
         """End the ejection of a zone: a node there answered."""
-        self.ejection_of_zone(zone).reset()
+        self.ejection_of_zone(member).reset()
--- a/tests/cover/test_router.py
+++ b/tests/cover/test_router.py
@@ -140,3 +140,36 @@
     refusal = make_router().choose(request, 0)
     assert isinstance(refusal, Refusal)
     assert refusal.reason is Reason.NO_TARGET
+
+
+def test_a_dead_target_of_another_service_ejects_no_live_one() -> None:
+    """Guards against a lasting loss after a target has died.
+
+    The only target of a service is in a zone in which the only target of
+    another service is dead, but still in the member list.
+    """
+    router = make_router()
+    dead = Member('c1', 'c', service='stations')
+    live = Member('c2', 'c', service='tiles')
+    now: float = 0
+    record_answered_call(router, live, 1, now)
+    for _ in range(5):
+        record_failed_call(router, dead, False, now)
+    for step in range(100):
+        now = step / 10
+        chosen_nodes(router, now, (dead,))
+        router.record_sent(live, now)
+        assert chosen_nodes(router, now, (live,)) == {'c2'}
+        router.record_answer(live, make_gate_load(1), 0.01, now)
+
+
+def test_a_zone_without_a_reachable_target_of_a_service_is_ejected() -> None:
+    """Guards against calls that each wait for a zone that is cut off."""
+    router = make_router()
+    members = (
+        Member('b1', 'b', service='maps'),
+        Member('c1', 'c', service='maps'),
+    )
+    for _ in range(4):
+        record_failed_call(router, members[1], False, 0)
+    assert chosen_nodes(router, 0.1, members) == {'b1'}
