--- a/src/ebonycleat/internal/process/target_stats_table.py
+++ b/src/ebonycleat/internal/process/target_stats_table.py
@@ -157,22 +157,21 @@
         A zone is ejected when every member of the service in it failed to
         answer, ``FAILURES_TO_EJECT_ZONE`` times altogether.
         """
-        failures_by_zone: dict[str, list[int]] = {}
+        members_by_zone: dict[str, list[Member]] = {}
         for member in members:
-            failures = self.stats_of(member.node).consecutive_unreachable
-            failures_by_zone.setdefault(member.zone, []).append(failures)
-        members_by_zone = {member.zone: member for member in members}
-        for zone, failures_by_node in failures_by_zone.items():
-            is_unreachable = min(failures_by_node) > 0
-            if is_unreachable and (
-                sum(failures_by_node) >= FAILURES_TO_EJECT_ZONE
-            ):
-                self.eject_zone(members_by_zone[zone], now)
-        return {
-            zone
-            for zone, zone_member in members_by_zone.items()
-            if self.ejection_of_zone(zone_member).is_active(now)
-        }
+            members_by_zone.setdefault(member.zone, []).append(member)
+        ejected: set[str] = set()
+        for zone, near_members in members_by_zone.items():
+            failures = [
+                self.stats_of(near.node).consecutive_unreachable
+                for near in near_members
+            ]
+            is_unreachable = min(failures) > 0
+            if is_unreachable and sum(failures) >= FAILURES_TO_EJECT_ZONE:
+                self.eject_zone(near_members[0], now)
+            if self.ejection_of_zone(near_members[0]).is_active(now):
+                ejected.add(zone)
+        return ejected
 
     def eject_zone(self, member: Member, now: float) -> None:
         """Eject a member's zone, unless it is ejected or on trial already."""
