A fault in a handler does not stop its connection

Change: the flag goes; answers that come at once only schedule the next start, so nothing recurses without it. Result: a test of a failing handler, which timed out before. make lint and the tests of the listener, of one node and of whole nodes pass.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -211,7 +211,6 @@
             collections.deque()
         )
         self.exchanges: collections.deque[Exchange] = collections.deque()
-        self.is_starting = False
         self.last_activity_at = listener.clock()
         self.receiving_since: float | None = None
         self.is_paused = False
@@ -341,14 +340,10 @@
 
         A pending refusal is sent when all requests before it are answered.
         """
-        if self.is_starting:
-            return
-        self.is_starting = True
         while self.queued_requests and self.may_start(self.queued_requests[0]):
             exchange = Exchange(self, self.queued_requests.popleft())
             self.exchanges.append(exchange)
             self.listener.handler.handle_exchange(exchange)
-        self.is_starting = False
         self.update_reading()
         if self.refusal_status and not self.is_busy() and self.transport:
             response = HttpResponse(self.refusal_status)
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -180,6 +180,41 @@
     assert received.count(b'connection: close') == 1
 
 
+class FailingHandler(PipelineHandler):
+    """Fails on the first request, as a handler with a fault would."""
+
+    def handle_exchange(self, exchange):
+        super().handle_exchange(exchange)
+        if len(self.exchanges) == 2:
+            raise ValueError('fault')
+
+
+def test_a_fault_in_the_handler_does_not_stop_the_connection():
+    """Guards against a connection that takes no request any more."""
+
+    async def run_exchange():
+        handler = FailingHandler()
+        async with serve_handler(handler) as (listener, port):
+            reading = asyncio.create_task(
+                send_and_read_to_end(
+                    port,
+                    encode('/1')
+                    + encode('/2', 'POST')
+                    + encode('/3', 'POST', CLOSE_HEADER),
+                )
+            )
+            await wait_for_paths(handler, '/1')
+            # The failing request starts from a callback of the event loop.
+            handler.answer('/1')
+            await wait_for_paths(handler, '/1', '/2')
+            handler.answer('/2')
+            await wait_for_paths(handler, '/1', '/2', '/3')
+            handler.answer('/3')
+            return await reading
+
+    assert bodies_of(run_with_timeout(run_exchange())) == ['/1', '/2', '/3']
+
+
 def test_a_malformed_request_is_refused_after_the_answers_before_it():
     """Guards against a refusal that a caller takes for another answer."""
 
