A read of the store by a node that does not lead is logged

Change: nodes that read without the leader log records, next offset and end of the log; a page carries that end.

--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -33,11 +33,14 @@
     """Records of a topic as pairs of key and value.
 
     An empty value means that the key was deleted. ``next_offset`` is the
-    offset from which to read for later changes.
+    offset from which to read for later changes. ``end_offset`` is the end of
+    the log at the time of the read; it is greater than ``next_offset`` if the
+    page does not hold all records up to it.
     """
 
     records: tuple[tuple[str, bytes], ...]
     next_offset: int
+    end_offset: int
 
 
 class KeyValueStore(abc.ABC):
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -201,8 +201,22 @@
             except OffsetExpired:
                 self.configuration_offset = None
                 return
+        if not self.leader.is_own_node(sent_at):
+            self.log_own_read(page, sent_at)
         self.apply_configuration_page(page, sent_at)
 
+    def log_own_read(self, page: TopicPage, sent_at: float) -> None:
+        """Log a read of the store by a node that is not the leader."""
+        self.log.write_limited(
+            'configuration read without the leader',
+            leader=self.leader.choose_leader(sent_at),
+            proof_age_s=self.holder.proof_age_s(sent_at),
+            version=self.holder.version,
+            records=len(page.records),
+            next_offset=page.next_offset,
+            end_offset=page.end_offset,
+        )
+
     def apply_configuration_page(self, page: TopicPage, sent_at: float) -> None:
         """Apply the newest configuration of a page and record the proof."""
         record = self.platform.configuration.select_newest_record(page)
--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -95,7 +95,7 @@
             # log as of the first page gets all changes that a page may lack.
             first_end = page.end if first_end is None else first_end
             if not page.more or not page.items:
-                return TopicPage(tuple(records), first_end)
+                return TopicPage(tuple(records), first_end, first_end)
             query['after'] = page.items[-1].key
 
     async def wait_for_changes(
@@ -241,7 +241,7 @@
 def _decode_records(body: bytes, offset: int) -> TopicPage:
     """Decode the records of a response, which begins with two offsets.
 
-    These are the end of the log and its first kept record, and are not used.
+    These are the end of the log and its first kept record.
     Each record follows its length of four bytes. A record that is shorter than
     its key is skipped: reading it again would give the same, and the other
     records hold.
@@ -252,6 +252,7 @@
             'the response of the store is invalid: '
             'it is too short for two offsets'
         )
+    end_offset = int.from_bytes(body[:OFFSET_BYTES], 'big')
     records: list[tuple[str, bytes]] = []
     next_offset = offset
     while position < len(body):
@@ -267,7 +268,7 @@
         decoded = _decode_keyed(body[start:position])
         if decoded is not None:
             records.append(decoded)
-    return TopicPage(tuple(records), next_offset)
+    return TopicPage(tuple(records), next_offset, end_offset)
 
 
 def _decode_keyed(record: bytes) -> tuple[str, bytes] | None:
--- a/tests/cover/test_configuration_adoption.py
+++ b/tests/cover/test_configuration_adoption.py
@@ -86,7 +86,7 @@
     for tree in trees:
         record = tree if isinstance(tree, bytes) else encode_json(tree)
         follower.apply_configuration_page(
-            TopicPage((('config', record),), 1), node.dependencies.clock()
+            TopicPage((('config', record),), 1, 1), node.dependencies.clock()
         )
 
 
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -169,6 +169,7 @@
     page = TopicPage(
         (('config', b'old'), ('other', b'x'), ('config', b'new')),
         3,
+        3,
     )
     assert PlatformConfigurationFormat().select_newest_record(page) == b'new'
 
@@ -394,8 +395,8 @@
     return HttpResponse(status, (), encode_json(tree))
 
 
-def framed_response(*records):
-    body = b'\0' * 16
+def framed_response(*records, end_offset=7):
+    body = end_offset.to_bytes(8, 'big') + bytes(8)
     for key, value in records:
         keyed = bytes((len(key),)) + key + value
         body += len(keyed).to_bytes(4, 'big') + keyed
@@ -415,17 +416,19 @@
     )
     store = PlatformStore(pool, 'store')
     page = run_with_timeout(store.read_newest(StoreTopic.CONFIGURATION))
-    assert page == TopicPage((('a', b'v'), ('b', b'')), 7)
+    assert page == TopicPage((('a', b'v'), ('b', b'')), 7, 7)
     assert b'after=a' in pool.requests[1]
 
 
 def test_changes_are_read_from_an_offset():
     """Guards against records that are skipped or read twice."""
-    pool = ScriptedPool(framed_response((b'a', b'v'), (b'b', b'')))
+    pool = ScriptedPool(
+        framed_response((b'a', b'v'), (b'b', b''), end_offset=9)
+    )
     page = run_with_timeout(
         PlatformStore(pool, 's').wait_for_changes(StoreTopic.MEMBERS, 5, 1),
     )
-    assert page == TopicPage((('a', b'v'), ('b', b'')), 7)
+    assert page == TopicPage((('a', b'v'), ('b', b'')), 7, 9)
     assert b'from=5&waitMs=1000' in pool.requests[0]
 
 
@@ -496,7 +499,7 @@
     body = bytes(16) + records
     store = PlatformStore(ScriptedPool(HttpResponse(200, (), body)), 's')
     page = run_with_timeout(store.wait_for_changes(StoreTopic.MEMBERS, 5, 1))
-    assert page == TopicPage((('b', b'v'),), 7)
+    assert page == TopicPage((('b', b'v'),), 7, 0)
 
 
 def test_calls_of_the_store_share_no_connection():
--- a/tests/cover/test_store_follower.py
+++ b/tests/cover/test_store_follower.py
@@ -78,7 +78,7 @@
                 )
                 for node in NODES
             )
-        return await self.answer(TopicPage(records, offset))
+        return await self.answer(TopicPage(records, offset, offset))
 
     async def wait_for_changes(self, topic, offset, wait_s):
         records = ()
@@ -89,7 +89,8 @@
             records = self.records_from(offset)
         else:
             await asyncio.sleep(wait_s)
-        return await self.answer(TopicPage(records, offset + len(records)))
+        end = offset + len(records)
+        return await self.answer(TopicPage(records, end, end))
 
 
 class CutStore(SharedStore):
