--- a/tests/cover/test_store_follower.py
+++ b/tests/cover/test_store_follower.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 
+import pytest
+
 from ebonycleat.internal.connection.errors import StorageUnavailable
 from ebonycleat.internal.connection.mesh_messages import FreshnessReply
 from ebonycleat.internal.connection.platform_interfaces import (
@@ -38,15 +39,21 @@
 
 
 class SharedStore:
-    """Holds the versions of a configuration."""
+    """Holds the versions of a configuration.
+
+    ``page_records`` is how many records one answer holds at most.
+    """
 
     def __init__(self):
         self.is_down = False
+        self.page_records = 1000
         self.versions = [FIRST_VERSION]
+        self.written_at = [0]
         self.written = asyncio.Event()
 
     def write_version(self):
         self.versions.append(self.versions[-1] + 1)
+        self.written_at.append(asyncio.get_running_loop().time())
         self.written.set()
         self.written = asyncio.Event()
 
@@ -86,23 +93,40 @@
             with contextlib.suppress(TimeoutError):
                 if offset == len(self.versions):
                     await asyncio.wait_for(self.written.wait(), wait_s)
-            records = self.records_from(offset)
+            records = self.records_from(offset)[: self.page_records]
         else:
             await asyncio.sleep(wait_s)
-        end = offset + len(records)
-        return await self.answer(TopicPage(records, end, end))
+        next_offset = offset + len(records)
+        end_offset = max(next_offset, len(self.versions))
+        return await self.answer(TopicPage(records, next_offset, end_offset))
 
 
-class CutStore(SharedStore):
-    """A store that is silently cut off from one node."""
+class StoreAccess:
+    """The store as one node reaches it, until the node is cut off.
+
+    Answers that are on their way when the cut begins are lost too.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut_off = False
 
     async def read_newest(self, topic):
-        await asyncio.sleep(READ_TIMEOUT_S)
-        raise StorageUnavailable('no answer')
+        return await self.pass_on(self.store.read_newest(topic), 0)
 
     async def wait_for_changes(self, topic, offset, wait_s):
-        await asyncio.sleep(wait_s + READ_TIMEOUT_S)
-        raise StorageUnavailable('no answer')
+        return await self.pass_on(
+            self.store.wait_for_changes(topic, offset, wait_s), wait_s
+        )
+
+    async def pass_on(self, read, wait_s):
+        clock = asyncio.get_running_loop().time
+        times_out_at = clock() + wait_s + READ_TIMEOUT_S
+        page = await read
+        if self.is_cut_off:
+            await asyncio.sleep(times_out_at - clock())
+            raise StorageUnavailable('no answer')
+        return page
 
 
 class DirectLink:
@@ -133,6 +157,7 @@
 
     def __init__(self):
         self.store = SharedStore()
+        self.accesses = {node: StoreAccess(self.store) for node in NODES}
         self.links = {
             pair: DirectLink(self, pair[1], pair[0])
             for pair in itertools.permutations(NODES, 2)
@@ -144,7 +169,11 @@
         members = MeshMembers()
         links = NodeLinks(self, node)
         platform = PlatformInterfaces(
-            self.store, None, None, None, PlatformConfigurationFormat()
+            self.accesses[node],
+            None,
+            None,
+            None,
+            PlatformConfigurationFormat(),
         )
         return StoreFollower(
             platform,
@@ -156,6 +185,15 @@
             PROPAGATION_S,
         )
 
+    def cut_off_leader(self):
+        self.accesses[LEADER].is_cut_off = True
+
+    def oldest_missing_change_s(self, now):
+        """Return how long ago the oldest change was that a node lacks."""
+        versions = [self.followers[node].holder.version for node in NODES[1:]]
+        first_missing = min(versions) - FIRST_VERSION + 1
+        return now - self.store.written_at[first_missing]
+
     def deliver(self, link, message):
         back = self.links[link.receiver, link.sender]
         if isinstance(message, FreshnessReply):
@@ -233,8 +271,7 @@
     async def scenario(cut_after_s):
         zone = Zone()
         await zone.run(STARTING_S + cut_after_s, keeps_running=True)
-        leader = zone.followers[LEADER]
-        leader.platform = dataclasses.replace(leader.platform, store=CutStore())
+        zone.cut_off_leader()
         await asyncio.sleep(0.1)
         zone.store.write_version()
         await asyncio.sleep(PROPAGATION_S)
@@ -245,6 +282,48 @@
         assert versions == [FIRST_VERSION + 1, FIRST_VERSION + 1]
 
 
+def test_a_page_that_ends_before_the_log_does_proves_no_version():
+    """Guards against a node that takes the oldest changes for the newest."""
+
+    async def scenario():
+        zone = Zone()
+        zone.store.page_records = 10
+        await zone.run(STARTING_S, keeps_running=True)
+        for _ in range(35):
+            zone.store.write_version()
+            await asyncio.sleep(0.1)
+        zone.cut_off_leader()
+        zone.store.write_version()
+        await asyncio.sleep(PROPAGATION_S * 1.25)
+        return [zone.followers[node].holder.version for node in NODES[1:]]
+
+    assert run_in_virtual_time(scenario()) == [
+        FIRST_VERSION + 36,
+        FIRST_VERSION + 36,
+    ]
+
+
+@pytest.mark.parametrize('cut_after_s', [0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6])
+def test_each_of_many_changes_is_in_force_in_time_without_the_leader(
+    cut_after_s,
+):
+    """Guards against reads that are further apart than a change may take."""
+
+    async def scenario():
+        zone = Zone()
+        await zone.run(STARTING_S + cut_after_s, keeps_running=True)
+        zone.cut_off_leader()
+        delays = []
+        for _ in range(1000):
+            zone.store.write_version()
+            await asyncio.sleep(0.01)
+            now = asyncio.get_running_loop().time()
+            delays.append(zone.oldest_missing_change_s(now))
+        return max(delays)
+
+    assert run_in_virtual_time(scenario()) < PROPAGATION_S
+
+
 def test_a_store_that_fails_leaves_no_node_with_a_fresh_proof():
     """Guards against a leader whose proof is passed on as if it were new."""
 
