A page of the store that ends before the log does proves no version

Cause: an answer of the store holds 1 MiB at most. A node that reads only when its leader has lost the store starts at the offset of its own start; it took the oldest 91 of 261 changes for all of them, recorded a proof and waited 2 s for the next 91. Evidence: the lines of 'configuration read without the leader'. Why this works: a page is complete if it reaches the end of the log that the answer names; any other gives no proof, and the node reads the newest record at once. The emulated store answers in pages like the platform's, so soaks play it too.

--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -184,8 +184,8 @@
     async def read_configuration(self) -> None:
         """Read the configuration from the store once.
 
-        Each answer is a proof, even one without a change. If the offset has
-        expired, the next read starts from the newest record.
+        Each complete answer is a proof, even one without a change. If the
+        offset has expired, the next read starts from the newest record.
         """
         sent_at = self.clock()
         topic = StoreTopic.CONFIGURATION
@@ -218,11 +218,18 @@
         )
 
     def apply_configuration_page(self, page: TopicPage, sent_at: float) -> None:
-        """Apply the newest configuration of a page and record the proof."""
+        """Apply the newest configuration of a page and record the proof.
+
+        A page that ends before the log does proves nothing; the next read
+        then starts from the newest record.
+        """
         record = self.platform.configuration.select_newest_record(page)
-        self.configuration_offset = page.next_offset
         if record:
             self.apply_configuration_record(record)
+        if page.next_offset < page.end_offset:
+            self.configuration_offset = None
+            return
+        self.configuration_offset = page.next_offset
         # The page holds everything that was written before the read was sent.
         self.holder.record_proof(self.holder.version, sent_at)
 
--- a/src/ebonycleat_tools/platform/store.py
+++ b/src/ebonycleat_tools/platform/store.py
@@ -21,6 +21,9 @@
 MILLISECONDS_PER_S = 1000
 CONFIGURATION_TOPIC = 'keyed.op'
 CONFIGURATION_KEY = 'config'
+MAX_READ_BYTES = 1024 * 1024
+"""An answer ends before the record that would exceed this size, unless that
+is its first record."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,16 +55,20 @@
         return len(self.records) - 1
 
     def read(self, start: int) -> HttpResponse:
-        """Return the answer to a read: all records from ``start`` on."""
+        """Return the answer to a read: the first records from ``start`` on."""
         if start < self.first_offset:
             body = json.dumps({'first': self.first_offset}).encode()
             return HttpResponse(GONE, (), body)
-        body = len(self.records).to_bytes(OFFSET_BYTES, 'big')
-        body += self.first_offset.to_bytes(OFFSET_BYTES, 'big')
+        offsets = len(self.records).to_bytes(OFFSET_BYTES, 'big')
+        offsets += self.first_offset.to_bytes(OFFSET_BYTES, 'big')
+        body = b''
         for key, record in self.records[start:]:
             entry = bytes((len(key),)) + key.encode() + record
-            body += len(entry).to_bytes(LENGTH_BYTES, 'big') + entry
-        return HttpResponse(OK, (), body)
+            framed = len(entry).to_bytes(LENGTH_BYTES, 'big') + entry
+            if body and len(body) + len(framed) > MAX_READ_BYTES:
+                break
+            body += framed
+        return HttpResponse(OK, (), offsets + body)
 
     def newest(self) -> HttpResponse:
         """Return the newest record of each key, without empty records."""
