A node that has lost the store lets another one read for its zone

Cause: the leader of a zone stayed the one to be asked, whatever its proof was worth; it never asked anybody itself, and the member list of its zone stood still meanwhile. A proof that is passed on ages as before, so a withdrawn key stops working as soon as it did.

--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -138,12 +138,14 @@
     """Reply to a ``FreshnessRequest``.
 
     ``age_ms`` is the time since the sender last had evidence that ``version``
-    is the newest configuration; negative if it never had.
+    is the newest configuration; negative if it never had. ``has_lost_store``
+    asks the receiver to choose another node to read the store for it.
     """
 
     number: int
     version: int
     age_ms: int
+    has_lost_store: bool = False
 
 
 class ConfigurationUpdate(MeshMessage, frozen=True, tag=10):
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -1,11 +1,12 @@
 """Keeps configuration and member list up to date with few store calls.
 
-The leader of a zone long-polls the store for changes. The other nodes of the
-zone ask the leader several times in the propagation time for the age of its
-last proof and get newer data with the answer. A proof is a read of the store that showed no
-newer configuration. A node whose own proof becomes too old reads the store
-itself, so a dead leader or a network partition causes more store calls but no
-stale data.
+One node of a zone, its reader, long-polls the store for changes. The other
+nodes of the zone ask the reader several times in the propagation time for the
+age of its last proof and get newer data with the answer. A proof is a read of
+the store that showed no newer configuration. A reader that loses the store
+says so, and the next node reads. A node whose own proof becomes too old reads
+the store itself, so a dead reader or a network partition causes more store
+calls but no stale data.
 """
 
 import asyncio
@@ -35,22 +36,27 @@
 )
 from ebonycleat.internal.process.event_log import EventLog
 from ebonycleat.internal.process.retry_backoff import RetryBackoff
+from ebonycleat.internal.process.store_reader import StoreReaderChoice
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 from ebonycleat.internal.version.mesh_configuration import MeshConfiguration
 
 CONFIGURATION_WAIT_SHARE = 0.35
-"""Share of the propagation time for which a leader's read waits for a change.
+"""Share of the propagation time for which a read waits for a change.
 Each answer proves the state at the time when the read was sent, and the next
-answer comes a whole wait later: a leader's proof becomes two waits old."""
+answer comes a whole wait later: a reader's proof becomes two waits old."""
+
+OVERDUE_SHARE = 0.15
+"""Share of the propagation time after the end of its wait from which a read is
+overdue: the store may be lost, and other nodes are asked meanwhile."""
 
 ASK_SHARE = 0.15
-"""Share of the propagation time between two questions to the leader."""
+"""Share of the propagation time between two questions to the reader."""
 
 MAX_PROOF_AGE_SHARE = 0.9
 """A node reads the store itself if its proof is older than this share of the
-propagation time, because its leader may have lost the store. Without failures
+propagation time, because its reader may have lost the store. Without failures
 a proof becomes two waits and one pause between questions old, which is less;
-a leader's proof must not make the other nodes read each time. The rest of the
+a reader's proof must not make the other nodes read each time. The rest of the
 propagation time is for the read."""
 
 MEMBERS_WAIT_S = 20.0
@@ -61,17 +67,18 @@
 """Pause after each read of members, so that one call returns many changes."""
 
 ASK_TIMEOUT_S = 0.4
-"""Time limit for the leader's answer; within a zone it takes about 1 ms."""
+"""Time limit for the reader's answer; within a zone it takes about 1 ms."""
 
 SUBSCRIPTION_LIFETIME_S = 3.0
 """How long after its last request a node is sent changes immediately."""
 
 
 class StoreFollower:
-    """Follows the store directly or through the leader of the zone.
+    """Follows the store directly or through the reader of the zone.
 
     ``configuration_offset`` is the next offset of the configuration to read,
-    or None when the newest record must be read first. ``on_members_changed``
+    or None when the newest record must be read first, as after a time in which
+    another node read the store. ``on_members_changed``
     is called after each change of the member list.
     """
 
@@ -94,6 +101,7 @@
         self.holder = holder
         self.members = leader.members
         self.leader = leader
+        self.reader = StoreReaderChoice(leader)
         self.links = links
         self.log = log
         self.clock = clock
@@ -107,24 +115,43 @@
         self.logged_kinds: set[tuple[str, str]] = set()
 
     async def follow_configuration(self) -> None:
-        """Keep the configuration and its proof recent, until cancelled.
-
-        When the store does not answer, the leader is asked before the next
-        attempt: it may still reach the store.
-        """
+        """Keep the configuration and its proof recent, until cancelled."""
         retry = RetryBackoff()
         while True:
             if self.must_read_store():
-                reached = await self.try_read(self.read_configuration)
-                if reached:
+                if await self.read_or_ask():
                     retry.reset()
                 else:
-                    await self.ask_leader()
                     await retry.wait()
-            else:
-                await self.ask_leader()
+            elif await self.ask_reader():
+                self.configuration_offset = None
                 await asyncio.sleep(self.pause_before_next_question_s())
 
+    async def read_or_ask(self) -> bool:
+        """Read once, and ask other nodes while the answer is overdue.
+
+        Returns whether the store was reached.
+        """
+        read = asyncio.ensure_future(self.try_read(self.read_configuration))
+        try:
+            await self.ask_while_overdue(read)
+        except asyncio.CancelledError:
+            read.cancel()
+            raise
+        reached = read.result()
+        if not reached:
+            await self.ask_reader()
+        return reached
+
+    async def ask_while_overdue(self, read: asyncio.Future[bool]) -> None:
+        """Wait for a read; ask other nodes from the time it is overdue."""
+        due_s = self.propagation_s * (CONFIGURATION_WAIT_SHARE + OVERDUE_SHARE)
+        await asyncio.wait((read,), timeout=due_s)
+        while not read.done():
+            self.record_store_state(unreachable=True, detail='no answer yet')
+            await self.ask_reader()
+            await asyncio.wait((read,), timeout=self.propagation_s * ASK_SHARE)
+
     def pause_before_next_question_s(self) -> float:
         """Return how long to trust the last proof before asking again.
 
@@ -137,11 +164,11 @@
     def must_read_store(self) -> bool:
         """Tell whether this node must read the configuration itself now.
 
-        That holds for the leader, for a node that never read it, and for one
-        whose proof is missing or too old.
+        That holds for the reader of the zone and for a node whose proof is
+        missing or too old.
         """
         now = self.clock()
-        if self.configuration_offset is None or self.leader.is_own_node(now):
+        if self.reader.is_own_node(now):
             return True
         age_s = self.holder.proof_age_s(now)
         max_age_s = self.propagation_s * MAX_PROOF_AGE_SHARE
@@ -150,13 +177,13 @@
     async def follow_members(self) -> None:
         """Keep the member list up to date, until cancelled.
 
-        After its first read, a node that is not the leader gets changes from
-        the leader only.
+        After its first read, a node that is not the reader gets changes from
+        the reader only.
         """
         retry = RetryBackoff()
         while True:
             reached = True
-            if self.members.offset < 0 or self.leader.is_own_node(self.clock()):
+            if self.members.offset < 0 or self.reader.is_own_node(self.clock()):
                 reached = await self.try_read(self.read_members)
             if reached:
                 retry.reset()
@@ -178,7 +205,11 @@
     def record_store_state(
         self, *, unreachable: bool, detail: str = ''
     ) -> None:
-        """Log when the store becomes unreachable or reachable again."""
+        """Note whether this node reaches the store, and log a change of it."""
+        if unreachable:
+            self.reader.record_store_lost(self.reader.node, self.clock())
+        else:
+            self.reader.record_store_reached(self.reader.node)
         if unreachable != self.is_store_unreachable:
             self.is_store_unreachable = unreachable
             event = (
@@ -211,15 +242,15 @@
             except OffsetExpired:
                 self.configuration_offset = None
                 return
-        if not self.leader.is_own_node(sent_at):
+        if not self.reader.is_own_node(sent_at):
             self.log_own_read(page, sent_at)
         self.apply_configuration_page(page, sent_at)
 
     def log_own_read(self, page: TopicPage, sent_at: float) -> None:
-        """Log a read of the store by a node that is not the leader."""
+        """Log a read of the store by a node that is not the reader."""
         self.log.write_limited(
-            'configuration read without the leader',
-            leader=self.leader.choose_leader(sent_at),
+            'configuration read without the reader',
+            reader=self.reader.choose(sent_at),
             proof_age_s=self.holder.proof_age_s(sent_at),
             version=self.holder.version,
             records=len(page.records),
@@ -361,21 +392,22 @@
             ):
                 self.subscribers.pop(link)
 
-    async def ask_leader(self) -> None:
-        """Ask the leader of the zone for the age of its proof.
+    async def ask_reader(self) -> bool:
+        """Ask the reader of the zone for the age of its proof.
 
-        Newer data arrives in messages of its own before the answer. A leader
-        that does not answer within ``ASK_TIMEOUT_S`` is avoided for a while.
+        Newer data arrives in messages of its own before the answer. Returns
+        false if another node must be asked: a node that does not answer within
+        ``ASK_TIMEOUT_S`` or that has lost the store is avoided for a while.
         """
         asked_at = self.clock()
-        leader = self.leader.choose_leader(asked_at)
-        if leader == self.leader.node:
-            return
+        reader = self.reader.choose(asked_at)
+        if reader == self.reader.node:
+            return False
         reply_future: asyncio.Future[AnyMeshMessage | None] = (
             asyncio.get_running_loop().create_future()
         )
         self.links.request_link(
-            leader,
+            reader,
             lambda link: self.request_proof(link, reply_future),
         )
         try:
@@ -383,14 +415,17 @@
                 reply = await reply_future
         except TimeoutError:
             reply = None
-        if isinstance(reply, FreshnessReply):
-            if reply.age_ms >= 0:
-                # The leader measured the age after the request was sent, so
-                # the proof is at least this recent.
-                proved_at = asked_at - reply.age_ms / 1000
-                self.holder.record_proof(reply.version, proved_at)
-        else:
-            self.leader.record_no_answer(leader, self.clock())
+        if not isinstance(reply, FreshnessReply):
+            self.leader.record_no_answer(reader, self.clock())
+            return False
+        if reply.age_ms >= 0:
+            # The reader measured the age after the request was sent, so the
+            # proof is at least this recent.
+            proved_at = asked_at - reply.age_ms / 1000
+            self.holder.record_proof(reply.version, proved_at)
+        if reply.has_lost_store:
+            self.reader.record_store_lost(reader, self.clock())
+        return not reply.has_lost_store
 
     def request_proof(
         self,
@@ -450,4 +485,11 @@
             link.send(self.create_members_message())
         age_s = self.holder.proof_age_s(now)
         age_ms = -1 if age_s is None else int(age_s * 1000) + 1
-        link.send(FreshnessReply(request.number, self.holder.version, age_ms))
+        link.send(
+            FreshnessReply(
+                request.number,
+                self.holder.version,
+                age_ms,
+                self.is_store_unreachable,
+            )
+        )
--- a/tests/cover/test_store_follower.py
+++ b/tests/cover/test_store_follower.py
@@ -23,6 +23,7 @@
     encode_member,
 )
 from ebonycleat.internal.process.store_follower import StoreFollower
+from ebonycleat.internal.process.store_reader import STORE_LOST_S
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 from ebonycleat.platform.configuration_format import PlatformConfigurationFormat
 from tests.platform_examples import CONFIGURATION, encode_json
@@ -50,6 +51,22 @@
         self.versions = [FIRST_VERSION]
         self.written_at = [0]
         self.written = asyncio.Event()
+        self.member_log = list(NODES)
+        self.joined = asyncio.Event()
+
+    def add_member(self, node):
+        self.member_log.append(node)
+        self.joined.set()
+        self.joined = asyncio.Event()
+
+    def member_records_from(self, offset):
+        return tuple(
+            (
+                node,
+                encode_member(MemberRecord(node, 'a', 's', 'i1', 1, 4, True)),
+            )
+            for node in self.member_log[offset:]
+        )
 
     def write_version(self):
         self.versions.append(self.versions[-1] + 1)
@@ -76,30 +93,28 @@
         offset = len(self.versions)
         records = self.records_from(offset - 1)
         if topic is StoreTopic.MEMBERS:
-            records = tuple(
-                (
-                    node,
-                    encode_member(
-                        MemberRecord(node, 'a', 's', '', 0, 1, False)
-                    ),
-                )
-                for node in NODES
-            )
+            offset = len(self.member_log)
+            records = self.member_records_from(0)
         return await self.answer(TopicPage(records, offset, offset))
 
     async def wait_for_changes(self, topic, offset, wait_s):
-        records = ()
         if topic is StoreTopic.CONFIGURATION:
-            with contextlib.suppress(TimeoutError):
-                if offset == len(self.versions):
-                    await asyncio.wait_for(self.written.wait(), wait_s)
+            if offset == len(self.versions):
+                await self.wait(self.written, wait_s)
             records = self.records_from(offset)[: self.page_records]
+            end_offset = len(self.versions)
         else:
-            await asyncio.sleep(wait_s)
+            if offset == len(self.member_log):
+                await self.wait(self.joined, wait_s)
+            records = self.member_records_from(offset)
+            end_offset = len(self.member_log)
         next_offset = offset + len(records)
-        end_offset = max(next_offset, len(self.versions))
         return await self.answer(TopicPage(records, next_offset, end_offset))
 
+    async def wait(self, event, wait_s):
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(event.wait(), wait_s)
+
 
 class StoreAccess:
     """The store as one node reaches it, until the node is cut off.
@@ -325,6 +340,83 @@
     assert run_in_virtual_time(scenario()) < PROPAGATION_S
 
 
+def test_a_member_that_joins_is_known_although_the_leader_lost_the_store():
+    """Guards against a zone that sees no new target until its leader does."""
+
+    async def scenario():
+        zone = Zone()
+        await zone.run(STARTING_S, keeps_running=True)
+        zone.cut_off_leader()
+        await asyncio.sleep(1)
+        zone.store.add_member('n4:1')
+        await asyncio.sleep(PROPAGATION_S)
+        return [
+            'n4:1' in follower.members.record_by_address
+            for follower in zone.followers.values()
+        ]
+
+    assert run_in_virtual_time(scenario()) == [True, True, True]
+
+
+def test_a_leader_that_lost_the_store_follows_a_node_that_has_it():
+    """Guards against refused keys at a node whose neighbours read the store."""
+
+    async def scenario():
+        zone = Zone()
+        leader = zone.followers[LEADER]
+        await zone.run(STARTING_S, keeps_running=True)
+        zone.cut_off_leader()
+        trusts_keys = []
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            now = asyncio.get_running_loop().time()
+            trusts_keys.append(leader.holder.may_trust_keys(now))
+        zone.store.write_version()
+        await asyncio.sleep(PROPAGATION_S)
+        return all(trusts_keys), leader.holder.version
+
+    assert run_in_virtual_time(scenario()) == (True, FIRST_VERSION + 1)
+
+
+def test_one_node_reads_the_store_for_a_leader_that_lost_it():
+    """Guards against store calls of a whole zone when its leader is cut off."""
+
+    async def scenario():
+        zone = Zone()
+        await zone.run(STARTING_S, keeps_running=True)
+        zone.cut_off_leader()
+        await asyncio.sleep(STARTING_S)
+        for follower in zone.followers.values():
+            follower.store_calls = 0
+        await asyncio.sleep(MINUTE_S)
+        return [zone.followers[node].store_calls for node in NODES]
+
+    leader_calls, reader_calls, other_calls = run_in_virtual_time(scenario())
+    assert leader_calls <= MINUTE_S / STORE_LOST_S + 4
+    assert reader_calls <= MINUTE_S / (PROPAGATION_S * 0.35) + 4
+    assert other_calls == 0
+
+
+def test_a_leader_that_reaches_the_store_again_reads_for_its_zone():
+    """Guards against a reader that stays another one for good."""
+
+    async def scenario():
+        zone = Zone()
+        await zone.run(STARTING_S, keeps_running=True)
+        zone.cut_off_leader()
+        await asyncio.sleep(STARTING_S)
+        zone.accesses[LEADER].is_cut_off = False
+        await asyncio.sleep(STORE_LOST_S * 3)
+        for follower in zone.followers.values():
+            follower.store_calls = 0
+        await asyncio.sleep(STARTING_S)
+        return [zone.followers[node].store_calls for node in NODES]
+
+    leader_calls, *other_calls = run_in_virtual_time(scenario())
+    assert leader_calls > 0
+    assert other_calls == [0, 0]
+
+
 def test_a_store_that_fails_leaves_no_node_with_a_fresh_proof():
     """Guards against a leader whose proof is passed on as if it were new."""
 
