The gate keeps to the limit of requests that a target names

Cause: nobody read the header Server-Limit. Evidence: it has no name in the folder platform/; no log line, no decision. Why this works: all requests to a target pass the gate beside it, so one token bucket there binds all machines together. It holds a tenth of a second's calls at most. The limit ends with the first answer without it to a request that was sent after it was last named. A target that takes nothing is tried twice in 4 s. Until the first answer of a target a process runs five calls there at most, since a process before it may have been told a limit. Waiting time, Retry-After, load told to other nodes and the pressure at the entries follow the slots that the limit leaves in use.

--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -117,11 +117,14 @@
     ``response`` is for the caller. ``has_not_run`` is the target's guarantee
     that it has not run the request. ``is_wrong_instance`` is True
     if the request reached another instance than the one that it names.
+    ``max_requests_per_s`` is how many requests the target takes from all nodes
+    together for as long as it says so; None if it names no limit.
     """
 
     response: HttpResponse
     has_not_run: bool
     is_wrong_instance: bool
+    max_requests_per_s: float | None
 
 
 class CallerProtocol(abc.ABC):
--- a/src/ebonycleat/internal/process/backpressure.py
+++ b/src/ebonycleat/internal/process/backpressure.py
@@ -147,7 +147,7 @@
         self,
         queued_direct: int,
         queued_called: int,
-        limit: int,
+        limit: float,
         now: float,
     ) -> None:
         """Adapt the shares to the load since the last update.
@@ -155,7 +155,7 @@
         ``limit`` is how many calls may run; without any, nothing changes.
         """
         elapsed_s = now - self.updated_at
-        if elapsed_s <= 0 or limit < 1:
+        if elapsed_s <= 0 or limit <= 0:
             return
         self.updated_at = now
         step = min(1, elapsed_s / SHARE_RESPONSE_S)
--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -35,6 +35,10 @@
 """Share of the allowed calls from which on a target counts as full when it
 leaves a call without an answer."""
 
+UNTRIED_CALLS = 5
+"""Calls that run at most until this process has had an answer of a target. The
+target may have asked an earlier process of this node for fewer calls."""
+
 SILENCE_RECOVERY_S = 1.0
 HEALTH_VALID_S = 2
 PROBE_FAILURE_VALID_S = 0.5
@@ -116,6 +120,7 @@
         super().__init__(slots)
         self.backoff = TargetBackoff()
         self.has_target = False
+        self.has_answered = False
         self.calls_before_silence: int | None = None
         self.silent_at: float = 0
 
@@ -124,6 +129,10 @@
         self.slots = max(1, slots)
         self.has_target = True
 
+    def record_response(self) -> None:
+        """Record a response of the target, whatever its status."""
+        self.has_answered = True
+
     def record_silence(self, running_when_sent: int, now: float) -> None:
         """Lower the limit after a call that got no answer at its deadline.
 
@@ -157,11 +166,17 @@
         self.calls_before_silence = None
 
     def allowed_calls(self, now: float) -> int:
-        """Return the slots, 1 for the trial call after a backoff, or 0."""
+        """Return the slots, 1 for the trial call after a backoff, or 0.
+
+        Until the first response there are ``UNTRIED_CALLS`` at most.
+        """
         if not self.has_target:
             return 0
         limited = self.backoff.allowed_calls(now)
-        return self.limit_after_silence(now) if limited is None else limited
+        if limited is not None:
+            return limited
+        allowed = self.limit_after_silence(now)
+        return allowed if self.has_answered else min(allowed, UNTRIED_CALLS)
 
     def record_outcome(self, outcome: RunOutcome, now: float) -> None:
         """Back off after a crash; any other result shows a live target."""
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -6,6 +6,7 @@
 refuses only calls that it has not dispatched.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 
@@ -154,12 +155,19 @@
         return GateLoad(
             queued=len(self.queue),
             running=len(self.running),
-            limit=allowed,
+            limit=0 if self.draining else math.ceil(self.usable_slots(now)),
             latency_s=service_s + self.signals.queue_delay_s(allowed),
             admission_level=self.admission_level,
             draining=self.draining,
         )
 
+    def usable_slots(self, now: float) -> float:
+        """Return how many calls run at most, by slots and by start rate."""
+        return self.signals.start_rate.usable_slots(
+            self.limit.allowed_calls(now),
+            self.signals.service_times.overall_s,
+        )
+
     def needs_no_update(self) -> bool:
         """Tell whether no call waits and no admission level is adapted."""
         return not self.queue.by_id and not self.signals.sheds_by_level
@@ -173,7 +181,9 @@
         """
         if self.draining or not self.needs_no_update():
             return False
-        return len(self.running) < self.limit.allowed_calls(now)
+        if len(self.running) >= self.limit.allowed_calls(now):
+            return False
+        return self.signals.start_rate.may_start(now)
 
     def start_immediately(self, call: Call, now: float) -> GateDecision:
         """Dispatch a call that skips the queue."""
@@ -259,7 +269,10 @@
                 Reason.NO_TARGET,
                 'the target is down',
             )
+        start_rate = self.signals.start_rate
         while self.queue and len(self.running) < allowed:
+            if not start_rate.may_start(now):
+                break
             rate = self.signals.dispatch_rate(allowed, now)
             decisions.append(self.start_next_queued(rate, now))
         return decisions
@@ -281,6 +294,7 @@
             )
         self.signals.team_usage.record_dispatch(call.team, cost, now)
         self.signals.level.count_started()
+        self.signals.start_rate.record_start()
         self.running[call.call_id] = call
         return DispatchCall(call)
 
--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -13,7 +13,10 @@
 )
 from ebonycleat.internal.connection.http_pool import ConnectionPool
 from ebonycleat.internal.connection.platform_interfaces import TargetProtocol
-from ebonycleat.internal.process.local_target import LocalTarget
+from ebonycleat.internal.process.local_target import (
+    Incarnation,
+    LocalTarget,
+)
 from ebonycleat.internal.process.run_outcome import RunResult
 from ebonycleat.internal.request.call import Call, CallResult
 from ebonycleat.internal.request.refusal import (
@@ -51,14 +54,16 @@
 class PendingCall:
     """A call that waits at the gate or runs at the target.
 
-    ``in_flight``, ``sent_at`` and ``running_when_sent``, the number of calls
-    at the target including this one, are set when the call is sent.
+    ``in_flight``, ``sent_at``, ``incarnation`` of the target and
+    ``running_when_sent``, the number of calls at the target including this one,
+    are set when the call is sent.
     """
 
     gate_call: GateCall
     on_result: ResultHandler
     in_flight: InFlightRequest | None = None
     sent_at: float = 0
+    incarnation: Incarnation | None = None
     running_when_sent: int = 0
 
 
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -12,6 +12,7 @@
     QueuedCall,
 )
 from ebonycleat.internal.process.service_time import ServiceTimes
+from ebonycleat.internal.process.start_rate import StartRateLimit
 from ebonycleat.internal.process.team_usage import TeamUsage
 from ebonycleat.internal.request.call import Call, Priority
 
@@ -22,7 +23,10 @@
 
 
 class GateSignals:
-    """Service times, usage of teams, queue delay and admission level."""
+    """Service times, usage of teams, queue delay and admission level.
+
+    ``start_rate`` is the limit of calls per second that the target asks for.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,7 @@
         self.level = AdmissionLevel()
         self.team_usage = TeamUsage()
         self.service_times = ServiceTimes()
+        self.start_rate = StartRateLimit()
         self.standing_since: float | None = None
         self.is_queue_delayed = False
 
@@ -68,8 +73,14 @@
 
     def queue_delay_s(self, allowed: int) -> float:
         """Return the seconds in which the queue empties at this limit."""
-        backlog_s = len(self.queue) * self.service_times.overall_s
-        return backlog_s / max(1, allowed)
+        return len(self.queue) * self.start_interval_s(allowed)
+
+    def start_interval_s(self, allowed: int) -> float:
+        """Return the mean seconds between two starts at this limit."""
+        return max(
+            self.service_times.overall_s / max(1, allowed),
+            self.start_rate.interval_s,
+        )
 
     def update(self, allowed: int, now: float) -> None:
         """Adapt the admission level, and detect a standing queue."""
@@ -95,7 +106,7 @@
         since = self.standing_since
         return DispatchRate(
             now=now,
-            start_interval_s=self.service_times.overall_s / max(1, allowed),
+            start_interval_s=self.start_interval_s(allowed),
             has_standing_queue=since is not None
             and now - since > STANDING_QUEUE_DURATION_S,
         )
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -19,6 +19,7 @@
 from ebonycleat.internal.connection.http_messages import encode_request
 from ebonycleat.internal.connection.platform_interfaces import (
     ControlMessage,
+    ParsedResponse,
     TargetRequest,
 )
 from ebonycleat.internal.process.backpressure import GateBackpressure
@@ -139,6 +140,7 @@
         changed = self.target.handle_message(message, self.unix_time_ms())
         if self.target.incarnation != before:
             self.limit.reset_backoff()
+            self.gate.signals.start_rate.reset()
             if was_usable:
                 # The earlier instance ended without deregistering.
                 self.record_target_crash()
@@ -230,7 +232,7 @@
             self.backpressure.update(
                 len(self.gate.queue) - called,
                 called,
-                self.limit.allowed_calls(now),
+                self.gate.usable_slots(now),
                 now,
             )
 
@@ -261,6 +263,7 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         pending_call.sent_at = now
+        pending_call.incarnation = self.target.incarnation
         pending_call.running_when_sent = len(self.gate.running)
         self.call_counts.record_run(call.route, now)
         self.running_by_request_id[pending_call.gate_call.request_id] = (
@@ -359,6 +362,8 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         report = self.protocol.parse_response(result)
+        if pending_call.incarnation == self.target.incarnation:
+            self.adopt_requests_of_target(report, pending_call)
         if report.is_wrong_instance:
             self.target.record_other_instance()
             self.apply_target_state()
@@ -380,6 +385,27 @@
             ),
         )
 
+    def adopt_requests_of_target(
+        self, report: ParsedResponse, pending_call: PendingCall
+    ) -> None:
+        """Adopt what the target asks for in the headers of a response."""
+        self.limit.record_response()
+        if report.is_wrong_instance:
+            return
+        start_rate = self.gate.signals.start_rate
+        if start_rate.record_response(
+            report.max_requests_per_s, pending_call.sent_at, self.clock()
+        ):
+            self.load_reporter.invalidate()
+            self.log.write_limited(
+                'target changed its limit of requests',
+                instance=self.target.instance,
+                request=pending_call.gate_call.request_id,
+                named_per_s=report.max_requests_per_s,
+                limit_per_s=start_rate.rate_per_s,
+                queued=len(self.gate.queue),
+            )
+
     def end_run(self, call: Call, outcome: RunOutcome) -> None:
         """Free the slot of a call, and start other calls."""
         now = self.clock()
--- a/src/ebonycleat/platform/header_names.py
+++ b/src/ebonycleat/platform/header_names.py
@@ -14,6 +14,8 @@
 # Numbers of running requests, waiting requests and slots of the target.
 TARGET_LOAD = 'x-upstream-load'
 NOT_EXECUTED = 'x-not-executed'
+# Requests a second that the target takes from all machines together.
+TARGET_RATE_LIMIT = 'server-limit'
 RETRY_AFTER = 'retry-after'
 HOST = 'host'
 CONTENT_ENCODING = 'content-encoding'
--- a/src/ebonycleat/platform/target_protocol.py
+++ b/src/ebonycleat/platform/target_protocol.py
@@ -1,5 +1,7 @@
 """Requests to targets and their responses, in the platform's format."""
 
+import re
+
 from ebonycleat.internal.connection.http_messages import (
     HttpResponse,
     find_header,
@@ -15,6 +17,8 @@
 MILLISECONDS_PER_S = 1000
 MISDIRECTED = 421
 
+_DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{1,15})?')
+
 
 class PlatformTargetProtocol(TargetProtocol):
     """Handles targets that know their instance id.
@@ -60,4 +64,14 @@
             HttpResponse(response.status, caller_headers, response.body),
             has_not_run=has_not_run,
             is_wrong_instance=is_misdirected,
+            max_requests_per_s=_parse_decimal(
+                find_header(response.headers, names.TARGET_RATE_LIMIT)
+            ),
         )
+
+
+def _parse_decimal(text: str) -> float | None:
+    """Return a decimal number that is not negative, None for other texts."""
+    if not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
