A target that says in an answer that it leaves gets no further call

Cause: the header had no reader; only heartbeats and deregistrations closed the gate. Why this works: all requests to the target pass the gate that read the answer, so it closes for every machine at once; what waits there goes to other targets, and the node's record tells the fleet and a restarted node. An answer of an earlier incarnation closes nothing.

--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -119,12 +119,14 @@
     if the request reached another instance than the one that it names.
     ``max_requests_per_s`` is how many requests the target takes from all nodes
     together for as long as it says so; None if it names no limit.
+    ``is_leaving`` is True if the target must get no new requests.
     """
 
     response: HttpResponse
     has_not_run: bool
     is_wrong_instance: bool
     max_requests_per_s: float | None
+    is_leaving: bool
 
 
 class CallerProtocol(abc.ABC):
--- a/src/ebonycleat/internal/process/local_target.py
+++ b/src/ebonycleat/internal/process/local_target.py
@@ -28,7 +28,8 @@
     """State of a node's target, according to the target's messages.
 
     ``is_leaving`` is true if this incarnation gets no more requests: it is
-    draining or has deregistered, or another instance answers at its address.
+    draining or has deregistered, says in an answer that it leaves, or another
+    instance answers at its address.
     """
 
     def __init__(self, service: str) -> None:
@@ -116,6 +117,12 @@
         ):
             self.is_leaving = True
 
+    def record_leaving(self) -> bool:
+        """Record that the target leaves; return whether that is news."""
+        was_leaving = self.is_leaving
+        self.is_leaving = True
+        return not was_leaving
+
     def record_other_instance(self) -> None:
         """Record that another instance answered at the target's address."""
         self.is_leaving = True
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -92,8 +92,9 @@
     """Carries out the decisions of a ``Gate`` for the target of a mesh node.
 
     ``pending_calls`` has all calls that wait here or run at the target, by
-    call id. ``on_crash`` is called when a crash of the target has made
-    requests suspect.
+    call id. ``on_record_changed`` is called when the node's record must be
+    written anew: a crash of the target has made requests suspect, or the target
+    has said in an answer that it leaves.
     """
 
     def __init__(
@@ -125,7 +126,7 @@
         self.backpressure = GateBackpressure(clock())
         self.call_counts = RouteCallCounts()
         self.crashes = CrashCounts()
-        self.on_crash: Callable[[], None] = do_nothing
+        self.on_record_changed: Callable[[], None] = do_nothing
         self.load_reporter = LoadReporter(
             gate, channel.target, self.backpressure, clock
         )
@@ -155,7 +156,7 @@
                 instance=self.target.instance,
                 suspects=len(self.crashes.own_counts),
             )
-            self.on_crash()
+            self.on_record_changed()
 
     def apply_target_state(self) -> None:
         """Allow calls if the target is usable, and none otherwise."""
@@ -392,6 +393,15 @@
         self.limit.record_response()
         if report.is_wrong_instance:
             return
+        if report.is_leaving and self.target.record_leaving():
+            self.log.write_always(
+                'target says in an answer that it leaves',
+                instance=self.target.instance,
+                request=pending_call.gate_call.request_id,
+                queued=len(self.gate.queue),
+            )
+            self.apply_target_state()
+            self.on_record_changed()
         start_rate = self.gate.signals.start_rate
         if start_rate.record_response(
             report.max_requests_per_s, pending_call.sent_at, self.clock()
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -115,7 +115,7 @@
                 self.dependencies.clock(),
             )
         )
-        self.gate.on_crash = self.update_own_record
+        self.gate.on_record_changed = self.update_own_record
         self.message_router.peer_calls = PeerCallServer(self.gate)
         self.message_router.links = self.links
         self.message_router.handle_other = self.handle_message
--- a/src/ebonycleat/platform/header_names.py
+++ b/src/ebonycleat/platform/header_names.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = 'x-not-executed'
 # Requests a second that the target takes from all machines together.
 TARGET_RATE_LIMIT = 'server-limit'
+TARGET_LEAVING = 'server-leaving'
 RETRY_AFTER = 'retry-after'
 HOST = 'host'
 CONTENT_ENCODING = 'content-encoding'
--- a/src/ebonycleat/platform/target_protocol.py
+++ b/src/ebonycleat/platform/target_protocol.py
@@ -16,6 +16,7 @@
 
 MILLISECONDS_PER_S = 1000
 MISDIRECTED = 421
+IS_LEAVING = '1'
 
 _DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{1,15})?')
 
@@ -67,6 +68,10 @@
             max_requests_per_s=_parse_decimal(
                 find_header(response.headers, names.TARGET_RATE_LIMIT)
             ),
+            is_leaving=(
+                find_header(response.headers, names.TARGET_LEAVING)
+                == IS_LEAVING
+            ),
         )
 
 
--- a/src/ebonycleat_tools/platform/target.py
+++ b/src/ebonycleat_tools/platform/target.py
@@ -33,6 +33,7 @@
     ``slots`` is what it reports. Without ``usable_slots`` it refuses what it
     cannot run; with it, it runs that many requests and leaves the others, and
     all that follow on their connections, without any answer.
+    ``answer_headers`` go with each answer to a request that has run.
     """
 
     instance: str
@@ -41,6 +42,7 @@
     slots: int = 4
     work_s: float = 0
     usable_slots: int | None = None
+    answer_headers: tuple[tuple[str, str], ...] = ()
 
 
 class EmulatedTarget(ExchangeHandler):
@@ -106,6 +108,7 @@
         headers = (
             ('x-request-id', request_id),
             ('x-server-signature', self.options.instance),
+            *self.options.answer_headers,
         )
         body = f'by {request_id}'.encode()
         exchange.respond(HttpResponse(OK, headers, body))
--- a/tests/cover/test_target_demands.py
+++ b/tests/cover/test_target_demands.py
@@ -185,7 +185,7 @@
     """Guards against new work for a target whose heartbeat is late."""
     load = LoadedGate(clock)
     changed = []
-    load.gate.on_target_leaving = lambda: changed.append(clock())
+    load.gate.on_record_changed = lambda: changed.append(clock())
     load.run(1)
     load.headers = (('server-leaving', '1'),)
     load.run(0.2)
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -1,6 +1,7 @@
 """End-to-end tests of mesh nodes with callers, targets and the store."""
 
 import asyncio
+import dataclasses
 
 from ebonycleat.internal.connection.http_messages import find_header
 from tests.loopback_http import run_with_timeout
@@ -126,6 +127,31 @@
     assert received_after_drain == 0
 
 
+def test_a_target_that_leaves_by_its_answers_gets_no_work_from_any_node():
+    """Guards against nodes that wait for the heartbeat of a leaving target."""
+
+    async def scenario():
+        async with run_mesh(('a', 'b')) as environment:
+            leaving = environment.targets[0]
+            leaving.options = dataclasses.replace(
+                leaving.options, answer_headers=(('server-leaving', '1'),)
+            )
+            await environment.send_and_wait(0, '/fetch/1')
+            await environment.wait_until(
+                lambda: all(
+                    len(node.fleet.members.members_of('maps')) == 1
+                    for node in environment.nodes
+                )
+            )
+            statuses = [
+                (await environment.send_and_wait(number % 2, '/fetch/2')).status
+                for number in range(6)
+            ]
+        return len(leaving.received_requests), set(statuses)
+
+    assert run_with_timeout(scenario()) == (1, {200})
+
+
 def test_a_planned_stop_finishes_received_requests():
     """Guards against a planned stop that aborts running requests."""
 
