A target that leaves its first calls unanswered gets more with time

Cause: lets five calls run at a target before its first answer. If those are never answered (its slots may be taken by calls of an earlier process of the node), only five run until their deadline has passed. Change: five more may run with each second until the first answer. Result: test_a_node_that_gets_no_first_answer_sends_more_calls_with_time failed before (5 instead of 30 after 6 s).

--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -36,8 +36,9 @@
 leaves a call without an answer."""
 
 UNTRIED_CALLS = 5
-"""Calls that run at most until this process has had an answer of a target. The
-target may have asked an earlier process of this node for fewer calls."""
+"""Calls that run at most at a target of which this process has had no answer
+yet. The target may have asked an earlier process of this node for fewer calls.
+As many are added each second, because the first calls may stay unanswered."""
 
 SILENCE_RECOVERY_S = 1.0
 HEALTH_VALID_S = 2
@@ -121,6 +122,7 @@
         self.backoff = TargetBackoff()
         self.has_target = False
         self.has_answered = False
+        self.untried_since: float | None = None
         self.calls_before_silence: int | None = None
         self.silent_at: float = 0
 
@@ -168,7 +170,7 @@
     def allowed_calls(self, now: float) -> int:
         """Return the slots, 1 for the trial call after a backoff, or 0.
 
-        Until the first response there are ``UNTRIED_CALLS`` at most.
+        Until the first response they are limited by ``UNTRIED_CALLS``.
         """
         if not self.has_target:
             return 0
@@ -176,7 +178,16 @@
         if limited is not None:
             return limited
         allowed = self.limit_after_silence(now)
-        return allowed if self.has_answered else min(allowed, UNTRIED_CALLS)
+        return (
+            allowed if self.has_answered else self.limit_untried(allowed, now)
+        )
+
+    def limit_untried(self, allowed: int, now: float) -> int:
+        """Return how many of the calls may run before the first response."""
+        if self.untried_since is None:
+            self.untried_since = now
+        untried_s = now - self.untried_since
+        return min(allowed, int(UNTRIED_CALLS * (1 + untried_s)))
 
     def record_outcome(self, outcome: RunOutcome, now: float) -> None:
         """Back off after a crash; any other result shows a live target."""
--- a/tests/cover/test_target_demands.py
+++ b/tests/cover/test_target_demands.py
@@ -159,6 +159,19 @@
     assert load.most_sent_in_window(restarted_at) <= 5 * 1.5 * WINDOW_S + 5
 
 
+def test_a_node_that_gets_no_first_answer_sends_more_calls_with_time(clock):
+    """Guards against a target that is hardly used since its answers are lost.
+
+    The first calls may find its slots taken by those of an earlier process.
+    """
+    load = LoadedGate(clock, slots=30)
+    load.service_s = 60
+    load.run(1)
+    assert len(load.gate.gate.running) <= 10
+    load.run(5)
+    assert len(load.gate.gate.running) == 30
+
+
 def test_a_limited_target_reports_less_room_to_other_nodes(clock):
     """Guards against nodes that go on choosing a target with a limit."""
     load = LoadedGate(clock)
