--- /dev/null
+++ b/src/ebonycleat/internal/process/proof_exchange.py
@@ -0,0 +1,161 @@
+"""Passes proofs and newer data on between the nodes of a zone.
+
+The nodes of a zone ask its reader for the age of its last proof. Newer data
+comes with the answer, and immediately to nodes that asked recently.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from ebonycleat.internal.connection.mesh_link import LinkPool, MeshLink
+from ebonycleat.internal.connection.mesh_messages import (
+    AnyMeshMessage,
+    ConfigurationUpdate,
+    FreshnessReply,
+    FreshnessRequest,
+    MembersUpdate,
+)
+from ebonycleat.internal.process.configuration_holder import (
+    ConfigurationHolder,
+)
+from ebonycleat.internal.process.store_reader import StoreReaderChoice
+
+ASK_TIMEOUT_S = 0.4
+"""Time limit for the reader's answer; within a zone it takes about 1 ms."""
+
+SUBSCRIPTION_LIFETIME_S = 3.0
+"""How long after its last request a node is sent changes immediately."""
+
+
+class ProofExchange:
+    """Asks the reader of the zone for proofs, and answers such questions.
+
+    ``subscribers`` has the time of the last question from each link.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        reader: StoreReaderChoice,
+        links: LinkPool,
+        clock: Callable[[], float],
+    ) -> None:
+        """Exchange proofs of ``holder``; ``clock`` returns seconds."""
+        self.holder = holder
+        self.reader = reader
+        self.members = reader.leader.members
+        self.links = links
+        self.clock = clock
+        self.subscribers: dict[MeshLink, float] = {}
+
+    async def ask_reader(self) -> bool:
+        """Ask the reader of the zone for the age of its proof.
+
+        Newer data arrives in messages of its own before the answer. Returns
+        false if another node must be asked: a node that does not answer within
+        ``ASK_TIMEOUT_S`` or that has lost the store is avoided for a while.
+        """
+        asked_at = self.clock()
+        reader = self.reader.choose(asked_at)
+        if reader == self.reader.node:
+            return False
+        reply_future: asyncio.Future[AnyMeshMessage | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.links.request_link(
+            reader,
+            lambda link: self.request_proof(link, reply_future),
+        )
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                reply = await reply_future
+        except TimeoutError:
+            reply = None
+        if not isinstance(reply, FreshnessReply):
+            self.reader.leader.record_no_answer(reader, self.clock())
+            return False
+        if reply.age_ms >= 0:
+            # The reader measured the age after the request was sent, so the
+            # proof is at least this recent.
+            proved_at = asked_at - reply.age_ms / 1000
+            self.holder.record_proof(reply.version, proved_at)
+        if reply.has_lost_store:
+            self.reader.record_store_lost(reader, self.clock())
+        return not reply.has_lost_store
+
+    def request_proof(
+        self,
+        link: MeshLink | None,
+        reply_future: asyncio.Future[AnyMeshMessage | None],
+    ) -> None:
+        """Ask for a proof over the link, or end the wait if it is None."""
+        if reply_future.done():
+            return
+        if link is None:
+            reply_future.set_result(None)
+            return
+        number = next(link.request_numbers)
+        link.expect_reply(
+            number,
+            lambda reply: (
+                None if reply_future.done() else reply_future.set_result(reply)
+            ),
+        )
+        link.send(
+            FreshnessRequest(number, self.holder.version, self.members.offset)
+        )
+
+    def send_proof(
+        self,
+        link: MeshLink,
+        request: FreshnessRequest,
+        *,
+        has_lost_store: bool,
+    ) -> None:
+        """Send a node the data it lacks, then the age of the proof.
+
+        The proof is sent last, because it holds only for a node that has the
+        version it names. Ages are rounded up to whole milliseconds; -1 means
+        that there is no proof.
+        """
+        now = self.clock()
+        self.subscribers[link] = now
+        index = self.holder.index
+        if index is not None and request.version < index.version:
+            link.send(
+                ConfigurationUpdate(
+                    index.version, index.configuration.encoded_record
+                ),
+            )
+        if self.members.offset > request.members_offset:
+            link.send(self.create_members_message())
+        age_s = self.holder.proof_age_s(now)
+        age_ms = -1 if age_s is None else int(age_s * 1000) + 1
+        link.send(
+            FreshnessReply(
+                request.number,
+                self.holder.version,
+                age_ms,
+                has_lost_store,
+            )
+        )
+
+    def notify_subscribers(self, message: AnyMeshMessage) -> None:
+        """Send a message to the nodes that asked for a proof recently.
+
+        Nodes that stopped asking, or whose link is closed, are removed.
+        """
+        now = self.clock()
+        for link, asked_at in tuple(self.subscribers.items()):
+            if now - asked_at > SUBSCRIPTION_LIFETIME_S or not link.send(
+                message
+            ):
+                self.subscribers.pop(link)
+
+    def create_members_message(self) -> MembersUpdate:
+        """Create a message with the complete member list."""
+        return MembersUpdate(
+            self.members.offset,
+            tuple(self.members.encoded_by_address.items()),
+            is_complete=True,
+        )
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -35,6 +35,7 @@
     ConfigurationHolder,
 )
 from ebonycleat.internal.process.event_log import EventLog
+from ebonycleat.internal.process.proof_exchange import ProofExchange
 from ebonycleat.internal.process.retry_backoff import RetryBackoff
 from ebonycleat.internal.process.store_reader import StoreReaderChoice
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
@@ -66,20 +67,14 @@
 MEMBERS_PAUSE_S = 0.5
 """Pause after each read of members, so that one call returns many changes."""
 
-ASK_TIMEOUT_S = 0.4
-"""Time limit for the reader's answer; within a zone it takes about 1 ms."""
-
-SUBSCRIPTION_LIFETIME_S = 3.0
-"""How long after its last request a node is sent changes immediately."""
-
 
 class StoreFollower:
     """Follows the store directly or through the reader of the zone.
 
     ``configuration_offset`` is the next offset of the configuration to read,
     or None when the newest record must be read first, as after a time in which
-    another node read the store. ``on_members_changed``
-    is called after each change of the member list.
+    another node read the store. ``on_members_changed`` is called after each
+    change of the member list.
     """
 
     def __init__(
@@ -100,14 +95,12 @@
         self.platform = platform
         self.holder = holder
         self.members = leader.members
-        self.leader = leader
         self.reader = StoreReaderChoice(leader)
-        self.links = links
+        self.exchange = ProofExchange(holder, self.reader, links, clock)
         self.log = log
         self.clock = clock
         self.propagation_s = propagation_s
         self.configuration_offset: int | None = None
-        self.subscribers: dict[MeshLink, float] = {}
         self.on_members_changed: Callable[[], None] = do_nothing
         self.is_store_unreachable = False
         self.store_calls = 0
@@ -123,7 +116,7 @@
                     retry.reset()
                 else:
                     await retry.wait()
-            elif await self.ask_reader():
+            elif await self.exchange.ask_reader():
                 self.configuration_offset = None
                 await asyncio.sleep(self.pause_before_next_question_s())
 
@@ -140,7 +133,7 @@
             raise
         reached = read.result()
         if not reached:
-            await self.ask_reader()
+            await self.exchange.ask_reader()
         return reached
 
     async def ask_while_overdue(self, read: asyncio.Future[bool]) -> None:
@@ -149,7 +142,7 @@
         await asyncio.wait((read,), timeout=due_s)
         while not read.done():
             self.record_store_state(unreachable=True, detail='no answer yet')
-            await self.ask_reader()
+            await self.exchange.ask_reader()
             await asyncio.wait((read,), timeout=self.propagation_s * ASK_SHARE)
 
     def pause_before_next_question_s(self) -> float:
@@ -302,7 +295,7 @@
                 teams=len(configuration.teams),
             )
             message = ConfigurationUpdate(configuration.version, record)
-            self.notify_subscribers(message)
+            self.exchange.notify_subscribers(message)
 
     def log_unknown_kinds(self, configuration: MeshConfiguration) -> None:
         """Log once for each route that its kind is not known here."""
@@ -370,89 +363,14 @@
             nodes=self.members.count_serving_nodes(),
         )
         self.on_members_changed()
-        self.notify_subscribers(self.create_members_message())
-
-    def create_members_message(self) -> MembersUpdate:
-        """Create a message with the complete member list."""
-        return MembersUpdate(
-            self.members.offset,
-            tuple(self.members.encoded_by_address.items()),
-            is_complete=True,
-        )
-
-    def notify_subscribers(self, message: AnyMeshMessage) -> None:
-        """Send a message to the nodes that asked for a proof recently.
-
-        Nodes that stopped asking, or whose link is closed, are removed.
-        """
-        now = self.clock()
-        for link, asked_at in tuple(self.subscribers.items()):
-            if now - asked_at > SUBSCRIPTION_LIFETIME_S or not link.send(
-                message
-            ):
-                self.subscribers.pop(link)
-
-    async def ask_reader(self) -> bool:
-        """Ask the reader of the zone for the age of its proof.
-
-        Newer data arrives in messages of its own before the answer. Returns
-        false if another node must be asked: a node that does not answer within
-        ``ASK_TIMEOUT_S`` or that has lost the store is avoided for a while.
-        """
-        asked_at = self.clock()
-        reader = self.reader.choose(asked_at)
-        if reader == self.reader.node:
-            return False
-        reply_future: asyncio.Future[AnyMeshMessage | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.links.request_link(
-            reader,
-            lambda link: self.request_proof(link, reply_future),
-        )
-        try:
-            async with asyncio.timeout(ASK_TIMEOUT_S):
-                reply = await reply_future
-        except TimeoutError:
-            reply = None
-        if not isinstance(reply, FreshnessReply):
-            self.leader.record_no_answer(reader, self.clock())
-            return False
-        if reply.age_ms >= 0:
-            # The reader measured the age after the request was sent, so the
-            # proof is at least this recent.
-            proved_at = asked_at - reply.age_ms / 1000
-            self.holder.record_proof(reply.version, proved_at)
-        if reply.has_lost_store:
-            self.reader.record_store_lost(reader, self.clock())
-        return not reply.has_lost_store
-
-    def request_proof(
-        self,
-        link: MeshLink | None,
-        reply_future: asyncio.Future[AnyMeshMessage | None],
-    ) -> None:
-        """Ask for a proof over the link, or end the wait if it is None."""
-        if reply_future.done():
-            return
-        if link is None:
-            reply_future.set_result(None)
-            return
-        number = next(link.request_numbers)
-        link.expect_reply(
-            number,
-            lambda reply: (
-                None if reply_future.done() else reply_future.set_result(reply)
-            ),
-        )
-        link.send(
-            FreshnessRequest(number, self.holder.version, self.members.offset)
-        )
+        self.exchange.notify_subscribers(self.exchange.create_members_message())
 
     def handle_message(self, link: MeshLink, message: AnyMeshMessage) -> None:
         """Handle requests for a proof, replies to them, and newer data."""
         if isinstance(message, FreshnessRequest):
-            self.send_proof(link, message)
+            self.exchange.send_proof(
+                link, message, has_lost_store=self.is_store_unreachable
+            )
         elif isinstance(message, FreshnessReply):
             link.resolve_reply(message.number, message)
         elif isinstance(message, ConfigurationUpdate):
@@ -464,32 +382,3 @@
                 message.records,
                 is_complete=message.is_complete,
             )
-
-    def send_proof(self, link: MeshLink, request: FreshnessRequest) -> None:
-        """Send a node the data it lacks, then the age of the proof.
-
-        The proof is sent last, because it holds only for a node that has the
-        version it names. Ages are rounded up to whole milliseconds; -1 means
-        that there is no proof.
-        """
-        now = self.clock()
-        self.subscribers[link] = now
-        index = self.holder.index
-        if index is not None and request.version < index.version:
-            link.send(
-                ConfigurationUpdate(
-                    index.version, index.configuration.encoded_record
-                ),
-            )
-        if self.members.offset > request.members_offset:
-            link.send(self.create_members_message())
-        age_s = self.holder.proof_age_s(now)
-        age_ms = -1 if age_s is None else int(age_s * 1000) + 1
-        link.send(
-            FreshnessReply(
-                request.number,
-                self.holder.version,
-                age_ms,
-                self.is_store_unreachable,
-            )
-        )
