A new target is used although it refused a request for the old one

What callers saw: nothing yet; found by reading. A target that starts at the address of another, whose heartbeat comes before its 421 to a request that named the other, would get no call until it is replaced. Cause: a 421 marked the present target as leaving, whichever incarnation the request was for. Why this works: a response tells something about the target only if its request was sent to the present incarnation. Result: test_a_new_target_is_used_although_it_refused_a_request_for_the_old failed before (1 request sent instead of 2).

--- a/src/ebonycleat/internal/process/concurrency_limit.py
+++ b/src/ebonycleat/internal/process/concurrency_limit.py
@@ -178,9 +178,9 @@
         if limited is not None:
             return limited
         allowed = self.limit_after_silence(now)
-        return (
-            allowed if self.has_answered else self.limit_untried(allowed, now)
-        )
+        if self.has_answered:
+            return allowed
+        return self.limit_untried(allowed, now)
 
     def limit_untried(self, allowed: int, now: float) -> int:
         """Return how many of the calls may run before the first response."""
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -364,10 +364,7 @@
             return
         report = self.protocol.parse_response(result)
         if pending_call.incarnation == self.target.incarnation:
-            self.adopt_requests_of_target(report, pending_call)
-        if report.is_wrong_instance:
-            self.target.record_other_instance()
-            self.apply_target_state()
+            self.update_target_from(report, pending_call)
         if report.has_not_run:
             self.backpressure.load_of_depth(call.depth).refused += 1
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
@@ -386,12 +383,14 @@
             ),
         )
 
-    def adopt_requests_of_target(
+    def update_target_from(
         self, report: ParsedResponse, pending_call: PendingCall
     ) -> None:
-        """Adopt what the target asks for in the headers of a response."""
+        """Adopt what a response tells about the target."""
         self.limit.record_response()
         if report.is_wrong_instance:
+            self.target.record_other_instance()
+            self.apply_target_state()
             return
         if report.is_leaving and self.target.record_leaving():
             self.log.write_always(
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -273,6 +273,16 @@
     assert results[0].refusal.outcome is Outcome.NOT_RUN
 
 
+def test_a_new_target_is_used_although_it_refused_a_request_for_the_old(clock):
+    """Guards against a target that stays unused until it is replaced."""
+    gate = create_mesh_gate(clock)
+    offer_calls(gate, clock)
+    gate.handle_target_message(create_heartbeat('i-2', started_ms=200))
+    gate.pool.sends[0].answer(421, (('x-upstream-instance', 'i-2'),))
+    gate.offer(create_gate_call(clock, 1), lambda result: None)
+    assert len(gate.pool.sends) == 2
+
+
 def test_a_running_request_is_cancelled_when_its_caller_leaves(clock):
     """Guards against work that nobody waits for."""
     gate = create_mesh_gate(clock)
