--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -35,12 +35,15 @@
     An empty value means that the key was deleted. ``next_offset`` is the
     offset from which to read for later changes. ``end_offset`` is the end of
     the log at the time of the read; it is greater than ``next_offset`` if the
-    page does not hold all records up to it.
+    page does not hold all records up to it. ``era`` rises each time the store
+    was restored from an older copy: records may be lost then, and offsets are
+    used again.
     """
 
     records: tuple[tuple[str, bytes], ...]
     next_offset: int
     end_offset: int
+    era: int = 0
 
 
 class KeyValueStore(abc.ABC):
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -101,6 +101,7 @@
         self.clock = clock
         self.propagation_s = propagation_s
         self.configuration_offset: int | None = None
+        self.era: int | None = None
         self.on_members_changed: Callable[[], None] = do_nothing
         self.is_store_unreachable = False
         self.store_calls = 0
@@ -215,6 +216,29 @@
                 proof_age_s=self.holder.proof_age_s(self.clock()),
             )
 
+    def record_era(self, page: TopicPage, topic: StoreTopic) -> None:
+        """Note the era of the store, and log that it was restored."""
+        if self.era is not None and page.era != self.era:
+            self.log.write_always(
+                'store was restored from an older copy',
+                topic=topic.value,
+                era=page.era,
+                era_before=self.era,
+                end_offset=page.end_offset,
+                version=self.holder.version,
+                members_offset=self.members.offset,
+            )
+        self.era = page.era
+
+    def log_expired_offset(self, topic: StoreTopic, offset: int) -> None:
+        """Log a read of records that the store does not have."""
+        self.log.write_limited(
+            'offset is not in the log; reading the newest records',
+            topic=topic.value,
+            offset=offset,
+            era=self.era,
+        )
+
     async def read_configuration(self) -> None:
         """Read the configuration from the store once.
 
@@ -233,8 +257,10 @@
                     self.propagation_s * CONFIGURATION_WAIT_SHARE,
                 )
             except OffsetExpired:
+                self.log_expired_offset(topic, self.configuration_offset)
                 self.configuration_offset = None
                 return
+        self.record_era(page, topic)
         if not self.reader.is_own_node(sent_at):
             self.log_own_read(page, sent_at)
         self.apply_configuration_page(page, sent_at)
@@ -246,6 +272,7 @@
             reader=self.reader.choose(sent_at),
             proof_age_s=self.holder.proof_age_s(sent_at),
             version=self.holder.version,
+            era=page.era,
             records=len(page.records),
             next_offset=page.next_offset,
             end_offset=page.end_offset,
@@ -318,6 +345,7 @@
         offset = self.members.offset
         if offset < 0:
             page = await self.platform.store.read_newest(topic)
+            self.record_era(page, topic)
             self.apply_members(
                 page.next_offset,
                 page.records,
@@ -331,9 +359,12 @@
                 MEMBERS_WAIT_S,
             )
         except OffsetExpired:
+            self.log_expired_offset(topic, offset)
             page = await self.platform.store.read_newest(topic)
+            self.record_era(page, topic)
             self.apply_members(page.next_offset, page.records, is_complete=True)
             return
+        self.record_era(page, topic)
         if page.records:
             self.apply_members(
                 page.next_offset, page.records, is_complete=False
@@ -354,6 +385,13 @@
         """
         before = self.members.offset
         if not self.members.apply(offset, records, is_complete=is_complete):
+            self.log.write_limited(
+                'member list is older than the known one and is ignored',
+                offset=offset,
+                known_offset=before,
+                records=len(records),
+                era=self.era,
+            )
             return
         if offset == before:
             return
--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import types
 from typing import Any
 from urllib.parse import urlencode
@@ -21,6 +22,7 @@
 from ebonycleat.internal.connection.http_messages import (
     HttpResponse,
     encode_request,
+    find_header,
 )
 from ebonycleat.internal.connection.http_pool import ConnectionPool
 from ebonycleat.internal.connection.platform_interfaces import (
@@ -34,6 +36,8 @@
 """The store answers in a few milliseconds, or in some hundred when it is slow.
 If a response is lost, no further responses come on that connection."""
 
+ERA_HEADER = 'store-era'
+MAX_ERA_DIGITS = 18
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 MILLISECONDS_PER_S = 1000
@@ -90,12 +94,13 @@
         while True:
             response = await self.send_request('GET', '/log-newest', query)
             page = _decode_newest(response)
+            era = _decode_era(response)
             records.extend(_decode_items(page))
             # The log may grow between two pages. Reading on from the end of the
             # log as of the first page gets all changes that a page may lack.
             first_end = page.end if first_end is None else first_end
             if not page.more or not page.items:
-                return TopicPage(tuple(records), first_end, first_end)
+                return TopicPage(tuple(records), first_end, first_end, era)
             query['after'] = page.items[-1].key
 
     async def wait_for_changes(
@@ -118,7 +123,8 @@
         )
         if response.status == STATUS_GONE:
             raise OffsetExpired(_decode_first_offset(response))
-        return _decode_records(_require_ok(response).body, offset)
+        page = _decode_records(_require_ok(response).body, offset)
+        return dataclasses.replace(page, era=_decode_era(response))
 
     async def write(self, topic: StoreTopic, key: str, record: bytes) -> None:
         """Append a record, which becomes the newest of its key."""
@@ -208,6 +214,13 @@
     return response
 
 
+def _decode_era(response: HttpResponse) -> int:
+    """Return the era of the store, 0 if the response does not state it."""
+    text = find_header(response.headers, ERA_HEADER)
+    is_number = text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_number else 0
+
+
 def _decode_newest(response: HttpResponse) -> _NewestPage:
     try:
         return _newest_page_decoder.decode(_require_ok(response).body)
