--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -46,9 +46,11 @@
     BOOT_SETTINGS,
     CONFIGURATION,
     HEARTBEAT,
+    ScriptedPool,
     create_heartbeat_request,
     create_request,
     encode_json,
+    json_response,
 )
 
 JSON_TREES = st.recursive(
@@ -373,28 +375,6 @@
     assert PlatformTargetProtocol().is_response_to('id', headers) is is_own
 
 
-class ScriptedPool:
-    """Connection pool that answers with the responses of a test."""
-
-    def __init__(self, *answers):
-        self.answers = list(answers)
-        self.requests = []
-        self.shares_connections = False
-
-    def send(self, request, on_result):
-        self.shares_connections |= not request.is_single
-        self.requests.append(request.encoded)
-        on_result(self.answers.pop(0))
-        return self
-
-    def cancel(self):
-        """Ignore the cancellation."""
-
-
-def json_response(tree, status=200):
-    return HttpResponse(status, (), encode_json(tree))
-
-
 def framed_response(*records, end_offset=7):
     body = end_offset.to_bytes(8, 'big') + bytes(8)
     for key, value in records:
--- a/tests/platform_examples.py
+++ b/tests/platform_examples.py
@@ -2,7 +2,10 @@
 
 import json
 
-from ebonycleat.internal.connection.http_messages import HttpRequest
+from ebonycleat.internal.connection.http_messages import (
+    HttpRequest,
+    HttpResponse,
+)
 
 CONFIGURATION = {
     'version': '0000000c',
@@ -97,3 +100,25 @@
     return create_request(
         'PUT', f'/instances/{instance}', encode_json(tree or HEARTBEAT)
     )
+
+
+class ScriptedPool:
+    """Connection pool that answers with the responses of a test."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.shares_connections = False
+
+    def send(self, request, on_result):
+        self.shares_connections |= not request.is_single
+        self.requests.append(request.encoded)
+        on_result(self.answers.pop(0))
+        return self
+
+    def cancel(self):
+        """Ignore the cancellation."""
+
+
+def json_response(tree, status=200, headers=()):
+    return HttpResponse(status, headers, encode_json(tree))
