The member list is followed across a restore of the store

Callers: targets that joined got no request, targets that left stayed listed. Cause: a member list was newer than another by its offset alone. Offsets go back when the store is restored, so every list was taken for outdated, each read from the old offset got 410 and cost a read of the whole list. Change: a position in the log is an era and an offset, compared in that order, in the list and in the messages between nodes (an earlier version names no era). A new era ends a waiting read of members; answers of an earlier era are dropped; a node that does not read for its zone reads the list itself if the reader sends none within a second.

--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -124,14 +124,16 @@
     """Asks when the receiver last knew its configuration to be the newest.
 
     ``version`` is the configuration version of the sender, and
-    ``members_offset`` the offset up to which it has read the members. The
-    receiver first sends a ``ConfigurationUpdate`` and a ``MembersUpdate`` if
-    it has newer ones.
+    ``members_offset`` the offset up to which it has read the members, in the
+    era ``members_era`` of the store. The receiver first sends a
+    ``ConfigurationUpdate`` and a ``MembersUpdate`` if it has newer ones.
+    Earlier versions name no era.
     """
 
     number: int
     version: int
     members_offset: int
+    members_era: int | None = None
 
 
 class FreshnessReply(MeshMessage, frozen=True, tag=9):
@@ -159,12 +161,14 @@
     """Records of members, encoded as in the store, up to an offset.
 
     If ``is_complete`` is True, there are no members besides those listed.
-    Otherwise only members that changed are listed.
+    Otherwise only members that changed are listed. ``offset`` counts in the
+    era ``era`` of the store; earlier versions name no era.
     """
 
     offset: int
     records: tuple[tuple[str, bytes], ...]
     is_complete: bool
+    era: int | None = None
 
 
 class TokenExchangeRequest(MeshMessage, frozen=True, tag=12):
--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -28,6 +28,22 @@
     MEMBERS = 'members'
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """A position in the log of a topic; the latest one is the greatest.
+
+    ``era`` rises each time the store was restored from an older copy. Records
+    may be lost then and offsets are used again, so ``offset`` is comparable
+    only within an era.
+    """
+
+    era: int
+    offset: int
+
+
+BEFORE_FIRST_READ = StorePosition(-1, -1)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicPage:
     """Records of a topic as pairs of key and value.
@@ -35,9 +51,8 @@
     An empty value means that the key was deleted. ``next_offset`` is the
     offset from which to read for later changes. ``end_offset`` is the end of
     the log at the time of the read; it is greater than ``next_offset`` if the
-    page does not hold all records up to it. ``era`` rises each time the store
-    was restored from an older copy: records may be lost then, and offsets are
-    used again.
+    page does not hold all records up to it. ``era`` is that of the store at
+    the time of the read.
     """
 
     records: tuple[tuple[str, bytes], ...]
--- a/src/ebonycleat/internal/process/mesh_members.py
+++ b/src/ebonycleat/internal/process/mesh_members.py
@@ -8,6 +8,10 @@
 
 import msgspec
 
+from ebonycleat.internal.connection.platform_interfaces import (
+    BEFORE_FIRST_READ,
+    StorePosition,
+)
 from ebonycleat.internal.process.target_stats_table import Member, MemberState
 
 
@@ -60,19 +64,21 @@
 
 
 class MeshMembers:
-    """The member list up to an offset of the store's change log.
-
-    ``offset`` is -1 until the list was read for the first time.
-    """
+    """The member list up to a position in the store's change log."""
 
     def __init__(self) -> None:
         """Start with an empty list."""
-        self.offset = -1
+        self.position = BEFORE_FIRST_READ
         self.encoded_by_address: dict[str, bytes] = {}
         self.record_by_address: dict[str, MemberRecord] = {}
         self.by_service: dict[str, tuple[Member, ...]] = {}
         self.by_zone: dict[str, list[str]] = {}
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the list was read at least once."""
+        return self.position != BEFORE_FIRST_READ
+
     @property
     def zones(self) -> list[str]:
         """The zones that have at least one member."""
@@ -84,15 +90,18 @@
         changes: Iterable[tuple[str, bytes]],
         *,
         is_complete: bool,
+        era: int = 0,
     ) -> bool:
         """Apply changed records up to ``offset``; false if they are outdated.
 
-        With ``is_complete``, ``changes`` replaces the whole list. An empty
-        record means that the member was removed.
+        ``era`` is that of the store at the time of the read. With
+        ``is_complete``, ``changes`` replaces the whole list. An empty record
+        means that the member was removed.
         """
-        if offset < self.offset:
+        position = StorePosition(era, offset)
+        if position < self.position:
             return False
-        self.offset = offset
+        self.position = position
         if is_complete:
             self.encoded_by_address = {}
         for address, encoded in changes:
@@ -103,6 +112,15 @@
         self.rebuild()
         return True
 
+    def position_in_era(self, offset: int, era: int | None) -> StorePosition:
+        """Return a position that a peer named, maybe without its era.
+
+        Then it is taken for one of the era that this node knows.
+        """
+        if era is None:
+            era = max(0, self.position.era)
+        return StorePosition(era, offset)
+
     def rebuild(self) -> None:
         """Decode all records and group them by zone and service.
 
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -291,7 +291,7 @@
         It needs the member list and a configuration; a configuration with
         teams must also be recent enough to check keys against.
         """
-        if self.stop_requested.is_set() or self.fleet.members.offset < 0:
+        if self.stop_requested.is_set() or not self.fleet.members.is_known:
             return False
         holder = self.fleet.configuration
         if holder.index is None:
--- a/src/ebonycleat/internal/process/proof_exchange.py
+++ b/src/ebonycleat/internal/process/proof_exchange.py
@@ -101,8 +101,11 @@
                 None if reply_future.done() else reply_future.set_result(reply)
             ),
         )
+        position = self.members.position
         link.send(
-            FreshnessRequest(number, self.holder.version, self.members.offset)
+            FreshnessRequest(
+                number, self.holder.version, position.offset, position.era
+            )
         )
 
     def send_proof(
@@ -127,7 +130,10 @@
                     index.version, index.configuration.encoded_record
                 ),
             )
-        if self.members.offset > request.members_offset:
+        requested_position = self.members.position_in_era(
+            request.members_offset, request.members_era
+        )
+        if self.members.position > requested_position:
             link.send(self.create_members_message())
         age_s = self.holder.proof_age_s(now)
         age_ms = -1 if age_s is None else int(age_s * 1000) + 1
@@ -155,7 +161,8 @@
     def create_members_message(self) -> MembersUpdate:
         """Create a message with the complete member list."""
         return MembersUpdate(
-            self.members.offset,
+            self.members.position.offset,
             tuple(self.members.encoded_by_address.items()),
             is_complete=True,
+            era=self.members.position.era,
         )
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 from ebonycleat.internal.connection.errors import (
@@ -27,6 +28,7 @@
 )
 from ebonycleat.internal.connection.platform_interfaces import (
     PlatformInterfaces,
+    StorePosition,
     StoreTopic,
     TopicPage,
 )
@@ -37,6 +39,7 @@
 from ebonycleat.internal.process.event_log import EventLog
 from ebonycleat.internal.process.proof_exchange import ProofExchange
 from ebonycleat.internal.process.retry_backoff import RetryBackoff
+from ebonycleat.internal.process.store_era import StoreEra
 from ebonycleat.internal.process.store_reader import StoreReaderChoice
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 from ebonycleat.internal.version.mesh_configuration import MeshConfiguration
@@ -67,6 +70,10 @@
 MEMBERS_PAUSE_S = 0.5
 """Pause after each read of members, so that one call returns many changes."""
 
+RESTORED_MEMBERS_WAIT_S = 1.0
+"""How long a node that sees the store restored waits for the reader's new
+member list before it reads the list itself."""
+
 
 class StoreFollower:
     """Follows the store directly or through the reader of the zone.
@@ -101,7 +108,7 @@
         self.clock = clock
         self.propagation_s = propagation_s
         self.configuration_offset: int | None = None
-        self.era: int | None = None
+        self.era = StoreEra(log, clock)
         self.on_members_changed: Callable[[], None] = do_nothing
         self.is_store_unreachable = False
         self.store_calls = 0
@@ -172,12 +179,12 @@
         """Keep the member list up to date, until cancelled.
 
         After its first read, a node that is not the reader gets changes from
-        the reader only.
+        the reader only, unless the reader has none of the store's era.
         """
         retry = RetryBackoff()
         while True:
             reached = True
-            if self.members.offset < 0 or self.reader.is_own_node(self.clock()):
+            if self.must_read_members():
                 reached = await self.try_read(self.read_members)
             if reached:
                 retry.reset()
@@ -185,6 +192,16 @@
             else:
                 await retry.wait()
 
+    def must_read_members(self) -> bool:
+        """Tell whether this node must read the member list itself now."""
+        now = self.clock()
+        if not self.members.is_known or self.reader.is_own_node(now):
+            return True
+        era = self.era.number
+        is_outdated = era is not None and self.members.position.era < era
+        waited_s = now - self.era.restored_at
+        return is_outdated and waited_s > RESTORED_MEMBERS_WAIT_S
+
     async def try_read(self, read: Callable[[], Awaitable[None]]) -> bool:
         """Read once; return false if the store could not be reached."""
         self.store_calls += 1
@@ -217,18 +234,13 @@
             )
 
     def record_era(self, page: TopicPage, topic: StoreTopic) -> None:
-        """Note the era of the store, and log that it was restored."""
-        if self.era is not None and page.era != self.era:
-            self.log.write_always(
-                'store was restored from an older copy',
-                topic=topic.value,
-                era=page.era,
-                era_before=self.era,
-                end_offset=page.end_offset,
-                version=self.holder.version,
-                members_offset=self.members.offset,
-            )
-        self.era = page.era
+        """Note the era of a page of the store; see ``StoreEra.record``."""
+        self.era.record(
+            page,
+            topic,
+            version=self.holder.version,
+            members_offset=self.members.position.offset,
+        )
 
     def log_expired_offset(self, topic: StoreTopic, offset: int) -> None:
         """Log a read of records that the store does not have."""
@@ -236,7 +248,7 @@
             'offset is not in the log; reading the newest records',
             topic=topic.value,
             offset=offset,
-            era=self.era,
+            era=self.era.number,
         )
 
     async def read_configuration(self) -> None:
@@ -339,40 +351,62 @@
     async def read_members(self) -> None:
         """Read members once: the complete list first, later only changes.
 
-        The complete list is read again if the offset has expired.
+        The complete list is read again if the offset has expired or the store
+        was restored from an older copy.
         """
         topic = StoreTopic.MEMBERS
-        offset = self.members.offset
-        if offset < 0:
-            page = await self.platform.store.read_newest(topic)
-            self.record_era(page, topic)
-            self.apply_members(
-                page.next_offset,
-                page.records,
-                is_complete=True,
-            )
-            return
-        try:
-            page = await self.platform.store.wait_for_changes(
-                topic,
-                offset,
-                MEMBERS_WAIT_S,
-            )
-        except OffsetExpired:
-            self.log_expired_offset(topic, offset)
-            page = await self.platform.store.read_newest(topic)
-            self.record_era(page, topic)
-            self.apply_members(page.next_offset, page.records, is_complete=True)
-            return
+        self.era.was_restored.clear()
+        position = self.members.position
+        if position.era == self.era.number:
+            try:
+                page = await self.wait_for_member_changes(position)
+            except OffsetExpired:
+                self.log_expired_offset(topic, position.offset)
+            else:
+                if page is not None and page.records:
+                    self.apply_members_page(page, is_complete=False)
+                return
+        page = await self.platform.store.read_newest(topic)
         self.record_era(page, topic)
-        if page.records:
-            self.apply_members(
-                page.next_offset, page.records, is_complete=False
+        self.apply_members_page(page, is_complete=True)
+
+    async def wait_for_member_changes(
+        self, position: StorePosition
+    ) -> TopicPage | None:
+        """Read the changes from a position on.
+
+        Returns None once the store is known to have been restored: the
+        position then says nothing about what it holds.
+        """
+        read = asyncio.ensure_future(
+            self.platform.store.wait_for_changes(
+                StoreTopic.MEMBERS, position.offset, MEMBERS_WAIT_S
             )
+        )
+        restored = asyncio.ensure_future(self.era.was_restored.wait())
+        with contextlib.ExitStack() as stack:
+            stack.callback(read.cancel)
+            stack.callback(restored.cancel)
+            await asyncio.wait(
+                (read, restored), return_when=asyncio.FIRST_COMPLETED
+            )
+        if not read.done():
+            return None
+        page = read.result()
+        self.record_era(page, StoreTopic.MEMBERS)
+        return page if page.era == position.era else None
+
+    def apply_members_page(self, page: TopicPage, *, is_complete: bool) -> None:
+        """Apply the records of a page of the store."""
+        self.apply_members(
+            StorePosition(page.era, page.next_offset),
+            page.records,
+            is_complete=is_complete,
+        )
 
     def apply_members(
         self,
-        offset: int,
+        position: StorePosition,
         records: tuple[tuple[str, bytes], ...],
         *,
         is_complete: bool,
@@ -380,24 +414,31 @@
         """Apply a change of the member list and notify subscribers.
 
         With ``is_complete``, ``records`` is the complete list. Outdated
-        changes are ignored, and nobody is notified if the offset stays the
+        changes are ignored, and nobody is notified if the position stays the
         same.
         """
-        before = self.members.offset
-        if not self.members.apply(offset, records, is_complete=is_complete):
+        before = self.members.position
+        if not self.members.apply(
+            position.offset,
+            records,
+            is_complete=is_complete,
+            era=position.era,
+        ):
             self.log.write_limited(
                 'member list is older than the known one and is ignored',
-                offset=offset,
-                known_offset=before,
+                era=position.era,
+                offset=position.offset,
+                known_era=before.era,
+                known_offset=before.offset,
                 records=len(records),
-                era=self.era,
             )
             return
-        if offset == before:
+        if position == before:
             return
         self.log.write_always(
             'members changed',
-            offset=offset,
+            era=position.era,
+            offset=position.offset,
             nodes=self.members.count_serving_nodes(),
         )
         self.on_members_changed()
@@ -416,7 +457,7 @@
                 self.apply_configuration_record(message.record)
         elif isinstance(message, MembersUpdate):
             self.apply_members(
-                message.offset,
+                self.members.position_in_era(message.offset, message.era),
                 message.records,
                 is_complete=message.is_complete,
             )
