A read position of the configuration holds only in its era

Cause: a read from an offset that the restored store gives out again gets 200 and skips what was written below it; as it reaches the end of the log, it counted as a proof. Change: the position is kept with its era; a page of another era is not applied, and the newest record is read at once. Evidence: test_a_read_that_waits_while_the_store_is_restored_proves_nothing failed on: nodes stayed at the version before.

--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -78,8 +78,8 @@
 class StoreFollower:
     """Follows the store directly or through the reader of the zone.
 
-    ``configuration_offset`` is the next offset of the configuration to read,
-    or None when the newest record must be read first, as after a time in which
+    ``configuration_position`` is where to read the configuration next, or
+    None when the newest record must be read first, as after a time in which
     another node read the store. ``on_members_changed`` is called after each
     change of the member list.
     """
@@ -107,7 +107,7 @@
         self.log = log
         self.clock = clock
         self.propagation_s = propagation_s
-        self.configuration_offset: int | None = None
+        self.configuration_position: StorePosition | None = None
         self.era = StoreEra(log, clock)
         self.on_members_changed: Callable[[], None] = do_nothing
         self.is_store_unreachable = False
@@ -125,7 +125,7 @@
                 else:
                     await retry.wait()
             elif await self.exchange.ask_reader():
-                self.configuration_offset = None
+                self.configuration_position = None
                 await asyncio.sleep(self.pause_before_next_question_s())
 
     async def read_or_ask(self) -> bool:
@@ -255,26 +255,32 @@
         """Read the configuration from the store once.
 
         Each complete answer is a proof, even one without a change. If the
-        offset has expired, the next read starts from the newest record.
+        offset has expired or the store was restored, the next read starts
+        from the newest record.
         """
         sent_at = self.clock()
         topic = StoreTopic.CONFIGURATION
-        if self.configuration_offset is None:
+        position = self.configuration_position
+        if position is None:
             page = await self.platform.store.read_newest(topic)
         else:
             try:
                 page = await self.platform.store.wait_for_changes(
                     topic,
-                    self.configuration_offset,
+                    position.offset,
                     self.propagation_s * CONFIGURATION_WAIT_SHARE,
                 )
             except OffsetExpired:
-                self.log_expired_offset(topic, self.configuration_offset)
-                self.configuration_offset = None
+                self.log_expired_offset(topic, position.offset)
+                self.configuration_position = None
                 return
         self.record_era(page, topic)
         if not self.reader.is_own_node(sent_at):
             self.log_own_read(page, sent_at)
+        if position is not None and page.era != position.era:
+            # Records below the offset were written again since the restore.
+            self.configuration_position = None
+            return
         self.apply_configuration_page(page, sent_at)
 
     def log_own_read(self, page: TopicPage, sent_at: float) -> None:
@@ -300,9 +306,9 @@
         if record:
             self.apply_configuration_record(record)
         if page.next_offset < page.end_offset:
-            self.configuration_offset = None
+            self.configuration_position = None
             return
-        self.configuration_offset = page.next_offset
+        self.configuration_position = StorePosition(page.era, page.next_offset)
         # The page holds everything that was written before the read was sent.
         self.holder.record_proof(self.holder.version, sent_at)
 
