A store that lacks the version in force proves nothing

Cause: any read that reached the end of the log was recorded as proof of the version in force, also when the restored store held an older one: then it may lack a later one as well. Change: a read is a proof only if the store has shown the version in force, or a later one, in its present era. A record that cannot be decoded counts as later unless the store was restored since the version came in force. The test store kept no configuration at all where a test gave no number; it keeps everything now.

--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -41,6 +41,7 @@
 from ebonycleat.internal.process.retry_backoff import RetryBackoff
 from ebonycleat.internal.process.store_era import StoreEra
 from ebonycleat.internal.process.store_reader import StoreReaderChoice
+from ebonycleat.internal.process.stored_version import StoredVersion
 from ebonycleat.internal.process.zone_leader import ZoneLeaderChoice
 from ebonycleat.internal.version.mesh_configuration import MeshConfiguration
 
@@ -109,6 +110,7 @@
         self.propagation_s = propagation_s
         self.configuration_position: StorePosition | None = None
         self.era = StoreEra(log, clock)
+        self.stored = StoredVersion()
         self.on_members_changed: Callable[[], None] = do_nothing
         self.is_store_unreachable = False
         self.store_calls = 0
@@ -241,6 +243,7 @@
             version=self.holder.version,
             members_offset=self.members.position.offset,
         )
+        self.stored.enter_era(page.era)
 
     def log_expired_offset(self, topic: StoreTopic, offset: int) -> None:
         """Log a read of records that the store does not have."""
@@ -304,19 +307,40 @@
         """
         record = self.platform.configuration.select_newest_record(page)
         if record:
-            self.apply_configuration_record(record)
+            version = self.apply_configuration_record(record)
+            if version is None:
+                self.stored.record_unusable_record()
+            else:
+                self.stored.record_read(version)
         if page.next_offset < page.end_offset:
             self.configuration_position = None
             return
         self.configuration_position = StorePosition(page.era, page.next_offset)
-        # The page holds everything that was written before the read was sent.
-        self.holder.record_proof(self.holder.version, sent_at)
+        self.record_proof(sent_at)
+
+    def record_proof(self, sent_at: float) -> None:
+        """Record the proof of a read that reached the end of the log.
+
+        A restored store that does not hold the version in force lacks that
+        version, and maybe later ones, so it proves nothing.
+        """
+        if self.stored.is_in_force_stored():
+            # The store held everything that was written before ``sent_at``.
+            self.holder.record_proof(self.holder.version, sent_at)
+            return
+        self.log.write_limited(
+            'store lacks the configuration in force and proves nothing',
+            version=self.holder.version,
+            stored_version=self.stored.version,
+            era=self.era.number,
+            proof_age_s=self.holder.proof_age_s(sent_at),
+        )
 
-    def apply_configuration_record(self, record: bytes) -> None:
+    def apply_configuration_record(self, record: bytes) -> int | None:
         """Put a configuration in force if it is newer; notify subscribers.
 
-        A record that cannot be decoded is logged, and the configuration in
-        force stays.
+        Returns its version. A record that cannot be decoded is logged, and
+        the configuration in force stays; None is returned then.
         """
         try:
             configuration = self.platform.configuration.parse_configuration(
@@ -330,8 +354,9 @@
                 size=len(record),
                 version=self.holder.version,
             )
-            return
+            return None
         if self.holder.apply_if_newer(configuration):
+            self.stored.record_in_force(configuration.version)
             self.log_unknown_kinds(configuration)
             self.log.write_always(
                 'configuration in force',
@@ -341,6 +366,7 @@
             )
             message = ConfigurationUpdate(configuration.version, record)
             self.exchange.notify_subscribers(message)
+        return configuration.version
 
     def log_unknown_kinds(self, configuration: MeshConfiguration) -> None:
         """Log once for each route that its kind is not known here."""
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -200,3 +200,23 @@
         PlatformStore(pool, 's').read_newest(StoreTopic.MEMBERS)
     )
     assert page.era == 0
+
+
+@pytest.mark.parametrize(('restores', 'trusts'), [(0, True), (1, False)])
+def test_a_record_that_cannot_be_used_is_later_only_within_its_era(
+    restores, trusts
+):
+    """Guards against keys that end, or go on, with an unknown format."""
+
+    async def scenario():
+        zone = await run_zone_with_changes()
+        await take_store_away(zone)
+        for _ in range(restores):
+            zone.store.restore()
+        zone.store.unusable_records = 1
+        zone.store.write_version()
+        zone.store.is_down = False
+        await asyncio.sleep(KEY_TRUST_S * 2)
+        return zone.nodes_that_trust_keys() == list(NODES)
+
+    assert run_in_virtual_time(scenario()) is trusts
--- a/tests/store_zone.py
+++ b/tests/store_zone.py
@@ -45,23 +45,29 @@
     return encode_member(msgspec.structs.replace(record, **changes))
 
 
+def encode_version(version):
+    return encode_json(CONFIGURATION | {'version': f'{version:08x}'})
+
+
 class SharedStore:
     """Holds the versions of a configuration and the log of the members.
 
-    ``page_records`` is how many records one answer holds at most.
+    ``page_records`` is how many records one answer holds at most. The newest
+    ``unusable_records`` versions are in a format that no node can decode.
     """
 
     def __init__(self):
         self.is_down = False
         self.era = 1
         self.page_records = 1000
+        self.unusable_records = 0
         self.versions = [FIRST_VERSION]
         self.written_at = [0]
         self.written = asyncio.Event()
         self.member_log = [(node, encode_record(node)) for node in NODES]
         self.joined = asyncio.Event()
 
-    def restore(self, versions=None, members=None):
+    def restore(self, versions=1000, members=1000):
         """Go back to so many records of each log; the era rises."""
         self.era += 1
         del self.versions[versions:]
@@ -87,12 +93,11 @@
         self.written = asyncio.Event()
 
     def records_from(self, offset):
+        usable = len(self.versions) - self.unusable_records
         return tuple(
-            (
-                'config',
-                encode_json(CONFIGURATION | {'version': f'{version:08x}'}),
-            )
-            for version in self.versions[offset:]
+            ('config', encode_version(version) if number < usable else b'?')
+            for number, version in enumerate(self.versions)
+            if number >= offset
         )
 
     async def answer(self, page):
