A node compares with neighbours before its first proof in each era

Cause: a node that starts knows no later version than the restored store shows, and took that one as proved. Its neighbours knew better and were not asked, and a node that reads for them did not learn from their questions. Change: before the first proof after its start and in each era a node asks up to eight nodes of its zone and one of each other zone; whoever gets a reply with an older version sends the newer configuration back.

--- a/src/ebonycleat/internal/process/proof_exchange.py
+++ b/src/ebonycleat/internal/process/proof_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from ebonycleat.internal.connection.mesh_link import LinkPool, MeshLink
@@ -23,6 +24,13 @@
 ASK_TIMEOUT_S = 0.4
 """Time limit for the reader's answer; within a zone it takes about 1 ms."""
 
+MAX_NEIGHBOURS_ASKED = 8
+"""How many nodes of the own zone are asked for newer data. One that has run
+since before the store was restored is enough."""
+
+MEMBERS_POLL_S = 0.01
+"""Interval in which a node that starts looks whether it has the members."""
+
 SUBSCRIPTION_LIFETIME_S = 3.0
 """How long after its last request a node is sent changes immediately."""
 
@@ -30,7 +38,8 @@
 class ProofExchange:
     """Asks the reader of the zone for proofs, and answers such questions.
 
-    ``subscribers`` has the time of the last question from each link.
+    ``subscribers`` has the time of the last question from each link, and
+    ``compared_era`` is the era in which the neighbours were asked.
     """
 
     def __init__(
@@ -47,6 +56,7 @@
         self.links = links
         self.clock = clock
         self.subscribers: dict[MeshLink, float] = {}
+        self.compared_era: int | None = None
 
     async def ask_reader(self) -> bool:
         """Ask the reader of the zone for the age of its proof.
@@ -59,19 +69,8 @@
         reader = self.reader.choose(asked_at)
         if reader == self.reader.node:
             return False
-        reply_future: asyncio.Future[AnyMeshMessage | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.links.request_link(
-            reader,
-            lambda link: self.request_proof(link, reply_future),
-        )
-        try:
-            async with asyncio.timeout(ASK_TIMEOUT_S):
-                reply = await reply_future
-        except TimeoutError:
-            reply = None
-        if not isinstance(reply, FreshnessReply):
+        reply = await self.ask(reader)
+        if reply is None:
             self.reader.leader.record_no_answer(reader, self.clock())
             return False
         if reply.age_ms >= 0:
@@ -83,6 +82,56 @@
             self.reader.record_store_lost(reader, self.clock())
         return not reply.has_lost_store
 
+    async def compare_in_era(self, era: int) -> bool:
+        """Ask neighbours for newer data, once in each era of the store.
+
+        That is also done after the start of this node: the store may have been
+        restored before. Returns false while the neighbours are not known.
+        """
+        if era == self.compared_era:
+            return True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                await self.wait_for_members()
+        if not self.members.is_known:
+            return False
+        await asyncio.gather(*map(self.ask, self.choose_neighbours()))
+        self.compared_era = era
+        return True
+
+    async def wait_for_members(self) -> None:
+        """Wait until the member list was read."""
+        while not self.members.is_known:
+            await asyncio.sleep(MEMBERS_POLL_S)
+
+    def choose_neighbours(self) -> list[str]:
+        """Return several nodes of the own zone and one of each other zone."""
+        leader = self.reader.leader
+        own_zone = self.members.list_addresses(leader.zone)
+        neighbours = [
+            address for address in own_zone if address != self.reader.node
+        ]
+        return [
+            *neighbours[:MAX_NEIGHBOURS_ASKED],
+            *leader.choose_leaders_of_other_zones(self.clock()),
+        ]
+
+    async def ask(self, address: str) -> FreshnessReply | None:
+        """Ask a node for the age of its proof; None without an answer."""
+        reply_future: asyncio.Future[AnyMeshMessage | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.links.request_link(
+            address,
+            lambda link: self.request_proof(link, reply_future),
+        )
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                reply = await reply_future
+        except TimeoutError:
+            return None
+        return reply if isinstance(reply, FreshnessReply) else None
+
     def request_proof(
         self,
         link: MeshLink | None,
@@ -97,9 +146,7 @@
         number = next(link.request_numbers)
         link.expect_reply(
             number,
-            lambda reply: (
-                None if reply_future.done() else reply_future.set_result(reply)
-            ),
+            lambda reply: self.handle_reply(link, reply, reply_future),
         )
         position = self.members.position
         link.send(
@@ -108,6 +155,27 @@
             )
         )
 
+    def handle_reply(
+        self,
+        link: MeshLink,
+        reply: AnyMeshMessage | None,
+        reply_future: asyncio.Future[AnyMeshMessage | None],
+    ) -> None:
+        """Pass a reply on; send its node the configuration that it lacks."""
+        index = self.holder.index
+        if (
+            isinstance(reply, FreshnessReply)
+            and index is not None
+            and reply.version < index.version
+        ):
+            link.send(
+                ConfigurationUpdate(
+                    index.version, index.configuration.encoded_record
+                ),
+            )
+        if not reply_future.done():
+            reply_future.set_result(reply)
+
     def send_proof(
         self,
         link: MeshLink,
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -284,7 +284,8 @@
             # Records below the offset were written again since the restore.
             self.configuration_position = None
             return
-        self.apply_configuration_page(page, sent_at)
+        if self.apply_configuration_page(page):
+            await self.record_proof(page, sent_at)
 
     def log_own_read(self, page: TopicPage, sent_at: float) -> None:
         """Log a read of the store by a node that is not the reader."""
@@ -299,11 +300,11 @@
             end_offset=page.end_offset,
         )
 
-    def apply_configuration_page(self, page: TopicPage, sent_at: float) -> None:
-        """Apply the newest configuration of a page and record the proof.
+    def apply_configuration_page(self, page: TopicPage) -> bool:
+        """Apply the newest configuration of a page of the store.
 
-        A page that ends before the log does proves nothing; the next read
-        then starts from the newest record.
+        Returns whether the page reaches the end of the log. One that does not
+        proves nothing; the next read then starts from the newest record.
         """
         record = self.platform.configuration.select_newest_record(page)
         if record:
@@ -314,16 +315,19 @@
                 self.stored.record_read(version)
         if page.next_offset < page.end_offset:
             self.configuration_position = None
-            return
+            return False
         self.configuration_position = StorePosition(page.era, page.next_offset)
-        self.record_proof(sent_at)
+        return True
 
-    def record_proof(self, sent_at: float) -> None:
+    async def record_proof(self, page: TopicPage, sent_at: float) -> None:
         """Record the proof of a read that reached the end of the log.
 
         A restored store that does not hold the version in force lacks that
-        version, and maybe later ones, so it proves nothing.
+        version, and maybe later ones, so it proves nothing. Neighbours may
+        have a later version than this node and the store.
         """
+        if not await self.exchange.compare_in_era(page.era):
+            return
         if self.stored.is_in_force_stored():
             # The store held everything that was written before ``sent_at``.
             self.holder.record_proof(self.holder.version, sent_at)
@@ -332,7 +336,7 @@
             'store lacks the configuration in force and proves nothing',
             version=self.holder.version,
             stored_version=self.stored.version,
-            era=self.era.number,
+            era=page.era,
             proof_age_s=self.holder.proof_age_s(sent_at),
         )
 
