Pages from before and after a restore are not joined into one list

Callers: nodes could take a member or a configuration for stored that the store never held together with the rest of the list. Change: a page of another era than the one before starts the read anew.

--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import types
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -86,22 +87,33 @@
     async def read_newest(self, topic: StoreTopic) -> TopicPage:
         """Read the newest record of every key, page by page.
 
-        The result continues at the end of the log as of the first page.
+        The result continues at the end of the log as of the first page. If
+        the store is restored between two pages, reading begins anew.
         """
-        records: list[tuple[str, bytes]] = []
-        query: dict[str, Any] = {'topic': NAME_BY_TOPIC[topic], 'part': 0}
-        first_end: int | None = None
-        while True:
-            response = await self.send_request('GET', '/log-newest', query)
+        pages: list[_NewestPage] = []
+        era: int | None = None
+        while not pages or (pages[-1].more and pages[-1].items):
+            response = await self.send_newest_request(topic, pages)
             page = _decode_newest(response)
+            if pages and _decode_era(response) != era:
+                pages = []
+                continue
             era = _decode_era(response)
-            records.extend(_decode_items(page))
-            # The log may grow between two pages. Reading on from the end of the
-            # log as of the first page gets all changes that a page may lack.
-            first_end = page.end if first_end is None else first_end
-            if not page.more or not page.items:
-                return TopicPage(tuple(records), first_end, first_end, era)
-            query['after'] = page.items[-1].key
+            pages.append(page)
+        records = [record for page in pages for record in _decode_items(page)]
+        # The log may grow between two pages. Reading on from the end of the
+        # log as of the first page gets all changes that a page may lack.
+        first_end = pages[0].end
+        return TopicPage(tuple(records), first_end, first_end, era or 0)
+
+    async def send_newest_request(
+        self, topic: StoreTopic, pages: Sequence[_NewestPage]
+    ) -> HttpResponse:
+        """Request the page that follows those that were read."""
+        query: dict[str, Any] = {'topic': NAME_BY_TOPIC[topic], 'part': 0}
+        if pages:
+            query['after'] = pages[-1].items[-1].key
+        return await self.send_request('GET', '/log-newest', query)
 
     async def wait_for_changes(
         self,
