A node writes its member record again that the store has lost

Callers: a target that joined or left shortly before the restore was unknown, or still listed, at each node that started later. Cause: a node believed that the store holds what it once confirmed, and looked at the list only when its record was missing from it altogether. Change: a write has a position. A list that was read beyond it shows what the store holds; if that differs from the wanted record, it is written again.

--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -86,10 +86,12 @@
         """
 
     @abc.abstractmethod
-    async def write(self, topic: StoreTopic, key: str, record: bytes) -> None:
+    async def write(
+        self, topic: StoreTopic, key: str, record: bytes
+    ) -> StorePosition:
         """Write the record of a key; an empty record deletes the key.
 
-        Raises ``WriteOutcomeUnknown`` if the write may have taken effect or
+        Returns the position of the record in the log. Raises ``WriteOutcomeUnknown`` if the write may have taken effect or
         may still do so.
         """
 
--- a/src/ebonycleat/internal/process/member_record_writer.py
+++ b/src/ebonycleat/internal/process/member_record_writer.py
@@ -7,7 +7,9 @@
     WriteOutcomeUnknown,
 )
 from ebonycleat.internal.connection.platform_interfaces import (
+    BEFORE_FIRST_READ,
     KeyValueStore,
+    StorePosition,
     StoreTopic,
 )
 from ebonycleat.internal.process.event_log import EventLog
@@ -22,7 +24,9 @@
     """Rewrites the record whenever the store holds something else.
 
     Another process may overwrite or remove the record: the leader of the zone
-    deregisters nodes that it cannot reach, and an address may be reused.
+    deregisters nodes that it cannot reach, and an address may be reused. The
+    store itself loses confirmed records when it is restored from an older
+    copy. ``written_at`` is the position of the last confirmed write.
     """
 
     def __init__(
@@ -35,6 +39,7 @@
         self.log = log
         self.desired_record: MemberRecord | None = None
         self.stored_record = b''
+        self.written_at = BEFORE_FIRST_READ
         self.check_requested = asyncio.Event()
         self.store_calls = 0
 
@@ -43,13 +48,19 @@
         self.desired_record = record
         self.check_requested.set()
 
-    def adopt_stored_record(self, encoded: bytes) -> None:
+    def adopt_stored_record(
+        self, encoded: bytes, listed_to: StorePosition
+    ) -> None:
         """Note the record that the store holds under this node's address.
 
         It may have been written by this node before a restart. Empty bytes
-        mean that the store holds none.
+        mean that the store holds none. ``listed_to`` is the position up to
+        which the store was read; a list from before the last write is ignored.
         """
+        if listed_to <= self.written_at:
+            return
         self.stored_record = encoded
+        self.check_requested.set()
 
     async def write_until_cancelled(self) -> None:
         """Write when the desired record differs from the stored one.
@@ -80,7 +91,9 @@
         """
         self.store_calls += 1
         try:
-            await self.store.write(StoreTopic.MEMBERS, address, encoded)
+            self.written_at = await self.store.write(
+                StoreTopic.MEMBERS, address, encoded
+            )
         except (StorageUnavailable, WriteOutcomeUnknown) as error:
             self.log.write_limited(
                 'member record write failed', detail=str(error)
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -186,14 +186,10 @@
             for address, record in members.record_by_address.items()
             if address != self.address
         )
-        writer = self.background.record_writer
-        writer.adopt_stored_record(
-            members.encoded_by_address.get(self.address, b'')
+        self.background.record_writer.adopt_stored_record(
+            members.encoded_by_address.get(self.address, b''),
+            members.position,
         )
-        if own is None:
-            # The zone's leader deregistered this node while it could not
-            # reach it, so the record has to be written again.
-            writer.check_requested.set()
         self.update_node_count()
 
     def restore_target(self, record: MemberRecord) -> None:
--- a/src/ebonycleat/platform/store.py
+++ b/src/ebonycleat/platform/store.py
@@ -28,6 +28,7 @@
 from ebonycleat.internal.connection.http_pool import ConnectionPool
 from ebonycleat.internal.connection.platform_interfaces import (
     KeyValueStore,
+    StorePosition,
     StoreTopic,
     TopicPage,
 )
@@ -72,6 +73,12 @@
     first: int = 0
 
 
+class _Appended(msgspec.Struct, frozen=True):
+    # Offset of the first record that was appended.
+    offset: int
+
+
+_appended_decoder = msgspec.json.Decoder(_Appended)
 _newest_page_decoder = msgspec.json.Decoder(_NewestPage)
 _expired_decoder = msgspec.json.Decoder(_Expired)
 
@@ -138,7 +145,9 @@
         page = _decode_records(_require_ok(response).body, offset)
         return dataclasses.replace(page, era=_decode_era(response))
 
-    async def write(self, topic: StoreTopic, key: str, record: bytes) -> None:
+    async def write(
+        self, topic: StoreTopic, key: str, record: bytes
+    ) -> StorePosition:
         """Append a record, which becomes the newest of its key."""
         encoded_key = key.encode()
         keyed = bytes((len(encoded_key),)) + encoded_key + record
@@ -149,7 +158,8 @@
             raise WriteOutcomeUnknown(
                 f'the store responded with status {response.status}'
             )
-        _require_ok(response)
+        offset = _decode_appended_offset(_require_ok(response))
+        return StorePosition(_decode_era(response), offset)
 
     async def send_request(
         self,
@@ -263,6 +273,15 @@
         ) from error
 
 
+def _decode_appended_offset(response: HttpResponse) -> int:
+    try:
+        return _appended_decoder.decode(response.body).offset
+    except msgspec.DecodeError as error:
+        raise WriteOutcomeUnknown(
+            f'the response of the store is invalid: {error}'
+        ) from error
+
+
 def _decode_records(body: bytes, offset: int) -> TopicPage:
     """Decode the records of a response, which begins with two offsets.
 
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -482,12 +482,20 @@
     assert page == TopicPage((('b', b'v'),), 7, 0)
 
 
+def test_a_write_whose_answer_has_no_offset_may_have_had_an_effect():
+    """Guards against a write that is taken for confirmed at no position."""
+    store = PlatformStore(ScriptedPool(json_response({'end': 6})), 's')
+    with pytest.raises(WriteOutcomeUnknown):
+        run_with_timeout(store.write(StoreTopic.MEMBERS, 'n1', b'record'))
+
+
 def test_calls_of_the_store_share_no_connection():
     """Guards against an answer that is taken for that of the next call.
 
     Answers of the store name no call, so a late copy cannot be recognised.
     """
-    pool = ScriptedPool(framed_response(), json_response({}))
+    appended = json_response({'offset': 5, 'end': 6})
+    pool = ScriptedPool(framed_response(), appended)
     store = PlatformStore(pool, 's')
     run_with_timeout(store.wait_for_changes(StoreTopic.MEMBERS, 5, 1))
     run_with_timeout(store.write(StoreTopic.MEMBERS, 'n1', b'record'))
