Nodes write each other's lost records again, newest revision first

Callers: a target that had left could be in use again after its node was restarted beside a restored store; a node that is gone came back into the list and kept a part of each rate for 30 s. Cause: of two records of a member the later one in the log counted. After a restore the log holds an older one, or none, and a node that was restarted or has ended does not write it again. Change: a record has a revision that its node raises with each write. The newest one that a node knows counts across eras, removals too. What the store has lost is written again by the first node of the zone after 0.5 s, by the next ones later, and by other zones after 3 s. Records without a revision (earlier versions) count in the order of the log.

--- a/src/ebonycleat/internal/process/mesh_components.py
+++ b/src/ebonycleat/internal/process/mesh_components.py
@@ -20,6 +20,9 @@
 from ebonycleat.internal.process.gate import create_gate
 from ebonycleat.internal.process.gate_calls import TargetChannel
 from ebonycleat.internal.process.local_target import LocalTarget
+from ebonycleat.internal.process.lost_member_records import (
+    LostMemberRecords,
+)
 from ebonycleat.internal.process.member_record_writer import MemberRecordWriter
 from ebonycleat.internal.process.mesh_admission import MeshAdmission
 from ebonycleat.internal.process.mesh_entry import EntryComponents, MeshEntry
@@ -76,6 +79,7 @@
     leader: ZoneLeaderChoice
     follower: StoreFollower
     record_writer: MemberRecordWriter
+    lost_records: LostMemberRecords
     token_exchanger: TokenExchanger
     member_sweep: UnreachableMemberSweep
 
@@ -104,7 +108,15 @@
             dependencies.clock,
             settings.mesh_limits.propagation_s,
         ),
-        MemberRecordWriter(dependencies.platform.store, dependencies.log),
+        MemberRecordWriter(
+            dependencies.platform.store, dependencies.log, unix_time_ms
+        ),
+        LostMemberRecords(
+            dependencies.platform.store,
+            leader,
+            dependencies.log,
+            dependencies.clock,
+        ),
         TokenExchanger(
             fleet.quotas,
             TokenHolders(fleet.quotas, leader, links),
--- a/src/ebonycleat/internal/process/mesh_members.py
+++ b/src/ebonycleat/internal/process/mesh_members.py
@@ -4,7 +4,7 @@
 can be reached; each node learns that by connecting to it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -32,7 +32,8 @@
     Unix epoch. ``suspects`` has pairs of a request fingerprint and the number
     of target crashes at this node during which such a request was running.
     ``serves_callers`` is false for a node that stops together with its
-    target.
+    target. ``revision`` rises with each write of the record; it is 0 in
+    records of earlier versions.
     """
 
     address: str
@@ -44,8 +45,13 @@
     has_target: bool
     suspects: tuple[tuple[int, int], ...] = ()
     serves_callers: bool = True
+    revision: int = 0
 
 
+MAX_REMOVED_REVISIONS = 1000
+"""A copy from which the store is restored is only seconds old, so only the
+latest removals have to be remembered."""
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(MemberRecord)
 
@@ -63,12 +69,32 @@
         return None
 
 
+def read_zone(encoded: bytes) -> str:
+    """Return the zone of an encoded record, '' if it cannot be decoded."""
+    record = decode_member(encoded)
+    return '' if record is None else record.zone
+
+
+def read_revision(encoded: bytes) -> int:
+    """Return the revision of an encoded record, 0 if it has none."""
+    record = decode_member(encoded)
+    return 0 if record is None else record.revision
+
+
 class MeshMembers:
-    """The member list up to a position in the store's change log."""
+    """The member list up to a position in the store's change log.
+
+    Of two records of one member the one with the higher revision counts, also
+    if a restored store holds the other one or none. ``lost_changes`` has what
+    such a store lacks: the newest record of a member, empty if it was removed.
+    ``removed_revisions`` has the last revision of members that were removed.
+    """
 
     def __init__(self) -> None:
         """Start with an empty list."""
         self.position = BEFORE_FIRST_READ
+        self.lost_changes: dict[str, bytes] = {}
+        self.removed_revisions: dict[str, int] = {}
         self.encoded_by_address: dict[str, bytes] = {}
         self.record_by_address: dict[str, MemberRecord] = {}
         self.by_service: dict[str, tuple[Member, ...]] = {}
@@ -95,23 +121,89 @@
         """Apply changed records up to ``offset``; false if they are outdated.
 
         ``era`` is that of the store at the time of the read. With
-        ``is_complete``, ``changes`` replaces the whole list. An empty record
-        means that the member was removed.
+        ``is_complete``, ``changes`` replaces the whole list, except for what a
+        restored store has lost. An empty record means that the member was
+        removed.
         """
         position = StorePosition(era, offset)
         if position < self.position:
             return False
+        is_restored = self.is_known and era > self.position.era
         self.position = position
+        listed = dict(changes)
         if is_complete:
-            self.encoded_by_address = {}
-        for address, encoded in changes:
-            if encoded:
-                self.encoded_by_address[address] = encoded
-            else:
-                self.encoded_by_address.pop(address, None)
+            self.apply_absences(listed, is_restored=is_restored)
+        for address, encoded in listed.items():
+            self.apply_change(address, encoded, is_restored=is_restored)
         self.rebuild()
         return True
 
+    def apply_change(
+        self, address: str, encoded: bytes, *, is_restored: bool
+    ) -> None:
+        """Apply the record of one member, unless a later one is known."""
+        if encoded:
+            if self.is_outdated(address, encoded, is_restored=is_restored):
+                known = self.encoded_by_address.get(address, b'')
+                self.lost_changes[address] = known
+                return
+            self.encoded_by_address[address] = encoded
+            self.lost_changes.pop(address, None)
+        else:
+            self.remove(address)
+
+    def apply_absences(
+        self, listed: Collection[str], *, is_restored: bool
+    ) -> None:
+        """Remove the members that a complete list lacks.
+
+        A restored store has lost them, so they stay until they are written
+        again.
+        """
+        known = {*self.encoded_by_address, *self.lost_changes}
+        for address in known.difference(listed):
+            encoded = self.encoded_by_address.get(address, b'')
+            if encoded and is_restored:
+                self.lost_changes[address] = encoded
+            elif not encoded or address not in self.lost_changes:
+                self.remove(address)
+
+    def is_outdated(
+        self, address: str, encoded: bytes, *, is_restored: bool
+    ) -> bool:
+        """Tell whether a later state of the member is known.
+
+        Records without a revision count in the order of the log, unless the
+        store has just been restored.
+        """
+        revision = read_revision(encoded)
+        if not revision and not is_restored:
+            return False
+        known = self.encoded_by_address.get(address)
+        if known is not None:
+            return revision < read_revision(known)
+        return revision <= self.removed_revisions.get(address, -1)
+
+    def remove(self, address: str) -> None:
+        """Remove a member and remember its last revision."""
+        self.lost_changes.pop(address, None)
+        encoded = self.encoded_by_address.pop(address, None)
+        if encoded is None:
+            return
+        self.removed_revisions.pop(address, None)
+        self.removed_revisions[address] = read_revision(encoded)
+        if len(self.removed_revisions) > MAX_REMOVED_REVISIONS:
+            self.removed_revisions.pop(next(iter(self.removed_revisions)))
+
+    def find_stored_record(self, address: str) -> bytes:
+        """Return what the store holds of a member, as far as is known.
+
+        Empty bytes mean that the store has no record, or only an older one.
+        """
+        if address in self.lost_changes:
+            return b''
+        return self.encoded_by_address.get(address, b'')
+
     def position_in_era(self, offset: int, era: int | None) -> StorePosition:
         """Return a position that a peer named, maybe without its era.
 
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -187,9 +187,9 @@
             if address != self.address
         )
         self.background.record_writer.adopt_stored_record(
-            members.encoded_by_address.get(self.address, b''),
-            members.position,
+            members.find_stored_record(self.address), members.position
         )
+        self.background.lost_records.members_changed()
         self.update_node_count()
 
     def restore_target(self, record: MemberRecord) -> None:
@@ -324,6 +324,8 @@
             },
             'links.open': len(self.links.links) + len(self.links.accepted),
             'members.nodes': self.fleet.members.count_serving_nodes(),
+            'members.lost': len(self.fleet.members.lost_changes),
+            'store.era': background.follower.era.number or 0,
             'store.calls': background.follower.store_calls
             + background.record_writer.store_calls,
             'callers.connections': len(self.listener.connections),
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -116,6 +116,7 @@
         components.follower.follow_configuration(),
         components.follower.follow_members(),
         components.record_writer.write_until_cancelled(),
+        components.lost_records.write_until_cancelled(),
         components.token_exchanger.exchange_until_cancelled(),
         components.member_sweep.run_until_cancelled(),
         _write_first_record(node),
