A copied refusal answers no later request on its connection

Callers: "not run, try again" for a request that a target was running, or such a request at a second target. Cause: an answer that names no request was taken for the one in flight on any connection, also on one that had brought an answer before. The answer to a HEAD request was never compared with its request. The targets of the product's own node name no request at all. Change: on a connection that has brought an answer, only one that names the request is its answer. A foreign head on a HEAD request ends the connection. The product's own node closes a connection on which a request was refused. A refusal that is repeated with its id was skipped before, too.

--- a/src/ebonycleat/internal/connection/client_requests.py
+++ b/src/ebonycleat/internal/connection/client_requests.py
@@ -48,6 +48,11 @@
 SendResult: TypeAlias = HttpResponse | SendFailure
 
 
+def accept_any_headers(headers: HeaderPairs) -> bool:
+    """Accept a response whose headers need not name the request."""
+    return True
+
+
 def always_allow() -> bool:
     """Allow a request that needs no permission."""
     return True
@@ -58,7 +63,8 @@
 
     ``is_own_response`` decides by the headers of a response whether it belongs
     to this request: a server may first send a late extra response to an
-    earlier one. ``is_head`` is True for a HEAD request, whose response has no
+    earlier one. ``is_identified_response`` must hold too if the connection has
+    brought a response before, of which this one may be a copy. ``is_head`` is True for a HEAD request, whose response has no
     body. An idle connection is used only if it has been idle for at most
     ``max_idle_s`` seconds; a negative value always opens a new one. A request
     that ``is_single`` has a connection of its own. Opening a connection takes
@@ -70,6 +76,7 @@
     is_own_response: Callable[[HeaderPairs], bool]
     is_head: bool = False
     max_idle_s: float = DEFAULT_MAX_IDLE_S
+    is_identified_response: Callable[[HeaderPairs], bool] = accept_any_headers
     is_single: bool = False
     may_send: Callable[[], bool] = always_allow
 
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -107,6 +107,7 @@
 
     ``is_delimited`` is True if the response declares where its body ends,
     ``must_close`` if the connection cannot be reused after the response.
+    ``idle_since`` is zero until the first request has its response.
     """
 
     def __init__(self, pool: ConnectionOwner) -> None:
@@ -204,13 +205,23 @@
             self.is_delimited = True
 
     def on_headers_complete(self) -> None:
-        """Store the status; complete a response to HEAD (parser callback)."""
+        """Store the status; complete a response to HEAD (parser callback).
+
+        The parser would take what follows a foreign response for its body, so
+        such a response ends the connection.
+        """
         if self.is_complete:
             return
         self.has_headers = True
         self.status = self.parser.get_status_code()
-        if self.in_flight and self.in_flight.request.is_head:
+        is_head = self.in_flight and self.in_flight.request.is_head
+        if not is_head:
+            return
+        if self.is_own_response():
             self.is_complete = True
+        else:
+            self.failure_kind = SendFailureKind.MALFORMED
+            self.pool.count_unmatched_response()
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body (parser callback)."""
@@ -235,17 +246,31 @@
         """
         if self.is_complete or self.in_flight is None:
             return
-        is_interim = self.status < FIRST_FINAL_STATUS
-        if is_interim:
+        if self.status < FIRST_FINAL_STATUS:
             return
-        if not self.in_flight.request.is_own_response(tuple(self.headers)):
-            # It belongs to an earlier request; the response to this one may
-            # follow.
-            self.failure_kind = None
-            self.pool.count_unmatched_response()
-            self.must_close = True
+        if self.in_flight.request.is_head:
             return
-        self.is_complete = True
+        if self.is_own_response():
+            self.is_complete = True
+            return
+        # It belongs to an earlier request; the response to this one may
+        # follow.
+        self.failure_kind = None
+        self.has_headers = False
+        self.must_close = True
+        self.pool.count_unmatched_response()
+
+    def is_own_response(self) -> bool:
+        """Tell whether the response belongs to the request in flight."""
+        if self.in_flight is None:
+            return False
+        request = self.in_flight.request
+        headers = tuple(self.headers)
+        if not request.is_own_response(headers):
+            return False
+        # A response that names no request may be a copy of an earlier one.
+        was_answered = self.must_close or self.idle_since > 0
+        return not was_answered or request.is_identified_response(headers)
 
     def complete(self) -> None:
         """Report the complete response and reuse the connection if possible."""
@@ -291,8 +316,7 @@
             return False
         if self.has_headers and not self.is_delimited:
             self.must_close = True
-            headers = tuple(self.headers)
-            self.is_complete = self.in_flight.request.is_own_response(headers)
+            self.is_complete = self.is_own_response()
             if self.is_complete:
                 self.complete()
         return False
--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -174,7 +174,11 @@
 
     @abc.abstractmethod
     def is_response_to(self, request_id: str, headers: HeaderPairs) -> bool:
-        """Return whether a response with these headers belongs to a request."""
+        """Return whether a response with these headers may be to a request."""
+
+    @abc.abstractmethod
+    def names_request(self, request_id: str, headers: HeaderPairs) -> bool:
+        """Return whether a response with these headers names a request."""
 
     @abc.abstractmethod
     def parse_response(self, response: HttpResponse) -> ParsedResponse:
--- a/src/ebonycleat/internal/connection/target_client.py
+++ b/src/ebonycleat/internal/connection/target_client.py
@@ -16,6 +16,9 @@
 
 import urllib3
 
+from ebonycleat.internal.connection.target_connections import (
+    TargetConnectionPool,
+)
 from ebonycleat.internal.request.call import HeaderPairs
 from ebonycleat.internal.request.refusal import Outcome, Reason, Refusal
 
@@ -271,7 +274,7 @@
     clock: Callable[[], float] = time.monotonic,
 ) -> TargetClient:
     """Create a client that keeps up to ``pool_size`` idle connections."""
-    pool = urllib3.HTTPConnectionPool(
+    pool = TargetConnectionPool(
         host,
         port,
         maxsize=pool_size,
@@ -351,9 +354,10 @@
         )
     if method == 'HEAD' or response.status in STATUSES_WITHOUT_BODY:
         return None
-    if 'Content-Length' in response.headers:
-        return None
-    if response.headers.get('Transfer-Encoding', '').lower() == 'chunked':
+    is_chunked = (
+        response.headers.get('Transfer-Encoding', '').lower() == 'chunked'
+    )
+    if is_chunked or 'Content-Length' in response.headers:
         return None
     return _failure_outcome_unknown(
         TargetFailureKind.UNDECLARED_LENGTH,
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -341,6 +341,9 @@
             ),
             is_head=call.method == 'HEAD',
             max_idle_s=max_idle_s,
+            is_identified_response=lambda response_headers: (
+                self.protocol.names_request(request_id, response_headers)
+            ),
             may_send=lambda: self.may_still_send(gate_call, instance),
         )
 
--- a/src/ebonycleat/platform/target_protocol.py
+++ b/src/ebonycleat/platform/target_protocol.py
@@ -47,6 +47,10 @@
         named_request_id = find_header(headers, names.REQUEST_ID)
         return not named_request_id or named_request_id == request_id
 
+    def names_request(self, request_id: str, headers: HeaderPairs) -> bool:
+        """Return whether the response names this request."""
+        return find_header(headers, names.REQUEST_ID) == request_id
+
     def parse_response(self, response: HttpResponse) -> ParsedResponse:
         """Split a response into what the node needs and what the caller gets.
 
--- a/src/ebonycleat_tools/platform/target.py
+++ b/src/ebonycleat_tools/platform/target.py
@@ -69,13 +69,15 @@
         """
         request = exchange.request
         expected = find_header(request.headers, 'x-expected-instance')
+        request_id = find_header(request.headers, 'x-request-id')
+        echoed = (('x-request-id', request_id),)
         if expected and expected != self.options.instance:
-            exchange.respond(HttpResponse(MISDIRECTED))
+            exchange.respond(HttpResponse(MISDIRECTED, echoed))
         elif self.running < self.count_usable_slots():
             self.run(exchange)
         elif self.options.usable_slots is None:
             exchange.respond(
-                HttpResponse(UNAVAILABLE, (('x-not-executed', '1'),)),
+                HttpResponse(UNAVAILABLE, (*echoed, ('x-not-executed', '1'))),
             )
         else:
             self.unanswered += 1
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -288,6 +288,42 @@
     assert target.connections == 2
 
 
+REFUSAL_WITHOUT_ID = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'x-not-executed: 1\r\ncontent-length: 0\r\n\r\n'
+)
+OWN_RESPONSE = b'HTTP/1.1 200 OK\r\nid: own\r\ncontent-length: 3\r\n\r\nown'
+
+
+def names_own_id(headers):
+    return find_header(headers, 'id') == 'own'
+
+
+def test_a_refusal_that_is_repeated_without_an_id_answers_no_later_request():
+    """Guards against "not run" for a request that the target is running."""
+    target = ScriptedTarget(
+        REFUSAL_WITHOUT_ID, REFUSAL_WITHOUT_ID + OWN_RESPONSE
+    )
+    first, second = send_requests(target, 2, identified=names_own_id)
+    assert (first.status, second.status) == (503, 200)
+    assert target.connections == 1
+
+
+@pytest.mark.parametrize(
+    'late',
+    [
+        b'HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 3\r\n\r\nold',
+        b'HTTP/1.1 200 OK\r\nid: old\r\n\r\n',
+    ],
+)
+def test_a_late_answer_is_not_taken_for_the_answer_to_head(late):
+    """Guards against a foreign response where no body is awaited."""
+    target = ScriptedTarget(late)
+    result = send_requests(target, is_head=True, own=names_own_id)[0]
+    assert isinstance(result, SendFailure)
+    assert result.was_sent
+
+
 def test_an_interim_response_is_not_the_final_one():
     """Guards against an interim response that is taken for the final one."""
     target = ScriptedTarget(b'HTTP/1.1 100 Continue\r\n\r\n' + OK_RESPONSE)
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -306,6 +306,17 @@
     assert gate.pool.sends[0].request.max_idle_s < 1
 
 
+def test_a_kept_connection_needs_answers_that_name_the_request(clock):
+    """Guards against a copied refusal that is taken for a later request's."""
+    gate = create_mesh_gate(clock)
+    offer_calls(gate, clock)
+    request = gate.pool.sends[0].request
+    request_id = (('x-request-id', 'request-0'),)
+    assert request.is_own_response(())
+    assert not request.is_identified_response(())
+    assert request.is_identified_response(request_id)
+
+
 def test_a_call_for_another_service_is_refused_by_the_local_gate(clock):
     """Guards against the member record of an earlier VM at the same address.
 
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -372,7 +372,9 @@
 def test_an_answer_is_matched_to_its_request_by_the_id(named, is_own):
     """Guards against an answer that belongs to another request."""
     headers = (('x-request-id', named),) if named else ()
-    assert PlatformTargetProtocol().is_response_to('id', headers) is is_own
+    protocol = PlatformTargetProtocol()
+    assert protocol.is_response_to('id', headers) is is_own
+    assert protocol.names_request('id', headers) is (named == 'id')
 
 
 def framed_response(*records, end_offset=7):
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -111,6 +111,19 @@
     assert result.kind is TargetFailureKind.TIMED_OUT
 
 
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_no_request_uses_a_connection_on_which_another_was_refused(status):
+    """Guards against a repeated refusal that answers a later request."""
+    refusal = COMPLETE.replace(b'200', str(status).encode())
+    with (
+        run_scripted_server(refusal, SECOND) as server,
+        create_target_client('127.0.0.1', server.port, 1) as client,
+    ):
+        statuses = [_send(client).status for _ in range(2)]
+        assert server.connections == 2
+    assert statuses == [status, 200]
+
+
 def test_connections_are_reused_after_complete_answers():
     """Guards against a new connection, which takes 1 ms, for each request."""
     with (
--- a/tests/loopback_http.py
+++ b/tests/loopback_http.py
@@ -104,8 +104,14 @@
         server.close()
 
 
-async def send(pool, *, own=None, **options):
-    """Send one request through a pool and return its result."""
+async def send(pool, *, own=None, identified=None, **options):
+    """Send one request through a pool and return its result.
+
+    ``own`` and ``identified`` decide by the headers of a response whether it
+    may belong to the request and whether it names the request.
+    """
+    if identified is not None:
+        options['is_identified_response'] = identified
     result_future = asyncio.get_running_loop().create_future()
     request = OutgoingRequest(
         b'GET /x HTTP/1.1\r\nhost: t\r\n\r\n',
