An answer whose head ends with its connection is a failure

Callers: status 100 or an empty success as the whole answer. Cause: an interim response left its mark "head complete" behind, so the end of the connection completed it as the final answer. For HEAD any status counted as final. In the product's own node the HTTP library takes the end of the connection for the end of the head: a 204, or a length of 0 that came before the cut, was passed on as whole. Change: an interim response leaves nothing behind; the product's own node notes whether the empty line after the head arrived. A cut head without an interim response was a failure before at the mesh node.

--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -215,7 +215,7 @@
         self.has_headers = True
         self.status = self.parser.get_status_code()
         is_head = self.in_flight and self.in_flight.request.is_head
-        if not is_head:
+        if not is_head or self.status < FIRST_FINAL_STATUS:
             return
         if self.is_own_response():
             self.is_complete = True
@@ -247,6 +247,7 @@
         if self.is_complete or self.in_flight is None:
             return
         if self.status < FIRST_FINAL_STATUS:
+            self.has_headers = False
             return
         if self.in_flight.request.is_head:
             return
--- a/src/ebonycleat/internal/connection/target_client.py
+++ b/src/ebonycleat/internal/connection/target_client.py
@@ -18,6 +18,7 @@
 
 from ebonycleat.internal.connection.target_connections import (
     TargetConnectionPool,
+    is_head_complete,
 )
 from ebonycleat.internal.request.call import HeaderPairs
 from ebonycleat.internal.request.refusal import Outcome, Reason, Refusal
@@ -353,12 +354,12 @@
             f'{response.status}',
         )
     if method == 'HEAD' or response.status in STATUSES_WITHOUT_BODY:
-        return None
+        return _check_end_of_head(response)
     is_chunked = (
         response.headers.get('Transfer-Encoding', '').lower() == 'chunked'
     )
     if is_chunked or 'Content-Length' in response.headers:
-        return None
+        return _check_end_of_head(response)
     return _failure_outcome_unknown(
         TargetFailureKind.UNDECLARED_LENGTH,
         'the target declared no length, so the response may be truncated; '
@@ -366,6 +367,17 @@
     )
 
 
+def _check_end_of_head(
+    response: urllib3.BaseHTTPResponse,
+) -> TargetFailure | None:
+    if is_head_complete(response):
+        return None
+    return _failure_outcome_unknown(
+        TargetFailureKind.TRUNCATED,
+        'the connection ended in the headers of the response',
+    )
+
+
 def _limit_read_timeout(
     response: urllib3.BaseHTTPResponse, time_left_s: float
 ) -> None:
--- a/src/ebonycleat/internal/connection/target_connections.py
+++ b/src/ebonycleat/internal/connection/target_connections.py
@@ -1,10 +1,18 @@
-"""Connections to a target that are not reused after a refusal."""
+"""Connections to a target that notice what the HTTP library passes over.
 
+The library takes the end of a connection for the end of a response's head, so
+a status without a body would look complete although headers are missing. It
+also reuses a connection after any complete response.
+"""
+
+import contextlib
 from http import HTTPStatus
+from http.client import HTTPResponse
 from typing import Any
 
 import urllib3
 
+END_OF_HEAD = frozenset((b'\r\n', b'\n'))
 REFUSAL_STATUSES = frozenset((
     HTTPStatus.REQUEST_TIMEOUT,
     HTTPStatus.MISDIRECTED_REQUEST,
@@ -13,6 +21,48 @@
 ))
 
 
+class _HeadReader:
+    """Reads lines from a file and keeps the last one."""
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.last_line = b''
+
+    def readline(self, limit: int) -> bytes:
+        line: bytes = self.file.readline(limit)
+        self.last_line = line
+        return line
+
+    def close(self) -> None:
+        self.file.close()
+
+
+class _TargetResponse(HTTPResponse):
+    """A response that knows whether the empty line after its head came."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Create a response that is not read yet (see the HTTP library)."""
+        super().__init__(*arguments, **options)
+        self.head_reader = _HeadReader(self.fp)
+
+    @property
+    def is_head_complete(self) -> bool:
+        """Whether the empty line after the head was received."""
+        return self.head_reader.last_line in END_OF_HEAD
+
+    def begin(self) -> None:
+        """Read the head (called by the HTTP library)."""
+        self.fp = self.head_reader  # type: ignore[assignment]
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.restore_file)
+            super().begin()
+
+    def restore_file(self) -> None:
+        """Read the body without noting its lines, unless already closed."""
+        if self.fp is not None:
+            self.fp = self.head_reader.file
+
+
 class TargetConnection(urllib3.connection.HTTPConnection):
     """A connection that serves no request after one that was refused.
 
@@ -20,6 +70,8 @@
     their requests.
     """
 
+    response_class = _TargetResponse
+
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Create a connection that is not open yet (see the HTTP library)."""
         super().__init__(*arguments, **options)
@@ -46,3 +98,9 @@
         if conn is not None and conn.has_refused:
             conn.close()
         super()._put_conn(conn)
+
+
+def is_head_complete(response: urllib3.BaseHTTPResponse) -> bool:
+    """Tell whether the head of a target's response was received whole."""
+    original = getattr(response, '_original_response', None)
+    return isinstance(original, _TargetResponse) and original.is_head_complete
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -324,6 +324,40 @@
     assert result.was_sent
 
 
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nid: own\r\n',
+        b'HTTP/1.1 200 OK\r\nid: own\r\n',
+        b'HTTP/1.1 200 OK\r\nid: own\r\ncontent-length: 0',
+        b'HTTP/1.1 204 No Content\r\nid: own\r\n',
+        OWN_RESPONSE.replace(b'own', b'old')
+        + b'HTTP/1.1 200 OK\r\nid: own\r\n',
+    ],
+)
+@pytest.mark.parametrize('is_head', [False, True])
+def test_a_head_that_ends_with_its_connection_is_no_answer(answer, is_head):
+    """Guards against a success whose headers and body are incomplete."""
+    target = ScriptedTarget(answer, closes=True)
+    result = send_requests(target, own=names_own_id, is_head=is_head)[0]
+    assert isinstance(result, SendFailure)
+    assert result.was_sent
+
+
+@pytest.mark.parametrize('is_head', [False, True])
+def test_an_interim_response_before_the_end_is_no_answer(is_head):
+    """Guards against a caller that gets status 100 and nothing more."""
+    target = ScriptedTarget(b'HTTP/1.1 100 Continue\r\n\r\n', closes=True)
+    result = send_requests(target, is_head=is_head)[0]
+    assert isinstance(result, SendFailure)
+
+
+def test_an_interim_response_is_not_the_answer_to_head():
+    """Guards against an interim response that is taken for the final one."""
+    target = ScriptedTarget(b'HTTP/1.1 100 Continue\r\n\r\n' + OK_RESPONSE[:-2])
+    assert send_requests(target, is_head=True)[0].status == 200
+
+
 def test_an_interim_response_is_not_the_final_one():
     """Guards against an interim response that is taken for the final one."""
     target = ScriptedTarget(b'HTTP/1.1 100 Continue\r\n\r\n' + OK_RESPONSE)
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -124,6 +124,24 @@
     assert statuses == [status, 200]
 
 
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 204 No Content',
+        b'HTTP/1.1 204 No Content\r\nServer: a\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer',
+    ],
+)
+def test_a_head_that_ends_with_its_connection_is_no_answer(answer):
+    """Guards against a success whose headers and body are incomplete."""
+    result = _send_once(answer, closing=True)
+    assert (result.kind, result.outcome) == (
+        TargetFailureKind.TRUNCATED,
+        Outcome.UNKNOWN,
+    )
+
+
 def test_connections_are_reused_after_complete_answers():
     """Guards against a new connection, which takes 1 ms, for each request."""
     with (
