A stopping node takes no request whose answer it would cut off

Callers: no answer to requests that came late in the grace of a planned stop and were passed on, among them requests that must not be repeated. Cause: the entry took requests until the process ended, whatever time was left; only the gate beside the own target refused. Change: StopAdmission refuses, as not run and with a time to come back, what is not expected to be answered before the end: the slowest recent run of the route and half as much again, or the deadline if that comes first. Callers that have not noticed the stop yet are served as before. Evidence: test_a_request_late_in_a_planned_stop_is_refused_and_not_cut_off failed on: the target got the request 0.5 s before the end.

--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -27,6 +27,7 @@
 from ebonycleat.internal.process.retry_budget import RetryBudget
 from ebonycleat.internal.process.route_call_counts import RouteCallCounts
 from ebonycleat.internal.process.router import Router
+from ebonycleat.internal.process.stop_admission import StopAdmission
 from ebonycleat.internal.process.token_exchange import TokenExchanger
 from ebonycleat.internal.request.call import Answer
 from ebonycleat.internal.request.mesh_request_run import (
@@ -73,6 +74,7 @@
         """Use the given components."""
         self.components = components
         self.backpressure = EntryBackpressure(components.call_counts)
+        self.stop_admission = StopAdmission()
 
     def handle_exchange(self, exchange: Exchange) -> None:
         """Admit a request and send it to a target, or refuse it.
@@ -171,7 +173,7 @@
                 self.components.tokens.return_token(admitted.call.team, 0)
             return
         if granted:
-            self.run(exchange, admitted)
+            self.run_unless_stopping(exchange, admitted)
             return
         team = admitted.call.team
         refusal = refuse_not_run(
@@ -189,6 +191,29 @@
         )
         self.refuse(exchange, admitted.request_id, refusal)
 
+    def run_unless_stopping(
+        self, exchange: Exchange, admitted: AdmittedRequest
+    ) -> None:
+        """Run a request, or refuse it if the node ends before its answer."""
+        components = self.components
+        call = admitted.call
+        now = components.clock()
+        refusal = self.stop_admission.check(call, now)
+        if refusal is None:
+            self.run(exchange, admitted)
+            return
+        components.tokens.return_token(call.team, 0)
+        components.log.write_limited(
+            'request refused: the node stops before its answer',
+            request=admitted.request_id,
+            route=call.route,
+            expected_end_s=round(
+                self.stop_admission.expected_end(call, now) - now, 3
+            ),
+            retry_after_s=refusal.retry_after_s,
+        )
+        self.refuse(exchange, admitted.request_id, refusal)
+
     def run(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
         """Offer an admitted request to gates until it has an answer."""
         components = self.components
@@ -220,7 +245,9 @@
         components = self.components
         admitted = run.admitted
         call = admitted.call
-        latency_s = components.clock() - run.started_at
+        now = components.clock()
+        latency_s = now - run.started_at
+        self.stop_admission.slowest_runs.record(call.route, latency_s, now)
         if isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN:
             components.tokens.return_token(call.team, latency_s)
         if isinstance(result, Answer):
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -19,6 +19,7 @@
 )
 from ebonycleat.internal.process.mesh_node import MeshNode
 from ebonycleat.internal.process.mesh_settings import Address
+from ebonycleat.internal.process.stop_admission import StopTimes
 
 METRICS_PATH = '/metrics'
 
@@ -179,7 +180,8 @@
     """Drain the gate and wait until requests are answered.
 
     New requests are accepted for at least ``MIN_DRAIN_S``, because callers
-    notice the stop with a delay. Requests that are still open when the stop
+    notice the stop with a delay, and later if their answers are expected
+    before the end. Requests that are still open when the stop
     grace period ends are counted in the last log line.
     """
     clock = node.dependencies.clock
@@ -189,6 +191,9 @@
         stopped_at + node.settings.mesh_limits.stop_grace_s - STOP_RESERVE_S
     )
     log.write_always('node stopping', open=node.count_open_requests())
+    node.entry.stop_admission.times = StopTimes(
+        stopped_at + MIN_DRAIN_S, end_by
+    )
     node.gate.gate.drain()
     node.background.token_exchanger.stop_holding()
     # The record tells other nodes whether this node still serves callers:
--- a/tests/mesh_environment.py
+++ b/tests/mesh_environment.py
@@ -72,6 +72,7 @@
         self.targets = []
         self.tasks = []
         self.callers = []
+        self.clock = boottime_s
 
     async def serve(self, handler):
         loop = asyncio.get_running_loop()
@@ -125,7 +126,7 @@
             settings,
             create_platform_interfaces(settings),
             random.Random(number),
-            boottime_s,
+            self.clock,
         )
         self.nodes.append(node)
         self.targets.append(target)
@@ -174,10 +175,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_mesh(zones=('a',), keys=('key-1',), **options):
+async def run_mesh(zones=('a',), keys=('key-1',), clock=boottime_s, **options):
     """Run one mesh node in each of the zones until the block ends."""
     async with contextlib.AsyncExitStack() as stack:
         environment = MeshEnvironment(stack)
+        environment.clock = clock
         environment.store.write_configuration(create_configuration(1, keys))
         try:
             await environment.start(zones, **options)
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from ebonycleat.internal.connection.http_messages import find_header
+from ebonycleat.internal.process.clocks import boottime_s
 from tests.loopback_http import run_with_timeout
 from tests.mesh_environment import create_configuration, run_mesh
 
@@ -169,6 +170,43 @@
     assert run_with_timeout(scenario()) == (200, False)
 
 
+class AdvancedClock:
+    """The clock of the machine, which a test can advance."""
+
+    def __init__(self):
+        self.advance_s = 0
+
+    def __call__(self):
+        return boottime_s() + self.advance_s
+
+
+def test_a_request_late_in_a_planned_stop_is_refused_and_not_cut_off():
+    """Guards against runs that the end of a stopping node leaves unanswered."""
+    clock = AdvancedClock()
+
+    async def scenario():
+        async with run_mesh(('a', 'a'), work_s=0.4, clock=clock) as environment:
+            send = environment.send_and_wait
+            environment.nodes[0].gate.gate.drain()
+            before = await send(0, '/open/1', key='')
+            environment.nodes[0].stop_requested.set()
+            await asyncio.sleep(0)
+            in_time = asyncio.ensure_future(send(0, '/open/2', key=''))
+            received = environment.targets[1].received_requests
+            await environment.wait_until(lambda: len(received) == 2)
+            clock.advance_s = 5.1
+            late = asyncio.ensure_future(send(0, '/open/3', key=''))
+            await environment.wait_until(
+                lambda: late.done() or len(received) == 3
+            )
+            return before, await in_time, await late, len(received)
+
+    before, in_time, late, received = run_with_timeout(scenario())
+    assert (before.status, in_time.status) == (200, 200)
+    assert (late.status, received) == (503, 2)
+    assert find_header(late.headers, 'retry-after')
+
+
 def test_a_disconnected_caller_cancels_its_run_at_a_remote_target():
     """Guards against a remote target that works for a caller that has left."""
 
