--- a/src/ebonycleat/internal/process/stop_admission.py
+++ b/src/ebonycleat/internal/process/stop_admission.py
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         """Start without any run."""
-        self.window_started_at = 0.0
+        self.window_started_at: float = 0
         self.current: dict[str, float] = {}
         self.previous: dict[str, float] = {}
 
