The soak restores its store from an older copy and repeats refusals

Cause: the emulated store could come back older, but no soak asked for it; the emulated target never sent a refusal twice. Change: two more kinds of faults. A target that repeats its refusals leaves out the id of the request in every other copy.

--- a/src/ebonycleat_tools/platform/soak_faults.py
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -26,6 +26,9 @@
 """How long after its end a fault still counts as affecting a node. This is the
 platform's own limit for the time until a machine is reachable again."""
 
+RESTORED_COPY_AGE_S = 6.0
+"""Age of the copy from which the store is restored, longer than any fault."""
+
 TARGET_PROXY_MODES = types.MappingProxyType({
     FaultKind.TARGET_RESET: ProxyMode.RESET,
     FaultKind.TARGET_LINK_SILENT: ProxyMode.SILENCE,
@@ -54,7 +57,9 @@
             FaultKind.KEY_WITHDRAWN: self.withdraw_key,
             FaultKind.CONFIGURATION_CHANGED: self.change_configuration,
             FaultKind.STORE_DOWN: self.stop_store,
+            FaultKind.STORE_RESTORED: self.restore_store,
             FaultKind.TARGET_UNANSWERED: self.leave_unanswered,
+            FaultKind.TARGET_REFUSALS_REPEATED: self.repeat_refusals,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -130,6 +135,20 @@
         await asyncio.sleep(fault.duration_s)
         self.environment.store.is_down = False
 
+    async def restore_store(self, node: SoakNode, fault: Fault) -> None:
+        """Stop the store, and start it again from an older copy."""
+        await self.stop_store(node, fault)
+        self.environment.store.restore(self.clock() - RESTORED_COPY_AGE_S)
+
+    async def repeat_refusals(self, node: SoakNode, fault: Fault) -> None:
+        """Let a target run few requests and send each refusal once more."""
+        options = node.target.options
+        node.target.options = dataclasses.replace(
+            options, slots=1, repeats_refusals=True
+        )
+        await asyncio.sleep(fault.duration_s)
+        node.target.options = options
+
     async def leave_unanswered(self, node: SoakNode, fault: Fault) -> None:
         """Let a target run one request at a time and never answer the others.
 
--- a/src/ebonycleat_tools/platform/soak_plan.py
+++ b/src/ebonycleat_tools/platform/soak_plan.py
@@ -23,11 +23,13 @@
     TARGET_LINK_SILENT = 'target-link-silent'
     TARGET_ANSWERS_CUT = 'target-answers-cut'
     TARGET_UNANSWERED = 'target-unanswered'
+    TARGET_REFUSALS_REPEATED = 'target-refusals-repeated'
     STORE_DOWN = 'store-down'
     STORE_RESET = 'store-reset'
     STORE_SILENT = 'store-silent'
     STORE_SLOW = 'store-slow'
     STORE_ANSWERS_CUT = 'store-answers-cut'
+    STORE_RESTORED = 'store-restored'
     KEY_WITHDRAWN = 'key-withdrawn'
     CONFIGURATION_CHANGED = 'configuration-changed'
 
@@ -39,6 +41,7 @@
     FaultKind.STORE_SILENT,
     FaultKind.STORE_SLOW,
     FaultKind.STORE_ANSWERS_CUT,
+    FaultKind.STORE_RESTORED,
 ))
 """Faults that affect all nodes."""
 
--- a/src/ebonycleat_tools/platform/target.py
+++ b/src/ebonycleat_tools/platform/target.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import weakref
 
 from ebonycleat.internal.connection.client_requests import (
     OutgoingRequest,
@@ -11,11 +12,13 @@
 from ebonycleat.internal.connection.http_listener import (
     Exchange,
     ExchangeHandler,
+    ServerConnection,
 )
 from ebonycleat.internal.connection.http_messages import (
     HttpRequest,
     HttpResponse,
     encode_request,
+    encode_response,
     find_header,
 )
 from ebonycleat.internal.connection.http_pool import ConnectionPool
@@ -33,7 +36,9 @@
     ``slots`` is what it reports. Without ``usable_slots`` it refuses what it
     cannot run; with it, it runs that many requests and leaves the others, and
     all that follow on their connections, without any answer.
-    ``answer_headers`` go with each answer to a request that has run.
+    ``answer_headers`` go with each answer to a request that has run. A target
+    that ``repeats_refusals`` sends each one a second time, before its answer to
+    the next request on the connection.
     """
 
     instance: str
@@ -43,6 +48,7 @@
     work_s: float = 0
     usable_slots: int | None = None
     answer_headers: tuple[tuple[str, str], ...] = ()
+    repeats_refusals: bool = False
 
 
 class EmulatedTarget(ExchangeHandler):
@@ -59,7 +65,11 @@
         self.abandoned = 0
         self.unanswered = 0
         self.sequence = 0
+        self.repeated_refusals = 0
         self.state = 'ready'
+        self.refusals: weakref.WeakKeyDictionary[
+            ServerConnection, HttpResponse
+        ] = weakref.WeakKeyDictionary()
 
     def handle_exchange(self, exchange: Exchange) -> None:
         """Run a request, or answer that it has not run.
@@ -67,6 +77,7 @@
         It has not run if it was meant for another instance (421) or if all
         slots are occupied (503 with ``x-not-executed``).
         """
+        self.repeat_refusal(exchange.connection)
         request = exchange.request
         expected = find_header(request.headers, 'x-expected-instance')
         request_id = find_header(request.headers, 'x-request-id')
@@ -76,12 +87,30 @@
         elif self.running < self.count_usable_slots():
             self.run(exchange)
         elif self.options.usable_slots is None:
-            exchange.respond(
-                HttpResponse(UNAVAILABLE, (*echoed, ('x-not-executed', '1'))),
+            refusal = HttpResponse(
+                UNAVAILABLE, (*echoed, ('x-not-executed', '1'))
             )
+            self.refusals[exchange.connection] = refusal
+            exchange.respond(refusal)
         else:
             self.unanswered += 1
 
+    def repeat_refusal(self, connection: ServerConnection) -> None:
+        """Send the last refusal of a connection again, if that is asked for.
+
+        Every other one does not name its request.
+        """
+        refusal = self.refusals.pop(connection, None)
+        is_repeated = refusal is not None and self.options.repeats_refusals
+        if refusal is None or not is_repeated or connection.transport is None:
+            return
+        self.repeated_refusals += 1
+        if self.repeated_refusals % 2:
+            refusal = HttpResponse(refusal.status, refusal.headers[1:])
+        connection.transport.write(
+            encode_response(refusal, close=False, is_head=False)
+        )
+
     def count_usable_slots(self) -> int:
         """Return how many requests may run at a time."""
         if self.options.usable_slots is None:
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -170,6 +170,31 @@
     assert run_with_timeout(scenario()) == (200, False)
 
 
+def test_refusals_that_a_target_repeats_answer_no_other_request():
+    """Guards against "not run" for a request that the target has run."""
+    status_by_id = {}
+
+    async def scenario():
+        async with run_mesh(work_s=0.01, repeats_refusals=True) as environment:
+            target = environment.targets[0]
+            while target.repeated_refusals < 6:
+                slots = len(status_by_id) % 2
+                target.options = dataclasses.replace(
+                    target.options, slots=slots
+                )
+                request_id = f'id-{len(status_by_id)}'
+                answer = await environment.send_and_wait(
+                    0, '/renew/1', request_id=request_id
+                )
+                status_by_id[request_id] = answer.status
+        return list_received_ids(environment)
+
+    received_ids = run_with_timeout(scenario())
+    answered = {key for key, status in status_by_id.items() if status == 200}
+    assert answered == set(received_ids)
+    assert len(answered) >= 6
+
+
 class AdvancedClock:
     """The clock of the machine, which a test can advance."""
 
