The product's own node uses no log of another era than its settings name

Callers (shown by tests): a key that was withdrawn shortly before the log was restored from an older copy worked again at each node that restarted; a claim could run twice. Cause: offsets, and with them versions and epochs, were taken for rising for ever; a slot without an owner in the log for one that never had any. Change: the log names its era, as the stand-in now does, which can come back older, and a client compares it in each answer and names it in each append. A node whose settings name another era goes on as without the log. After all nodes are stopped, operators raise `era`; ids that a node of an era above 0 does not know may have started, in slots without an earlier owner as well. An offset beyond the end of the stand-in's log is gone, no longer an empty last page. Not built: following the restored log without a stop of all nodes.

--- a/bench/node_simulation.py
+++ b/bench/node_simulation.py
@@ -62,7 +62,10 @@
 
 
 class SimulatedNode:
-    """A VM with a node core and a target; performs the effects of the core."""
+    """A VM with a node core and a target; performs the effects of the core.
+
+    ``log_era`` is the era of the log that the settings name.
+    """
 
     def __init__(
         self, simulation: 'NodeSimulation', name: str, placement: NodePlacement
@@ -74,6 +77,7 @@
         self.incarnation = 0
         self.alive = False
         self.paused_until: float = 0
+        self.log_era = 0
         self.target = SimulatedTarget(
             simulation.clock, placement.slots, placement.service_s
         )
@@ -110,7 +114,9 @@
                 port=9000,
                 slots=self.placement.slots,
             ),
-            log=LogServiceSettings(base_url='http://127.0.0.1:9200'),
+            log=LogServiceSettings(
+                base_url='http://127.0.0.1:9200', era=self.log_era
+            ),
             queue=QueueSettings(length=64),
             operators=(
                 OperatorSettings(
--- a/bench/node_simulation_log.py
+++ b/bench/node_simulation_log.py
@@ -29,7 +29,11 @@
 
 
 class SimulatedLog:
-    """Streams in memory; ``first_offsets`` increase when records expire."""
+    """Streams in memory; ``first_offsets`` increase when records expire.
+
+    ``era`` rises with each restore. Nodes whose settings name another era get
+    no answers, as with the client of the log service.
+    """
 
     def __init__(self, clock: SimulatedClock, rng: random.Random) -> None:
         """Start empty and available."""
@@ -43,6 +47,23 @@
         self.cut_off: set[str] = set()
         self.latency_s = LATENCY_S
         self.lose_next_answers = 0
+        self.era = 0
+
+    def copy(self) -> dict[LogStream, list[bytes]]:
+        """Return a copy of all streams for a later ``restore``."""
+        return {
+            stream: list(records) for stream, records in self.records.items()
+        }
+
+    def restore(self, copied: dict[LogStream, list[bytes]]) -> None:
+        """Come back from a copy; records since then are lost."""
+        self.era += 1
+        self.records = copied
+
+    def is_available(self, node: 'SimulatedNode') -> bool:
+        """Tell whether a node can use the log now."""
+        is_reachable = not self.down and node.name not in self.cut_off
+        return is_reachable and node.log_era == self.era
 
     def expire(self, stream: LogStream) -> None:
         """Expire all records that a stream contains now."""
@@ -56,7 +77,7 @@
     ) -> None:
         """Append a record and report the result; fail if it is unreachable."""
         operation_id = effect.operation_id
-        if self.down or node.name in self.cut_off:
+        if not self.is_available(node):
             failed = AppendFailed(operation_id, may_have_taken_effect=False)
             node.later(self.latency_s, self.report_append, node, failed)
             return
@@ -112,7 +133,7 @@
         started_at: float,
     ) -> LogReadResult:
         """Return the result of a read at this time."""
-        if self.down or node.name in self.cut_off:
+        if not self.is_available(node):
             return LogReadFailed(read)
         first = self.first_offsets[read.stream]
         if read.offset < first:
--- a/src/ebonycleat/commands/node.py
+++ b/src/ebonycleat/commands/node.py
@@ -106,7 +106,9 @@
         core,
         PeerIdentity(settings.node.id, incarnation, secret),
         loop,
-        create_http_log_service(settings.log.base_url, settings.log.timeout_s),
+        create_http_log_service(
+            settings.log.base_url, settings.log.timeout_s, settings.log.era
+        ),
         stack.enter_context(
             create_target_client(
                 target.host,
--- a/src/ebonycleat/internal/connection/log_client.py
+++ b/src/ebonycleat/internal/connection/log_client.py
@@ -3,10 +3,15 @@
 An append whose response is missing may have taken effect. It certainly had no
 effect only if an error occurred before the request was sent, or if the response
 has one of the ``NOT_APPENDED_STATUSES``.
+
+A log that was restored from an older copy lacks confirmed records and gives out
+their offsets again. Offsets and epochs hold for one era of the log, so a client
+uses no other era than the one for which it was created.
 """
 
 import http
 import io
+import logging
 from typing import Any
 
 import cbor2
@@ -24,6 +29,10 @@
     LogStream,
 )
 
+logger = logging.getLogger(__name__)
+
+ERA_HEADER = 'Log-Era'
+
 # Enough for one long-polling reader per stream and concurrent appends.
 LOG_POOL_SIZE = 16
 
@@ -32,6 +41,7 @@
 NOT_APPENDED_STATUSES = frozenset((
     http.HTTPStatus.BAD_REQUEST,
     http.HTTPStatus.NOT_FOUND,
+    http.HTTPStatus.PRECONDITION_FAILED,
     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     http.HTTPStatus.TOO_MANY_REQUESTS,
     http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -48,13 +58,15 @@
 class HttpLogService(LogService):
     """Blocking access to the log service; safe to share between threads."""
 
-    def __init__(self, base_url: str, timeout_s: float) -> None:
-        """Create a client.
+    def __init__(self, base_url: str, timeout_s: float, era: int) -> None:
+        """Create a client that uses the log of one ``era`` only.
 
         ``timeout_s`` limits an append. A read may take this time in addition to
         its ``wait_s``.
         """
         self.base_url = base_url.rstrip('/')
+        self.era = era
+        self.logged_era = era
         self.timeout_s = timeout_s
         self.pool_manager = urllib3.PoolManager(
             maxsize=LOG_POOL_SIZE,
@@ -77,6 +89,7 @@
                 headers={
                     'Operation-Id': operation_id,
                     'Content-Type': 'application/cbor',
+                    ERA_HEADER: str(self.era),
                 },
                 timeout=self.timeout_s,
             )
@@ -85,6 +98,7 @@
         except urllib3.exceptions.HTTPError as error:
             raise WriteOutcomeUnknown(_describe(error)) from error
         if response.status in NOT_APPENDED_STATUSES:
+            self.is_expected_era(response)
             raise StorageUnavailable(
                 'the log service refused the append: '
                 f'HTTP status {response.status}',
@@ -94,6 +108,10 @@
                 'the log service responded to the append with '
                 f'HTTP status {response.status}',
             )
+        if not self.is_expected_era(response):
+            raise WriteOutcomeUnknown(
+                'the record was appended to the log of another era'
+            )
         return _decode_offset(response.data)
 
     def read(
@@ -113,6 +131,7 @@
                     'limit': str(limit),
                     'wait_s': str(wait_s),
                 },
+                headers={ERA_HEADER: str(self.era)},
                 timeout=urllib3.Timeout(
                     connect=self.timeout_s,
                     read=self.timeout_s + wait_s,
@@ -120,6 +139,8 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise StorageUnavailable(_describe(error)) from error
+        if not self.is_expected_era(response):
+            raise StorageUnavailable('the log is in another era')
         if response.status == http.HTTPStatus.GONE:
             raise OffsetExpired(_decode_first_offset(response.data))
         if response.status != http.HTTPStatus.OK:
@@ -129,17 +150,34 @@
             )
         return decode_log_page(response.data, offset)
 
+    def is_expected_era(self, response: urllib3.BaseHTTPResponse) -> bool:
+        """Tell whether a response is of the era for which the client is.
+
+        Another era is logged once. A log that names no era is in era 0.
+        """
+        text = response.headers.get(ERA_HEADER, '0')
+        era = int(text) if text.isdecimal() else -1
+        if era != self.logged_era:
+            self.logged_era = era
+            logger.error(
+                'log is in another era and is not used',
+                extra={'era': era, 'expected_era': self.era},
+            )
+        return era == self.era
+
     def close(self) -> None:
         """Close the pooled connections."""
         self.pool_manager.clear()
 
 
-def create_http_log_service(base_url: str, timeout_s: float) -> HttpLogService:
+def create_http_log_service(
+    base_url: str, timeout_s: float, era: int = 0
+) -> HttpLogService:
     """Create a client of the log service at ``base_url``.
 
     An example is ``http://10.0.0.9:9200``. Nothing is sent yet.
     """
-    return HttpLogService(base_url, timeout_s)
+    return HttpLogService(base_url, timeout_s, era)
 
 
 def encode_log_page(page: LogPage) -> bytes:
--- a/src/ebonycleat/internal/process/dedupe_owner.py
+++ b/src/ebonycleat/internal/process/dedupe_owner.py
@@ -225,7 +225,8 @@
                 now,
             ):
                 tenure.mark_usable(now)
-                tenure.is_loaded = tenure.never_owned
+                has_gap = now < self.started_ids.gap_until
+                tenure.is_loaded = tenure.never_owned and not has_gap
             events.extend(
                 self.lifecycle.refuse_copy(ask, self.group_commit, now)
                 for ask in tenure.take_expired(now)
--- a/src/ebonycleat/internal/process/dedupe_tenure.py
+++ b/src/ebonycleat/internal/process/dedupe_tenure.py
@@ -37,7 +37,8 @@
     can no other node start ids of the slot, so only a read of the log that
     began later shows all started ones. ``is_loaded`` says that such a read has
     ended; until then calls wait in ``pending_asks``. ``never_owned`` says that
-    the slot had no owner before, so that there is nothing to read.
+    the slot had no owner before, as far as the log tells, so that there is nothing
+    to read.
 
     ``unlogged`` says that a previous owner may have run ids unlogged; this
     matters until ``unlogged_until``. Before ``unknown_until`` the outcome of an
--- a/src/ebonycleat/internal/process/node_factory.py
+++ b/src/ebonycleat/internal/process/node_factory.py
@@ -251,7 +251,11 @@
             identity.service,
         )
         leases = ServiceDedupeLeases(self.engine, identity.service)
-        return DedupeAdapter(DedupeOwner(group_commit, leases))
+        dedupe = DedupeAdapter(DedupeOwner(group_commit, leases))
+        if self.settings.log.era:
+            # The restored log lacks the ids that started last.
+            dedupe.record_started_gap(self.started_at)
+        return dedupe
 
     def build_operators(self) -> OperatorService:
         """Build the service that answers operators' requests."""
--- a/src/ebonycleat/internal/process/settings.py
+++ b/src/ebonycleat/internal/process/settings.py
@@ -103,6 +103,10 @@
     int,
     Meta(ge=1, le=1_000_000, description='a whole number, 1 to 1000000'),
 ]
+LogEra: TypeAlias = Annotated[
+    int,
+    Meta(ge=0, le=1_000_000, description='a whole number, 0 to 1000000'),
+]
 ByteLimit: TypeAlias = Annotated[
     int,
     Meta(ge=1, le=256 * MIB, description='bytes, 1 to 268435456'),
@@ -164,10 +168,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LogServiceSettings:
-    """The address of the platform's append-only log, and its time limit."""
+    """The address of the platform's append-only log, and its time limit.
+
+    ``era`` is the number of times that the log was restored from an older
+    copy. While it differs from the log's, the node goes on without the log. It
+    may be changed only while all nodes are stopped.
+    """
 
     base_url: HttpUrl
     timeout_s: Seconds = 2
+    era: LogEra = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/ebonycleat_tools/log_standin.py
+++ b/src/ebonycleat_tools/log_standin.py
@@ -3,6 +3,9 @@
 ``POST /streams/NAME/records`` appends the body and returns its offset.
 ``GET /streams/NAME/records?offset=&limit=&wait_s=`` reads a page.
 ``GET /control`` returns the state as JSON; ``POST /control`` changes it.
+All answers about records name the era of the log in ``Log-Era``; it rises each
+time the log is restored from an older copy. A request may name the era that it
+expects; in another one it is refused with 412 and changes nothing.
 """
 
 import contextlib
@@ -19,7 +22,10 @@
 import msgspec
 
 from ebonycleat.internal.connection.errors import OffsetExpired
-from ebonycleat.internal.connection.log_client import encode_log_page
+from ebonycleat.internal.connection.log_client import (
+    ERA_HEADER,
+    encode_log_page,
+)
 from ebonycleat.internal.process.command_line import Program, run_program
 from ebonycleat.internal.process.logging_setup import set_up_logging
 from ebonycleat.internal.process.settings import (
@@ -29,7 +35,7 @@
     Port,
     PositiveInt,
 )
-from ebonycleat_tools.log_store import LogStore
+from ebonycleat_tools.log_store import EraMismatch, LogStore
 from ebonycleat_tools.standin_server import (
     ServerOptions,
     StandinApplication,
@@ -133,27 +139,43 @@
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 'the log is set to refuse requests',
             )
+        try:
+            response = self._handle_records(match.group(1), request)
+        except EraMismatch as error:
+            response = text_response(
+                http.HTTPStatus.PRECONDITION_FAILED, str(error)
+            )
+        era = (ERA_HEADER, str(self.store.era))
+        return dataclasses.replace(response, headers=(*response.headers, era))
+
+    def stop(self) -> None:
+        """Wake all handlers that wait, so that the server can stop."""
+        self.stop_event.set()
+        self.store.stop()
+
+    def _handle_records(
+        self, stream: str, request: StandinRequest
+    ) -> StandinResponse:
+        era_text = request.headers.get(ERA_HEADER.lower(), '')
+        era = int(era_text) if era_text.isdecimal() else None
         if request.method == 'POST':
-            return self._append(match.group(1), request)
+            return self._append(stream, request, era)
         if request.method == 'GET':
-            return self._read(match.group(1), request)
+            return self._read(stream, request, era)
         return text_response(
             http.HTTPStatus.METHOD_NOT_ALLOWED,
             'use POST to append and GET to read',
         )
 
-    def stop(self) -> None:
-        """Wake all handlers that wait, so that the server can stop."""
-        self.stop_event.set()
-        self.store.stop()
-
-    def _append(self, stream: str, request: StandinRequest) -> StandinResponse:
+    def _append(
+        self, stream: str, request: StandinRequest, era: int | None
+    ) -> StandinResponse:
         if not request.headers.get('operation-id'):
             return text_response(
                 http.HTTPStatus.BAD_REQUEST,
                 'the header Operation-Id is missing',
             )
-        offset = self.store.append(stream, request.body)
+        offset = self.store.append(stream, request.body, era)
         if offset is None:
             return StandinResponse(
                 http.HTTPStatus.TOO_MANY_REQUESTS,
@@ -164,7 +186,9 @@
             abort_connection()
         return _cbor_response(http.HTTPStatus.CREATED, {'offset': offset})
 
-    def _read(self, stream: str, request: StandinRequest) -> StandinResponse:
+    def _read(
+        self, stream: str, request: StandinRequest, era: int | None
+    ) -> StandinResponse:
         try:
             query = msgspec.convert(
                 request.query,
@@ -179,6 +203,7 @@
                 query.offset,
                 query.limit,
                 query.wait_s,
+                era,
             )
         except OffsetExpired as expired:
             return _cbor_response(
@@ -202,6 +227,7 @@
                 return text_response(http.HTTPStatus.BAD_REQUEST, str(error))
         return json_response({
             'log': dataclasses.asdict(self.faults),
+            'era': self.store.era,
             'streams': self.store.get_offsets(),
         })
 
@@ -215,6 +241,8 @@
         )
         if change.drop_records:
             self.store.drop_records()
+        if change.restore_copy_age_s is not None:
+            self.store.restore(change.restore_copy_age_s)
 
     def _should_lose_answer(self) -> bool:
         with self.lock:
@@ -241,11 +269,13 @@
     """Body of ``POST /control``.
 
     ``log`` holds the faults to change, by name. With ``drop_records`` all
-    records expire at once.
+    records expire at once. With ``restore_copy_age_s`` the log comes back from
+    a copy of that age.
     """
 
     log: dict[str, float | str] = {}
     drop_records: bool = False
+    restore_copy_age_s: NonNegative | None = None
 
 
 @contextlib.contextmanager
--- a/src/ebonycleat_tools/log_store.py
+++ b/src/ebonycleat_tools/log_store.py
@@ -14,6 +14,14 @@
 MAX_WAIT_STEP_S = 0.5
 
 
+class EraMismatch(Exception):
+    """The client knows the log of another era."""
+
+    def __init__(self, era: int) -> None:
+        """``era`` is the present one."""
+        super().__init__(f'the log is in era {era}')
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StoredRecord:
     appended_at: float
@@ -35,8 +43,12 @@
         while self.stored and self.stored[0].appended_at < oldest_allowed:
             self.stored.popleft()
 
+    def lose_records_since(self, oldest_lost: float) -> None:
+        while self.stored and self.stored[-1].appended_at >= oldest_lost:
+            self.next_offset = self.stored.pop().record.offset
+
     def read_page(self, offset: int, limit: int) -> LogPage:
-        if offset < self.first_offset:
+        if not self.first_offset <= offset <= self.next_offset:
             raise OffsetExpired(self.first_offset)
         # Offsets have no gaps, so the index follows from the offset.
         start_index = offset - self.first_offset
@@ -54,7 +66,10 @@
 
 
 class LogStore:
-    """All streams of the log; safe to call from many threads."""
+    """All streams of the log; safe to call from many threads.
+
+    ``era`` is the number of times that the log was restored from a copy.
+    """
 
     def __init__(
         self,
@@ -74,13 +89,18 @@
         self.append_tokens = appends_per_s
         self.tokens_updated_at = clock()
         self.stopped = False
+        self.era = 0
 
-    def append(self, stream: str, payload: bytes) -> int | None:
+    def append(
+        self, stream: str, payload: bytes, era: int | None = None
+    ) -> int | None:
         """Append a record and return its offset.
 
-        Returns None if the append rate is exceeded.
+        Returns None if the append rate is exceeded. Raises ``EraMismatch`` if
+        the writer names another era than the present one.
         """
         with self.condition:
+            self.check_era(era)
             if not self._take_append_token():
                 return None
             records = self._get_stream(stream)
@@ -97,14 +117,17 @@
         offset: int,
         limit: int,
         wait_s: float,
+        era: int | None = None,
     ) -> LogPage:
         """Read a page; if it is empty, wait up to ``wait_s`` for a record.
 
-        Raises ``OffsetExpired`` if the record at ``offset`` has expired.
+        Raises ``OffsetExpired`` if the log does not have the offset, and
+        ``EraMismatch`` if the reader names another era than the present one.
         """
         deadline = self.clock() + wait_s
         with self.condition:
             while True:
+                self.check_era(era)
                 records = self._get_stream(stream)
                 records.expire(self.clock() - self.retention_s)
                 page = records.read_page(offset, limit)
@@ -113,6 +136,20 @@
                     return page
                 self.condition.wait(min(remaining_s, MAX_WAIT_STEP_S))
 
+    def check_era(self, era: int | None) -> None:
+        """Raise ``EraMismatch`` for a client that knows another era."""
+        if era not in {None, self.era}:
+            raise EraMismatch(self.era)
+
+    def restore(self, copy_age_s: float) -> None:
+        """Replace all streams by a copy of that age; offsets go back."""
+        with self.condition:
+            self.era += 1
+            copied_at = self.clock() - copy_age_s
+            for records in self.streams.values():
+                records.lose_records_since(copied_at)
+            self.condition.notify_all()
+
     def drop_records(self) -> None:
         """Expire all records; the offsets of later records continue."""
         with self.condition:
--- a/tests/cover/test_log_client.py
+++ b/tests/cover/test_log_client.py
@@ -51,6 +51,74 @@
             service.close()
 
 
+def append_records(service, count):
+    return [
+        service.append(LogStream.OWNERSHIP, b'claim', f'operation-{number}')
+        for number in range(count)
+    ]
+
+
+def test_no_offset_is_used_in_a_log_that_was_restored_from_an_older_copy():
+    """Guards against a page that proves that nothing was claimed since."""
+    with run_log_service() as service:
+        append_records(service, 3)
+        control(service, restore_copy_age_s=3600)
+        with pytest.raises(StorageUnavailable):
+            service.read(LogStream.OWNERSHIP, 4, 10, 0)
+        with pytest.raises(StorageUnavailable):
+            append_records(service, 1)
+        state = urllib3.request('GET', f'{service.base_url}/control').json()
+    assert state['era'] == 1
+    assert state['streams']['ownership']['next_offset'] == 1
+
+
+def test_a_read_that_waits_while_the_log_is_restored_brings_nothing():
+    """Guards against records at offsets that were given out twice."""
+    with run_log_service() as service, ThreadPoolExecutor(1) as executor:
+        append_records(service, 2)
+        waiting = executor.submit(
+            service.read, LogStream.OWNERSHIP, 3, 10, TIMEOUT_S / 2
+        )
+        control(service, restore_copy_age_s=3600)
+        with pytest.raises(StorageUnavailable):
+            waiting.result()
+
+
+def test_a_client_of_the_new_era_uses_the_restored_log():
+    """Guards against a log that is never used again."""
+    with run_log_service() as service:
+        append_records(service, 2)
+        control(service, restore_copy_age_s=3600)
+        restarted = create_http_log_service(service.base_url, TIMEOUT_S, era=1)
+        assert append_records(restarted, 1) == [1]
+        assert restarted.read(LogStream.OWNERSHIP, 1, 10, 0).at_end
+        restarted.close()
+
+
+def test_an_append_to_a_log_of_another_era_has_an_unknown_outcome():
+    """Guards against a log that does not compare the era itself."""
+    answer = (
+        b'HTTP/1.1 201 Created\r\nLog-Era: 1\r\nContent-Length: 9\r\n\r\n'
+        + cbor2.dumps({'offset': 5})
+    )
+    with run_scripted_server(answer) as server:
+        service = create_http_log_service(
+            f'http://127.0.0.1:{server.port}', TIMEOUT_S
+        )
+        with pytest.raises(WriteOutcomeUnknown):
+            append_records(service, 1)
+        service.close()
+
+
+def test_an_offset_after_the_end_of_the_log_is_not_there():
+    """Guards against an empty page that looks like the end of the log."""
+    store = LogStore(retention_s=3600, appends_per_s=300)
+    store.append('members', b'one')
+    assert store.read('members', 2, 10, 0).at_end
+    with pytest.raises(OffsetExpired):
+        store.read('members', 3, 10, 0)
+
+
 def control(service, **change):
     return urllib3.request(
         'POST',
