A malformed request is refused once

Callers: a second refusal after the one that closes the connection, if the first was not sent yet. Cause: the pending refusal was written each time that queued requests were looked at, also after it had been written; a request of the same packet that was answered at once asked for one more look. Change: nothing is started or refused on a connection that closes. Evidence: found by test_a_damaged_request_stops_nothing in 5,000 examples by hand; the case is kept as an example and failed before. 12,000 examples since then (three tests of 4,000) found nothing.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -345,7 +345,9 @@
             self.exchanges.append(exchange)
             self.listener.handler.handle_exchange(exchange)
         self.update_reading()
-        if self.refusal_status and not self.is_busy() and self.transport:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.refusal_status and not self.is_busy():
             response = HttpResponse(self.refusal_status)
             self.transport.write(
                 encode_response(response, close=True, is_head=False),
