The soak brings heads without end; overlapping signals have a test

Change: the proxy of the soak can cut an answer in its head and go on without end; a node that gets SIGHUP, SIGTERM and SIGINT over one another stops once and ends with 0; endless bodies are tested on 200 connections (50 before; the test server now accepts that many at once).

--- a/src/ebonycleat_tools/platform/proxy.py
+++ b/src/ebonycleat_tools/platform/proxy.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator, Iterator
 
 CHUNK_BYTES = 65_536
+KEPT_HEAD_BYTES = 20
+ENDLESS_BYTES = b'y' * 4096
 
 
 class ProxyMode(enum.Enum):
@@ -13,13 +15,16 @@
 
     ``PASS`` forwards them; ``DELAY`` forwards them after a delay; ``SILENCE``
     holds back both directions; ``CUT_ANSWERS`` holds back only those from the
-    server; ``RESET`` aborts the open connections, and each new one at once.
+    server; ``ENDLESS_HEADS`` cuts answers off in their head and goes on with
+    other bytes until the client closes; ``RESET`` aborts the open connections,
+    and each new one at once.
     """
 
     PASS = 'pass'
     DELAY = 'delay'
     SILENCE = 'silence'
     CUT_ANSWERS = 'cut-answers'
+    ENDLESS_HEADS = 'endless-heads'
     RESET = 'reset'
 
 
@@ -103,9 +108,24 @@
                     await asyncio.sleep(self.delay_s)
                 while self.holds_back(is_from_server):
                     await asyncio.sleep(self.delay_s)
+                if is_from_server and self.mode is ProxyMode.ENDLESS_HEADS:
+                    await self.write_endless_head(chunk, writer)
                 writer.write(chunk)
                 await writer.drain()
 
+    async def write_endless_head(
+        self, chunk: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write the beginning of an answer and other bytes without end.
+
+        Ends with ``OSError`` when the other side closes.
+        """
+        writer.write(chunk[:KEPT_HEAD_BYTES])
+        while True:
+            writer.write(ENDLESS_BYTES)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     def holds_back(self, is_from_server: bool) -> bool:
         """Return whether the mode holds back bytes of this direction."""
         if self.mode is ProxyMode.CUT_ANSWERS:
--- a/src/ebonycleat_tools/platform/soak_faults.py
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -33,6 +33,7 @@
     FaultKind.TARGET_RESET: ProxyMode.RESET,
     FaultKind.TARGET_LINK_SILENT: ProxyMode.SILENCE,
     FaultKind.TARGET_ANSWERS_CUT: ProxyMode.CUT_ANSWERS,
+    FaultKind.TARGET_HEADS_ENDLESS: ProxyMode.ENDLESS_HEADS,
 })
 STORE_PROXY_MODES = types.MappingProxyType({
     FaultKind.STORE_RESET: ProxyMode.RESET,
--- a/src/ebonycleat_tools/platform/soak_plan.py
+++ b/src/ebonycleat_tools/platform/soak_plan.py
@@ -22,6 +22,7 @@
     TARGET_RESET = 'target-reset'
     TARGET_LINK_SILENT = 'target-link-silent'
     TARGET_ANSWERS_CUT = 'target-answers-cut'
+    TARGET_HEADS_ENDLESS = 'target-heads-endless'
     TARGET_UNANSWERED = 'target-unanswered'
     TARGET_REFUSALS_REPEATED = 'target-refusals-repeated'
     STORE_DOWN = 'store-down'
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -18,7 +18,7 @@
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED_HEAD = HEAD + b'transfer-encoding: chunked\r\n\r\n'
-CONCURRENT_REQUESTS = 50
+CONCURRENT_REQUESTS = 200
 READ_BYTES = 262_144
 """At most this much is read from a socket before it is parsed."""
 
@@ -63,7 +63,9 @@
 
     @contextlib.asynccontextmanager
     async def serve_with_pool(self):
-        server = await asyncio.start_server(self.serve, HOST, 0)
+        server = await asyncio.start_server(
+            self.serve, HOST, 0, backlog=CONCURRENT_REQUESTS
+        )
         with ConnectionPool(HOST, server.sockets[0].getsockname()[1]) as pool:
             yield pool
         server.close()
--- a/tests/cover/test_mesh_program.py
+++ b/tests/cover/test_mesh_program.py
@@ -69,8 +69,8 @@
         return listener.getsockname()[1]
 
 
-def test_a_process_reloads_on_signal_or_file_change_and_stops(tmp_path):
-    """Guards against a program that cannot be started or stopped."""
+def start_process(path, **changes):
+    """Start a node without store or target; return it and its settings."""
     listen = {
         name: f'{HOST}:{free_port()}'
         for name in ('inbound', 'outbound', 'ready', 'control')
@@ -82,9 +82,8 @@
         'internalPortRange': [port, port],
         'platform': {'address': f'{HOST}:1'},
     }
-    path = tmp_path / 'node.json'
-    path.write_text(json.dumps(boot))
-    with subprocess.Popen(
+    path.write_text(json.dumps(boot | changes))
+    process = subprocess.Popen(
         [
             sys.executable,
             '-m',
@@ -95,7 +94,15 @@
         env=os.environ | {SETTINGS_VARIABLE: str(path), 'PYTHONPATH': 'src'},
         stdout=subprocess.PIPE,
         text=True,
-    ) as process:
+    )
+    return process, boot
+
+
+def test_a_process_reloads_on_signal_or_file_change_and_stops(tmp_path):
+    """Guards against a program that cannot be started or stopped."""
+    path = tmp_path / 'node.json'
+    process, boot = start_process(path)
+    with process:
         events = []
         for line in process.stdout:
             events.append(json.loads(line)['event'])
@@ -109,3 +116,21 @@
         assert process.wait(EXIT_TIMEOUT_S) == 0
     assert events[0] == 'node starting'
     assert events[-1] == 'node stopped'
+
+
+def test_signals_that_overlap_stop_a_process_once(tmp_path):
+    """Guards against a second signal that cuts a planned stop short."""
+    process, _ = start_process(tmp_path / 'node.json')
+    with process:
+        events = []
+        for line in process.stdout:
+            events.append(json.loads(line)['event'])
+            if events[-1] == 'store unreachable':
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+                    process.send_signal(number)
+            elif events[-1] == 'node stopping':
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                    process.send_signal(number)
+        assert process.wait(EXIT_TIMEOUT_S) == 0
+    assert events.count('node stopping') == 1
+    assert events[-1] == 'node stopped'
