--- a/tests/cover/test_configuration_adoption.py
+++ b/tests/cover/test_configuration_adoption.py
@@ -85,9 +85,8 @@
     follower = node.background.follower
     for tree in trees:
         record = tree if isinstance(tree, bytes) else encode_json(tree)
-        follower.apply_configuration_page(
-            TopicPage((('config', record),), 1, 1), node.dependencies.clock()
-        )
+        page = TopicPage((('config', record),), 1, 1)
+        assert follower.apply_configuration_page(page)
 
 
 def with_version(tree, number):
