A refused request that returns never gets a copy of its refusal

Callers: "not run, try again" for a request that the target was running, if it came with the id of an earlier try, as callers do that repeat a request. Cause: answers are told apart by the request's id, so on a kept connection the late copy of a refusal named the second try, too. Change: the pool notes which requests were refused on a connection and sends them on another one. After 256 refusals a connection is closed.

--- a/src/ebonycleat/internal/connection/client_requests.py
+++ b/src/ebonycleat/internal/connection/client_requests.py
@@ -64,8 +64,12 @@
     ``is_own_response`` decides by the headers of a response whether it belongs
     to this request: a server may first send a late extra response to an
     earlier one. ``is_identified_response`` must hold too if the connection has
-    brought a response before, of which this one may be a copy. ``is_head`` is True for a HEAD request, whose response has no
-    body. An idle connection is used only if it has been idle for at most
+    brought a response before, of which this one may be a copy. A request with
+    the same ``request_id`` as one that was refused uses another connection,
+    where no copy of that refusal can arrive. ``is_head`` is True for a HEAD
+    request, whose response has no body.
+
+    An idle connection is used only if it has been idle for at most
     ``max_idle_s`` seconds; a negative value always opens a new one. A request
     that ``is_single`` has a connection of its own. Opening a connection takes
     time, in which the process may even be paused: ``may_send`` is asked again
@@ -77,6 +81,7 @@
     is_head: bool = False
     max_idle_s: float = DEFAULT_MAX_IDLE_S
     is_identified_response: Callable[[HeaderPairs], bool] = accept_any_headers
+    request_id: str = ''
     is_single: bool = False
     may_send: Callable[[], bool] = always_allow
 
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -20,6 +20,7 @@
 )
 from ebonycleat.internal.connection.http_messages import (
     FIRST_FINAL_STATUS,
+    REFUSAL_STATUSES,
     HttpResponse,
     decode_header_name,
     drop_hop_by_hop_headers,
@@ -72,6 +73,12 @@
     def remove(self, connection: 'ClientConnection') -> None:
         """Remove a connection that closes."""
 
+    @abc.abstractmethod
+    def record_refusal(
+        self, connection: 'ClientConnection', request_id: str
+    ) -> None:
+        """Keep a request off a connection on which the server refused it."""
+
     @abc.abstractmethod
     def count_unmatched_response(self) -> None:
         """Count a response that belongs to no request in flight."""
@@ -284,6 +291,8 @@
         )
         self.in_flight = None
         self.free_body()
+        if in_flight is not None and self.status in REFUSAL_STATUSES:
+            self.pool.record_refusal(self, in_flight.request.request_id)
         if self.is_reusable(headers, in_flight):
             self.idle_limit_s = _parse_idle_limit_s(headers)
             self.pool.release(self)
--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -29,6 +29,14 @@
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 FIRST_FINAL_STATUS = 200
 
+# A server that answers with one of these may not have run the request.
+REFUSAL_STATUSES = frozenset((
+    http.HTTPStatus.REQUEST_TIMEOUT,
+    http.HTTPStatus.MISDIRECTED_REQUEST,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+))
+
 _PHRASES = types.MappingProxyType({
     status.value: status.phrase for status in http.HTTPStatus
 })
--- a/src/ebonycleat/internal/connection/http_pool.py
+++ b/src/ebonycleat/internal/connection/http_pool.py
@@ -25,12 +25,17 @@
 waiting longer does not help.
 """
 
+MAX_REFUSED_IDS = 256
+"""Limit of refusals on one connection, which is closed after the last one."""
+
 
 class ConnectionPool(ConnectionOwner):
     """Connections to one server, reused for later requests.
 
     The pool does not limit its size: the user of the pool limits the number
     of requests in flight, and counts failures by kind in ``failure_counts``.
+    ``refused_ids`` has the ids of the requests that the server refused, by
+    connection: it may repeat a refusal there.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -38,6 +43,7 @@
         self.host = host
         self.port = port
         self.idle: list[ClientConnection] = []
+        self.refused_ids: dict[ClientConnection, set[str]] = {}
         self.connections: set[ClientConnection] = set()
         self.connecting_tasks: set[asyncio.Task[None]] = set()
         self.unmatched_responses = 0
@@ -72,7 +78,7 @@
         in_flight = InFlightRequest(request, on_result)
         connection = None
         if not request.is_single:
-            connection = self.take_idle(request.max_idle_s)
+            connection = self.take_idle(request)
         if connection is None:
             loop = asyncio.get_running_loop()
             connect_task = loop.create_task(self.connect_and_start(in_flight))
@@ -82,23 +88,23 @@
             connection.start(in_flight)
         return in_flight
 
-    def take_idle(self, max_idle_s: float) -> ClientConnection | None:
-        """Take the most recently used idle connection out of the pool.
+    def take_idle(self, request: OutgoingRequest) -> ClientConnection | None:
+        """Take the most recently used connection that may carry a request.
 
-        Returns None if there is none, or if it has been idle for longer than
-        ``max_idle_s``. Connections past their idle limit are closed.
+        Returns None if there is none that has been idle for a short enough
+        time and has not refused the request before. Connections past their
+        idle limit are closed.
         """
         now = asyncio.get_running_loop().time()
-        while self.idle:
-            connection = self.idle[-1]
+        for index in reversed(range(len(self.idle))):
+            connection = self.idle[index]
             idle_s = now - connection.idle_since
             if idle_s > connection.idle_limit_s:
-                self.idle.pop()
                 connection.close()
-            elif idle_s > max_idle_s:
+            elif idle_s > request.max_idle_s:
                 return None
-            else:
-                return self.idle.pop()
+            elif request.request_id not in self.refused_ids.get(connection, ()):
+                return self.idle.pop(index)
         return None
 
     async def connect_and_start(self, in_flight: InFlightRequest) -> None:
@@ -141,16 +147,27 @@
             )
 
     def release(self, connection: ClientConnection) -> None:
-        """Put a connection back into the pool."""
+        """Put a connection back into the pool, or close it if it is used up."""
+        if len(self.refused_ids.get(connection, ())) >= MAX_REFUSED_IDS:
+            connection.close()
+            return
         connection.idle_since = asyncio.get_running_loop().time()
         self.idle.append(connection)
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a closed connection from the pool."""
         self.connections.discard(connection)
+        self.refused_ids.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def record_refusal(
+        self, connection: ClientConnection, request_id: str
+    ) -> None:
+        """Keep a request off a connection on which the server refused it."""
+        if request_id:
+            self.refused_ids.setdefault(connection, set()).add(request_id)
+
     def hold_bytes(self, count: int) -> bool:
         """Account for bytes of bodies that the connections hold."""
         self.held_bytes += count
--- a/src/ebonycleat/internal/connection/target_connections.py
+++ b/src/ebonycleat/internal/connection/target_connections.py
@@ -6,19 +6,14 @@
 """
 
 import contextlib
-from http import HTTPStatus
 from http.client import HTTPResponse
 from typing import Any
 
 import urllib3
 
+from ebonycleat.internal.connection.http_messages import REFUSAL_STATUSES
+
 END_OF_HEAD = frozenset((b'\r\n', b'\n'))
-REFUSAL_STATUSES = frozenset((
-    HTTPStatus.REQUEST_TIMEOUT,
-    HTTPStatus.MISDIRECTED_REQUEST,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-))
 
 
 class _HeadReader:
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -344,6 +344,7 @@
             is_identified_response=lambda response_headers: (
                 self.protocol.names_request(request_id, response_headers)
             ),
+            request_id=request_id,
             may_send=lambda: self.may_still_send(gate_call, instance),
         )
 
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonycleat.internal.connection import http_pool
 from ebonycleat.internal.connection.client_requests import (
     SendFailure,
     SendFailureKind,
@@ -309,6 +310,32 @@
     assert target.connections == 1
 
 
+def test_a_refused_request_that_returns_never_gets_a_copy_of_the_refusal():
+    """Guards against "not run" for a request whose id was refused before."""
+    refusal = REFUSAL_WITHOUT_ID.replace(b'x-not', b'id: own\r\nx-not')
+    target = ScriptedTarget(refusal, OWN_RESPONSE, OWN_RESPONSE)
+    results = send_requests(
+        target, 3, identified=names_own_id, request_id='own'
+    )
+    assert [result.status for result in results] == [503, 200, 200]
+    assert target.connections == 2
+
+
+@pytest.mark.parametrize('limit', [1, 2])
+def test_a_connection_is_closed_after_its_last_refusal(limit, monkeypatch):
+    """Guards against refusals that are remembered without end."""
+    monkeypatch.setattr(http_pool, 'MAX_REFUSED_IDS', limit)
+    target = ScriptedTarget(*(REFUSAL_WITHOUT_ID for _ in range(4)))
+
+    async def send_all():
+        async with target.serve_with_pool() as pool:
+            for number in range(4):
+                await send(pool, request_id=str(number))
+
+    run_with_timeout(send_all())
+    assert target.connections == 4 // limit
+
+
 @pytest.mark.parametrize(
     'late',
     [
--- a/tests/cover/test_mutated_responses.py
+++ b/tests/cover/test_mutated_responses.py
@@ -37,6 +37,9 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def record_refusal(self, connection, request_id):
+        """Each request has an id of its own."""
+
     def count_unmatched_response(self):
         """Copies are expected here."""
 
