A link that is being closed takes no call

Callers: "may have run" for a call that was never sent, which ends a request that must not be repeated. Cause: between the abort of a link and the end of its connection the pool still handed it out; the message was dropped and the call resolved as lost. Change: the pool opens another link to the address meanwhile. Evidence: test_a_link_that_is_being_closed_takes_no_call failed before.

--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -289,7 +289,7 @@
         link = self.links.get(address)
         if link is None or link.transport is None:
             return None
-        return link
+        return None if link.transport.is_closing() else link
 
     def has_failed_recently(self, address: str) -> bool:
         """Return whether a connect failed less than the backoff time ago."""
--- a/tests/cover/test_silent_mesh_links.py
+++ b/tests/cover/test_silent_mesh_links.py
@@ -136,3 +136,9 @@
     link.connection_lost(None)
     assert replies == {1: None, 2: None}
     assert not pool.silent_links
+
+
+def test_a_link_that_is_being_closed_takes_no_call(pool):
+    """Guards against "may have run" for a call that was never sent."""
+    pool.find_open_link(ADDRESS).close()
+    assert pool.find_open_link(ADDRESS) is None
