The soak checks planned stops and sends overlapping signals

Cause: a missing answer during a planned stop was excused as any fault is, so the soak could not see requests that a stop cuts off. Signals to one node came one after the other only. Change: windows of planned stops are kept apart; a request that ran and got no answer, without another fault at its nodes, is a violation. A new fault sends SIGHUP, SIGTERM and SIGHUP again while the node stops.

--- a/src/ebonycleat_tools/platform/history.py
+++ b/src/ebonycleat_tools/platform/history.py
@@ -64,11 +64,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FaultWindow:
-    """A time during which a fault affected a node, or all nodes for -1."""
+    """A time during which a fault affected a node, or all nodes for -1.
+
+    The window of a planned stop ends with the process; that it starts again is
+    another window.
+    """
 
     node: int
     began_at: float
     ended_at: float
+    is_planned_stop: bool = False
+
+    def overlaps(self, began_at: float, ended_at: float) -> bool:
+        """Tell whether the window has a moment of the given time."""
+        return self.began_at <= ended_at and self.ended_at >= began_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +107,7 @@
         """Create an empty history."""
         self.sent_requests: dict[str, SentRequest] = {}
         self.runs: list[ObservedRun] = []
+        self.node_by_instance: dict[str, int] = {}
         self.fault_windows: list[FaultWindow] = []
         self.withdrawal_times: dict[str, float] = {}
         self.ended_at: float = 0
@@ -119,6 +129,7 @@
         *_check_withdrawn_keys(history, limits),
         *_check_rates(history, limits),
         *_check_timeouts(history),
+        *_check_planned_stops(history, runs),
         *_check_recovery(history, limits),
     ]
 
@@ -260,10 +271,63 @@
     ended_at: float,
 ) -> bool:
     return any(
-        window.node in {-1, node}
-        and window.began_at <= ended_at
-        and window.ended_at >= began_at
+        window.node in {-1, node} and window.overlaps(began_at, ended_at)
+        for window in history.fault_windows
+    )
+
+
+def _check_planned_stops(
+    history: History,
+    runs: dict[str, list[ObservedRun]],
+) -> Iterable[str]:
+    for sent in history.sent_requests.values():
+        observed_runs = runs.get(sent.request_id)
+        if sent.status or sent.is_cancelled or not observed_runs:
+            continue
+        stop = _find_planned_stop(history, sent)
+        if stop is None:
+            continue
+        if not _has_unplanned_fault(history, sent, observed_runs, stop):
+            yield (
+                f'cut by a stop: {sent.request_id} ran but its connection '
+                'ended without an answer'
+            )
+
+
+def _find_planned_stop(
+    history: History, sent: SentRequest
+) -> FaultWindow | None:
+    """Return the planned stop of the node during a request, None if none."""
+    ended_at = history.ended_at if sent.ended_at is None else sent.ended_at
+    return next(
+        (
+            window
+            for window in history.fault_windows
+            if window.is_planned_stop
+            and window.node == sent.node
+            and window.overlaps(sent.sent_at, ended_at)
+        ),
+        None,
+    )
+
+
+def _has_unplanned_fault(
+    history: History,
+    sent: SentRequest,
+    observed_runs: list[ObservedRun],
+    stop: FaultWindow,
+) -> bool:
+    """Tell whether a fault, up to the end of a stop, affected a request."""
+    nodes = {-1, sent.node}
+    nodes.update(
+        history.node_by_instance.get(run.instance, -1) for run in observed_runs
+    )
+    return any(
+        window.node in nodes
+        and window.began_at < stop.ended_at
+        and window.ended_at >= sent.sent_at
         for window in history.fault_windows
+        if not window.is_planned_stop
     )
 
 
--- a/src/ebonycleat_tools/platform/soak_environment.py
+++ b/src/ebonycleat_tools/platform/soak_environment.py
@@ -135,9 +135,11 @@
         control = self.stack.enter_context(
             ConnectionPool(addresses.control.host, addresses.control.port),
         )
+        instance = f'i-{number}'
+        self.history.node_by_instance[instance] = number
         target = RecordingTarget(
             EmulatedTargetOptions(
-                f'i-{number}',
+                instance,
                 SERVICE,
                 slots=self.plan.slots,
                 work_s=self.plan.work_ms / 1000,
--- a/src/ebonycleat_tools/platform/soak_faults.py
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -26,6 +26,13 @@
 """How long after its end a fault still counts as affecting a node. This is the
 platform's own limit for the time until a machine is reachable again."""
 
+PLANNED_STOPS = frozenset((
+    FaultKind.TERMINATE,
+    FaultKind.OVERLAPPING_SIGNALS,
+))
+OVERLAPPING_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+"""Signals that a node gets after the one that stops it."""
+
 RESTORED_COPY_AGE_S = 6.0
 """Age of the copy from which the store is restored, longer than any fault."""
 
@@ -52,9 +59,10 @@
         self.clock = asyncio.get_running_loop().time
         self.actions = {
             FaultKind.KILL: self.kill,
-            FaultKind.TERMINATE: self.terminate,
+            FaultKind.TERMINATE: self.restart,
             FaultKind.PAUSE: self.pause,
             FaultKind.RELOAD: self.reload,
+            FaultKind.OVERLAPPING_SIGNALS: self.restart,
             FaultKind.KEY_WITHDRAWN: self.withdraw_key,
             FaultKind.CONFIGURATION_CHANGED: self.change_configuration,
             FaultKind.STORE_DOWN: self.stop_store,
@@ -72,6 +80,8 @@
         else:
             action = self.actions.get(fault.kind, self.change_proxy_mode)
             async with node.lock:
+                if fault.kind in PLANNED_STOPS:
+                    began_at = await self.stop_as_planned(node, fault)
                 await action(node, fault)
         self.environment.history.fault_windows.append(
             FaultWindow(
@@ -84,8 +94,7 @@
     async def kill(self, node: SoakNode, fault: Fault) -> None:
         """Kill a node and restart it."""
         await node.process.kill()
-        await asyncio.sleep(RESTART_DELAY_S)
-        await node.process.start()
+        await self.restart(node, fault)
 
     async def kill_all(self) -> None:
         """Kill all nodes at the same time and restart them.
@@ -101,9 +110,26 @@
             await asyncio.sleep(RESTART_DELAY_S)
             await asyncio.gather(*(one.process.start() for one in nodes))
 
-    async def terminate(self, node: SoakNode, fault: Fault) -> None:
-        """Stop a node by SIGTERM and restart it."""
-        await node.process.terminate()
+    async def stop_as_planned(self, node: SoakNode, fault: Fault) -> float:
+        """Stop a node by SIGTERM; returns the time of its end.
+
+        Callers go on using their connections until the process is gone.
+        """
+        began_at = self.clock()
+        stop = asyncio.ensure_future(node.process.terminate())
+        if fault.kind is FaultKind.OVERLAPPING_SIGNALS:
+            for signal_number in OVERLAPPING_SIGNALS:
+                await asyncio.sleep(fault.duration_s / len(OVERLAPPING_SIGNALS))
+                node.process.send_signal(signal_number)
+        await stop
+        ended_at = self.clock()
+        self.environment.history.fault_windows.append(
+            FaultWindow(fault.node, began_at, ended_at, is_planned_stop=True),
+        )
+        return ended_at
+
+    async def restart(self, node: SoakNode, fault: Fault) -> None:
+        """Start a node that has ended."""
         await asyncio.sleep(RESTART_DELAY_S)
         await node.process.start()
 
--- a/src/ebonycleat_tools/platform/soak_plan.py
+++ b/src/ebonycleat_tools/platform/soak_plan.py
@@ -19,6 +19,7 @@
     PAUSE = 'pause'
     TERMINATE = 'terminate'
     RELOAD = 'reload'
+    OVERLAPPING_SIGNALS = 'overlapping-signals'
     TARGET_RESET = 'target-reset'
     TARGET_LINK_SILENT = 'target-link-silent'
     TARGET_ANSWERS_CUT = 'target-answers-cut'
--- a/tests/cover/test_soak_history.py
+++ b/tests/cover/test_soak_history.py
@@ -89,6 +89,14 @@
     history.sent_requests['id-1'].status = 0
 
 
+def cut_off_by_a_planned_stop(history):
+    history.sent_requests['id-1'].status = 0
+    history.fault_windows += [
+        FaultWindow(0, 0.5, 1.1, is_planned_stop=True),
+        FaultWindow(0, 1.1, 5),
+    ]
+
+
 def add_failures_after_recovery_time(history):
     for number in range(8):
         add_request(history, f'after-{number}', sent_at=50 + number, status=502)
@@ -108,6 +116,7 @@
         ('withdrawn key', add_run_after_withdrawal),
         ('over rate', add_runs_over_the_rate),
         ('no answer', remove_answer),
+        ('cut by a stop', cut_off_by_a_planned_stop),
         ('not recovered', add_failures_after_recovery_time),
     ],
 )
@@ -128,6 +137,16 @@
     assert not find_violations(history, LIMITS)
 
 
+@pytest.mark.parametrize('node', [-1, 0, 1])
+def test_a_fault_beside_a_planned_stop_may_cost_an_answer(node):
+    """Guards against blaming a stop for what happened to the run's target."""
+    history = create_history()
+    history.node_by_instance['i-1'] = 1
+    cut_off_by_a_planned_stop(history)
+    history.fault_windows.append(FaultWindow(node, 0.9, 1))
+    assert not find_violations(history, LIMITS)
+
+
 def test_an_idempotent_request_may_have_run_before_its_refusal():
     """Guards against checking a guarantee that was never given."""
     history = create_history()
