The product's own node takes no copy of an earlier answer

Callers: the answer to another request. A target that sent an answer a second time, while the next request on the kept connection waited, answered that one. Cause: answers of these targets name no request, and a connection was used again after each whole answer. Change: each call has a number in the header Ebonycleat-Call-Id. An answer with another number, or with none on a used connection, is a failure of unknown outcome. Connections of targets that do not repeat the number are not kept. The stand-in target repeats it; callers' connections of the load tool stay as they were. Evidence: on a copy of the first answer before the second gave the bodies hello, hello (hello, second expected); now the second call fails and the third gets its own answer.

--- a/src/ebonycleat/internal/connection/target_client.py
+++ b/src/ebonycleat/internal/connection/target_client.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import http
+import itertools
 import re
 import socket
 import time
@@ -17,8 +18,10 @@
 import urllib3
 
 from ebonycleat.internal.connection.target_connections import (
+    CALL_ID_HEADER,
     TargetConnectionPool,
     is_head_complete,
+    may_answer_call,
 )
 from ebonycleat.internal.request.call import HeaderPairs
 from ebonycleat.internal.request.refusal import Outcome, Reason, Refusal
@@ -61,6 +64,7 @@
     INVALID_REQUEST = 'invalid-request'
     NOT_CONNECTED = 'not-connected'
     BROKEN = 'broken'
+    FOREIGN = 'foreign'
     TIMED_OUT = 'timed-out'
     TRUNCATED = 'truncated'
     UNDECLARED_LENGTH = 'undeclared-length'
@@ -73,6 +77,7 @@
         TargetFailureKind.INVALID_REQUEST: Reason.BAD_REQUEST,
         TargetFailureKind.NOT_CONNECTED: Reason.TARGET_FAILED,
         TargetFailureKind.BROKEN: Reason.TARGET_FAILED,
+        TargetFailureKind.FOREIGN: Reason.TARGET_FAILED,
         TargetFailureKind.TIMED_OUT: Reason.DEADLINE,
         TargetFailureKind.TRUNCATED: Reason.TRUNCATED_ANSWER,
         TargetFailureKind.UNDECLARED_LENGTH: Reason.TRUNCATED_ANSWER,
@@ -119,7 +124,7 @@
 
     def __init__(
         self,
-        pool: urllib3.HTTPConnectionPool,
+        pool: TargetConnectionPool,
         max_response_bytes: int,
         clock: Callable[[], float],
     ) -> None:
@@ -131,6 +136,7 @@
         self.pool = pool
         self.max_response_bytes = max_response_bytes
         self.clock = clock
+        self.call_numbers = itertools.count(1)
 
     def __enter__(self) -> Self:
         """Return the client."""
@@ -178,10 +184,18 @@
                 TargetFailureKind.INVALID_REQUEST, request_error
             )
         deadline = self.clock() + timeout_s
+        call_id = str(next(self.call_numbers))
+        named_headers = (*headers, (CALL_ID_HEADER, call_id))
         try:
-            response = self._request(method, path, headers, body, timeout_s)
+            response = self._request(
+                method, path, named_headers, body, timeout_s
+            )
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             return _failure_before_response(error)
+        is_own = self.pool.keeps_unnamed or may_answer_call(response, call_id)
+        if not is_own:
+            response.close()
+            return _FOREIGN_RESPONSE
         return self._read_response(response, method, deadline)
 
     def _request(
@@ -255,7 +269,11 @@
                 return self._response_too_large()
         return TargetResponse(
             response.status,
-            tuple(response.headers.iteritems()),
+            tuple(
+                pair
+                for pair in response.headers.iteritems()
+                if pair[0].lower() != CALL_ID_HEADER.lower()
+            ),
             bytes(body),
         )
 
@@ -273,13 +291,20 @@
     pool_size: int,
     max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES,
     clock: Callable[[], float] = time.monotonic,
+    *,
+    keeps_unnamed: bool = False,
 ) -> TargetClient:
-    """Create a client that keeps up to ``pool_size`` idle connections."""
+    """Create a client that keeps up to ``pool_size`` idle connections.
+
+    Only connections to a target that names the request in its responses are
+    kept, unless ``keeps_unnamed`` trusts it to answer each request once.
+    """
     pool = TargetConnectionPool(
         host,
         port,
         maxsize=pool_size,
         block=False,
+        keeps_unnamed=keeps_unnamed,
     )
     return TargetClient(pool, max_response_bytes, clock)
 
@@ -401,5 +426,11 @@
     return TargetFailure(kind, Outcome.UNKNOWN, detail)
 
 
+_FOREIGN_RESPONSE = _failure_outcome_unknown(
+    TargetFailureKind.FOREIGN,
+    'the target sent the response to another request',
+)
+
+
 def _describe(error: Exception) -> str:
     return f'{type(error).__name__}: {error}'
--- a/src/ebonycleat/internal/connection/target_connections.py
+++ b/src/ebonycleat/internal/connection/target_connections.py
@@ -13,6 +13,9 @@
 
 from ebonycleat.internal.connection.http_messages import REFUSAL_STATUSES
 
+CALL_ID_HEADER = 'Ebonycleat-Call-Id'
+"""Names a request to a target, and the same request in the response."""
+
 END_OF_HEAD = frozenset((b'\r\n', b'\n'))
 
 
@@ -33,12 +36,16 @@
 
 
 class _TargetResponse(HTTPResponse):
-    """A response that knows whether the empty line after its head came."""
+    """A response that knows whether the empty line after its head came.
+
+    ``is_first`` is True if it is the first response on its connection.
+    """
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Create a response that is not read yet (see the HTTP library)."""
         super().__init__(*arguments, **options)
         self.head_reader = _HeadReader(self.fp)
+        self.is_first = True
 
     @property
     def is_head_complete(self) -> bool:
@@ -59,10 +66,11 @@
 
 
 class TargetConnection(urllib3.connection.HTTPConnection):
-    """A connection that serves no request after one that was refused.
+    """A connection that notes what the last response said of its request.
 
-    A faulty target may send the refusal again, and its responses do not name
-    their requests.
+    A faulty target may send a response again when the next request waits for
+    its own. Only a response that names its request shows that the target's
+    responses can be told apart.
     """
 
     response_class = _TargetResponse
@@ -71,6 +79,13 @@
         """Create a connection that is not open yet (see the HTTP library)."""
         super().__init__(*arguments, **options)
         self.has_refused = False
+        self.names_calls = False
+        self.has_responded = False
+
+    def close(self) -> None:
+        """Close the connection; the HTTP library may open it again."""
+        super().close()
+        self.has_responded = False
 
     def getresponse(  # type: ignore[override]
         self,
@@ -78,24 +93,57 @@
         """Read the head of a response (called by the HTTP library)."""
         response = super().getresponse()
         self.has_refused = response.status in REFUSAL_STATUSES
+        self.names_calls = CALL_ID_HEADER in response.headers
+        original = _original_of(response)
+        if original is not None:
+            original.is_first = not self.has_responded
+        self.has_responded = True
         return response
 
 
 class TargetConnectionPool(urllib3.HTTPConnectionPool):
-    """A pool of connections to a target."""
+    """A pool of connections to a target.
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
+    After a refusal, or a response that does not name its request, a connection
+    is used no more. ``keeps_unnamed`` keeps it in the latter case.
+    """
+
+    def __init__(
+        self, *arguments: Any, keeps_unnamed: bool, **options: Any
+    ) -> None:
         """Create an empty pool (see the HTTP library)."""
         super().__init__(*arguments, **options)
         self.ConnectionCls = TargetConnection
+        self.keeps_unnamed = keeps_unnamed
 
     def _put_conn(self, conn: Any) -> None:
-        if conn is not None and conn.has_refused:
-            conn.close()
+        if conn is not None:
+            is_named = conn.names_calls or self.keeps_unnamed
+            if conn.has_refused or not is_named:
+                conn.close()
         super()._put_conn(conn)
 
 
 def is_head_complete(response: urllib3.BaseHTTPResponse) -> bool:
     """Tell whether the head of a target's response was received whole."""
+    original = _original_of(response)
+    return original is not None and original.is_head_complete
+
+
+def may_answer_call(response: urllib3.BaseHTTPResponse, call_id: str) -> bool:
+    """Tell whether a response names a call, or is the first and names none.
+
+    Any later response without a name may be a copy of an earlier one.
+    """
+    named = response.headers.get(CALL_ID_HEADER)
+    if named is not None:
+        return named == call_id
+    original = _original_of(response)
+    return original is not None and original.is_first
+
+
+def _original_of(
+    response: urllib3.BaseHTTPResponse,
+) -> _TargetResponse | None:
     original = getattr(response, '_original_response', None)
-    return isinstance(original, _TargetResponse) and original.is_head_complete
+    return original if isinstance(original, _TargetResponse) else None
--- a/src/ebonycleat_tools/load_runner.py
+++ b/src/ebonycleat_tools/load_runner.py
@@ -197,7 +197,9 @@
     with contextlib.ExitStack() as stack:
         clients = [
             stack.enter_context(
-                create_target_client(*split_address(address), plan.threads),
+                create_target_client(
+                    *split_address(address), plan.threads, keeps_unnamed=True
+                ),
             )
             for address in plan.addresses
         ]
--- a/src/ebonycleat_tools/standin_server.py
+++ b/src/ebonycleat_tools/standin_server.py
@@ -179,12 +179,15 @@
     ) -> Iterable[bytes]:
         """Handle one request of the server."""
         response = self._handle_within_limit(environ)
+        call_id = environ.get('HTTP_EBONYCLEAT_CALL_ID')
+        named = [('Ebonycleat-Call-Id', call_id)] if call_id else []
         start_response(
             f'{response.status} {http.HTTPStatus(response.status).phrase}',
             [
                 ('Content-Type', response.content_type),
                 ('Content-Length', str(len(response.body))),
                 *response.headers,
+                *named,
             ],
         )
         return _send_body(response)
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -153,6 +153,48 @@
     assert bodies == [b'hello', b'hello', b'second']
 
 
+def _named(answer, call_id):
+    return answer.replace(
+        b'\r\n', b'\r\nEbonycleat-Call-Id: %d\r\n' % call_id, 1
+    )
+
+
+@pytest.mark.parametrize('late', [COMPLETE, _named(COMPLETE, 1)])
+def test_a_late_copy_of_an_answer_answers_no_later_request(late):
+    """Guards against the answer to another request on a kept connection."""
+    first = _named(COMPLETE, 1)
+    with (
+        run_scripted_server(
+            first, late + _named(SECOND, 2), SECOND, names_calls=False
+        ) as server,
+        create_target_client('127.0.0.1', server.port, 1) as client,
+    ):
+        results = [_send(client) for _ in range(3)]
+        assert server.connections == 2
+    assert [one.body for one in (results[0], results[2])] == [
+        b'hello',
+        b'second',
+    ]
+    assert results[1].kind is TargetFailureKind.FOREIGN
+    assert results[1].outcome is Outcome.UNKNOWN
+
+
+def test_answers_that_name_no_request_end_their_connections():
+    """Guards against copies that cannot be told from the next answer."""
+    with (
+        run_scripted_server(COMPLETE, SECOND, names_calls=False) as server,
+        create_target_client('127.0.0.1', server.port, 1) as client,
+    ):
+        bodies = [_send(client).body for _ in range(2)]
+        assert server.connections == 2
+    assert bodies == [b'hello', b'second']
+
+
+def test_the_name_of_a_call_is_not_passed_on():
+    """Guards against a header of this hop in the caller's answer."""
+    assert _send_once(COMPLETE).headers == (('Content-Length', '5'),)
+
+
 def test_a_request_on_a_stale_connection_is_not_retried_by_the_client():
     """Guards against a request that runs twice after a broken connection."""
     with (
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -1,6 +1,7 @@
 """A test server on a real socket that responds with the given bytes."""
 
 import contextlib
+import re
 import socket
 import threading
 
@@ -10,12 +11,14 @@
 
     For an answer of None, the server sends nothing and keeps the connection
     open until the server is shut down. It closes the connection after an empty
-    answer, and with ``closing`` after each answer.
+    answer, and with ``closing`` after each answer. With ``names_calls``, each
+    answer names the call of its request, if that has a name.
     """
 
-    def __init__(self, answers, closing):
+    def __init__(self, answers, closing, names_calls):
         self.answers = list(answers)
         self.closing = closing
+        self.names_calls = names_calls
         self.requests = []
         self.connections = 0
         self.stopped = threading.Event()
@@ -48,6 +51,8 @@
                 if answer is None:
                     self.stopped.wait()
                     return
+                if self.names_calls:
+                    answer = _name_call(answer, request)
                 connection.sendall(answer)
                 if self.closing or not answer:
                     return
@@ -62,6 +67,16 @@
         self.listener.close()
 
 
+def _name_call(answer, request):
+    """Repeat the call id of a request in the final head of its answer."""
+    call_id = re.search(rb'\r\n(Ebonycleat-Call-Id: [^\r]*\r\n)', request)
+    status_line = re.match(rb'HTTP/1.1 [2-5][^\r]*\r\n', answer)
+    if call_id is None or status_line is None:
+        return answer
+    end = status_line.end()
+    return answer[:end] + call_id.group(1) + answer[end:]
+
+
 def _read_request(reader):
     lines = []
     body_length = 0
@@ -75,9 +90,9 @@
 
 
 @contextlib.contextmanager
-def run_scripted_server(*answers, closing=False):
+def run_scripted_server(*answers, closing=False, names_calls=True):
     """Run a scripted server on a free port until the block ends."""
-    server = ScriptedServer(answers, closing)
+    server = ScriptedServer(answers, closing, names_calls)
     thread = threading.Thread(target=server.accept)
     thread.start()
     try:
