--- a/src/ebonycleat_tools/platform/proxy.py
+++ b/src/ebonycleat_tools/platform/proxy.py
@@ -8,6 +8,9 @@
 CHUNK_BYTES = 65_536
 KEPT_HEAD_BYTES = 20
 ENDLESS_BYTES = b'y' * 4096
+ENDLESS_CHUNK = b'%x\r\n%s\r\n' % (CHUNK_BYTES, b'y' * CHUNK_BYTES)
+ENDLESS_PAUSE_S = 0.001
+"""Pause between two chunks, so that one answer does not take a whole core."""
 
 
 class ProxyMode(enum.Enum):
@@ -16,8 +19,8 @@
     ``PASS`` forwards them; ``DELAY`` forwards them after a delay; ``SILENCE``
     holds back both directions; ``CUT_ANSWERS`` holds back only those from the
     server; ``ENDLESS_HEADS`` cuts answers off in their head and goes on with
-    other bytes until the client closes; ``RESET`` aborts the open connections,
-    and each new one at once.
+    other bytes until the client closes; ``ENDLESS_BODIES`` does so after their
+    head; ``RESET`` aborts the open connections, and each new one at once.
     """
 
     PASS = 'pass'
@@ -25,6 +28,7 @@
     SILENCE = 'silence'
     CUT_ANSWERS = 'cut-answers'
     ENDLESS_HEADS = 'endless-heads'
+    ENDLESS_BODIES = 'endless-bodies'
     RESET = 'reset'
 
 
@@ -42,6 +46,10 @@
         self.delay_s = delay_s
         self.mode = ProxyMode.PASS
         self.writers: set[asyncio.StreamWriter] = set()
+        self.endless_writers = {
+            ProxyMode.ENDLESS_HEADS: self.write_endless_head,
+            ProxyMode.ENDLESS_BODIES: self.write_endless_body,
+        }
 
     def change_mode(self, mode: ProxyMode) -> None:
         """Change the mode; ``RESET`` also aborts the open connections."""
@@ -108,8 +116,9 @@
                     await asyncio.sleep(self.delay_s)
                 while self.holds_back(is_from_server):
                     await asyncio.sleep(self.delay_s)
-                if is_from_server and self.mode is ProxyMode.ENDLESS_HEADS:
-                    await self.write_endless_head(chunk, writer)
+                write_endlessly = self.endless_writers.get(self.mode)
+                if is_from_server and write_endlessly is not None:
+                    await write_endlessly(chunk, writer)
                 writer.write(chunk)
                 await writer.drain()
 
@@ -126,6 +135,26 @@
             await writer.drain()
             await asyncio.sleep(0)
 
+    async def write_endless_body(
+        self, chunk: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write the head of an answer and chunks of a body without end.
+
+        Ends with ``OSError`` when the other side closes.
+        """
+        head = chunk.partition(b'\r\n\r\n')[0]
+        lines = [
+            line
+            for line in head.split(b'\r\n')
+            if not line.lower().startswith(b'content-length:')
+        ]
+        chunked = b'transfer-encoding: chunked'
+        writer.write(b'\r\n'.join((*lines, chunked, b'', b'')))
+        while True:
+            writer.write(ENDLESS_CHUNK)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     def holds_back(self, is_from_server: bool) -> bool:
         """Return whether the mode holds back bytes of this direction."""
         if self.mode is ProxyMode.CUT_ANSWERS:
--- a/src/ebonycleat_tools/platform/soak_faults.py
+++ b/src/ebonycleat_tools/platform/soak_faults.py
@@ -41,6 +41,7 @@
     FaultKind.TARGET_LINK_SILENT: ProxyMode.SILENCE,
     FaultKind.TARGET_ANSWERS_CUT: ProxyMode.CUT_ANSWERS,
     FaultKind.TARGET_HEADS_ENDLESS: ProxyMode.ENDLESS_HEADS,
+    FaultKind.TARGET_BODIES_ENDLESS: ProxyMode.ENDLESS_BODIES,
 })
 STORE_PROXY_MODES = types.MappingProxyType({
     FaultKind.STORE_RESET: ProxyMode.RESET,
--- a/src/ebonycleat_tools/platform/soak_plan.py
+++ b/src/ebonycleat_tools/platform/soak_plan.py
@@ -24,6 +24,7 @@
     TARGET_LINK_SILENT = 'target-link-silent'
     TARGET_ANSWERS_CUT = 'target-answers-cut'
     TARGET_HEADS_ENDLESS = 'target-heads-endless'
+    TARGET_BODIES_ENDLESS = 'target-bodies-endless'
     TARGET_UNANSWERED = 'target-unanswered'
     TARGET_REFUSALS_REPEATED = 'target-refusals-repeated'
     STORE_DOWN = 'store-down'
