--- a/review/standins.py
+++ b/review/standins.py
@@ -459,11 +459,15 @@
             + (f' retry-after {retry}' if retry else ''))
         return request_id, status
 
-    def end(self):
+    @staticmethod
+    def end_processes():
         for process in Process.started:
             if process.returncode is None:
                 process.popen.kill()
                 process.popen.wait()
+
+    def end(self):
+        self.end_processes()
         for node in self.nodes:
             if os.environ.get('KEEP_LOGS') and node.log.exists():
                 shutil.copy(node.log, os.environ['KEEP_LOGS'])
@@ -501,6 +505,13 @@
         finally:
             fleet.end()
 
+    def stop_all(*_):
+        Fleet.end_processes()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, stop_all)
+    signal.signal(signal.SIGINT, stop_all)
+
     async def play_and_exit():
         code = 2
         try:
