A call that cannot be encoded is refused and frees its slot

Cause: Gate enters a call in 'running' before MeshGate.dispatch encodes it. encode_request raised UnicodeEncodeError, so neither end_run nor resolve ran; the error also left through data_received and closed the connection or link that brought the call, or ended the background task that ticks the queues. Change: an error while a call is checked and encoded is logged and refuses the call as 'unsendable', not run, with its slot freed.

--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -104,6 +104,10 @@
     'this node serves another service than the call is for; '
     'the sender has an outdated member record',
 )
+UNSENDABLE_REFUSAL = refuse_not_run(
+    Reason.UNSENDABLE,
+    'the request cannot be encoded as a request to the target',
+)
 TARGET_SHED_REFUSAL = refuse_not_run(
     Reason.TARGET_SHED,
     'the target refused the request because it was overloaded',
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -35,6 +35,7 @@
 from ebonycleat.internal.process.gate_calls import (
     GATE_RETRY_AFTER_S,
     TARGET_SHED_REFUSAL,
+    UNSENDABLE_REFUSAL,
     WRONG_SERVICE_REFUSAL,
     GateCall,
     PendingCall,
@@ -258,10 +259,10 @@
         """Send a call to the target, or refuse it if that is not allowed."""
         pending_call = self.pending_calls[call.call_id]
         now = self.clock()
-        refusal = self.find_dispatch_refusal(pending_call.gate_call, now)
-        if refusal is not None:
+        prepared = self.prepare_request(pending_call.gate_call, now)
+        if isinstance(prepared, Refusal):
             self.end_run(call, RunOutcome(RunResult.FAILED))
-            self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
+            self.resolve(call.call_id, RefusedCall(call.call_id, prepared))
             return
         pending_call.sent_at = now
         pending_call.incarnation = self.target.incarnation
@@ -272,10 +273,31 @@
         )
         self.backpressure.load_of_depth(call.depth).change_running(1, now)
         pending_call.in_flight = self.pool.send(
-            self.build_target_request(pending_call.gate_call, now),
+            prepared,
             lambda result: self.send_finished(call, result),
         )
 
+    def prepare_request(
+        self, gate_call: GateCall, now: float
+    ) -> OutgoingRequest | Refusal:
+        """Encode a call as a request to the target, or refuse it.
+
+        An error must not leave the call without a result: it would keep its
+        slot.
+        """
+        try:
+            refusal = self.find_dispatch_refusal(gate_call, now)
+            return refusal or self.build_target_request(gate_call, now)
+        except Exception as error:
+            self.log.write_limited(
+                'request cannot be encoded',
+                request=gate_call.request_id,
+                route=gate_call.call.route,
+                team=gate_call.call.team,
+                error=repr(error),
+            )
+            return UNSENDABLE_REFUSAL
+
     def find_dispatch_refusal(
         self, gate_call: GateCall, now: float
     ) -> Refusal | None:
--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -55,6 +55,7 @@
     Reason.WITHDRAWN_KEY,
     Reason.DEADLINE,
     Reason.CRASH_SUSPECT,
+    Reason.UNSENDABLE,
 ))
 """Reasons after which no other gate is tried."""
 
--- a/src/ebonycleat/internal/request/refusal.py
+++ b/src/ebonycleat/internal/request/refusal.py
@@ -52,6 +52,7 @@
     TRUNCATED_ANSWER = 'truncated-answer'
     CONNECTION_LOST = 'connection-lost'
     CRASH_SUSPECT = 'crash-suspect'
+    UNSENDABLE = 'unsendable'
 
 
 HTTP_STATUS_BY_REASON: Mapping[Reason, HTTPStatus] = types.MappingProxyType({
@@ -80,6 +81,7 @@
     Reason.TRUNCATED_ANSWER: HTTPStatus.BAD_GATEWAY,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
     Reason.CRASH_SUSPECT: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.UNSENDABLE: HTTPStatus.SERVICE_UNAVAILABLE,
 })
 
 
--- a/src/ebonycleat/internal/version/help_topics.py
+++ b/src/ebonycleat/internal/version/help_topics.py
@@ -173,4 +173,9 @@
         'Two targets died while they ran this request. It is refused for '
         '10 minutes; look at the request and the crash.'
     ),
+    Reason.UNSENDABLE: (
+        'The request cannot be written as an HTTP request, for example '
+        'because the name of its team has a line break. The log of the node '
+        'has the error.'
+    ),
 })
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -392,6 +392,24 @@
     assert gate.load_reporter.load_for_route('fetch').running == 3
 
 
+@pytest.mark.parametrize('is_queued', [False, True])
+@pytest.mark.parametrize('path', ['/fetch/\u2019', '/fetch/\ud800'])
+def test_a_call_that_cannot_be_encoded_frees_its_slot(clock, path, is_queued):
+    """Guards against slots that are lost to calls that cannot be sent."""
+    gate = create_mesh_gate(clock, slots=1)
+    if is_queued:
+        gate.offer(create_gate_call(clock, 9), lambda result: None)
+    results = offer_calls(gate, clock, 3, path=path)
+    for send in gate.pool.sends:
+        send.answer()
+    assert [result.refusal.reason for result in results] == (
+        [Reason.UNSENDABLE] * 3
+    )
+    assert find_refusal(results).outcome is Outcome.NOT_RUN
+    assert not gate.gate.running
+    assert not gate.pending_calls
+
+
 def test_a_call_past_its_deadline_is_refused_even_with_a_free_slot(clock):
     """Guards against work whose caller no longer waits."""
     gate = create_mesh_gate(clock)
--- a/tests/cover/test_mesh_run.py
+++ b/tests/cover/test_mesh_run.py
@@ -167,7 +167,12 @@
 
 @pytest.mark.parametrize(
     'reason',
-    [Reason.WITHDRAWN_KEY, Reason.DEADLINE, Reason.CRASH_SUSPECT],
+    [
+        Reason.WITHDRAWN_KEY,
+        Reason.DEADLINE,
+        Reason.CRASH_SUSPECT,
+        Reason.UNSENDABLE,
+    ],
 )
 def test_a_refusal_that_any_gate_would_give_is_final(reason):
     """Guards against trying a withdrawn key at gate after gate."""
