A call that a link cannot encode is refused as not run

The run never got a result, and the error closed the connection that brought the request. No caller was seen to meet it. Change: MeshLink.send logs the error and says that nothing was written; the attempt forgets the reply and reports 'not run'. A link that closes between its opening and the send is handled in the same way. Evidence: the new test fails before with UnicodeEncodeError and passes now.

--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -162,11 +162,20 @@
             self.handler.message_received(self, message)
 
     def send(self, message: AnyMeshMessage) -> bool:
-        """Send a message; return False if the link is closed."""
+        """Send a message; return False if nothing of it was written.
+
+        The link is closed, or the message cannot be encoded.
+        """
         if self.transport is None or self.transport.is_closing():
             return False
+        try:
+            encoded = encode_frame(message)
+        except ValueError:
+            # For example a text with half of a surrogate pair.
+            logger.exception('message cannot be encoded')
+            return False
         self.last_sent_at = self.clock()
-        self.transport.write(encode_frame(message))
+        self.transport.write(encoded)
         return True
 
     def expect_reply(
--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -146,13 +146,8 @@
         """Send the request, or report that no link to the node opened."""
         if self.is_cancelled:
             return
-        call_id = self.admitted.call.call_id
         if link is None:
-            refusal = refuse_not_run(
-                Reason.CONNECTION_LOST,
-                'no link to the node could be opened',
-            )
-            self.on_result(AttemptResult(RefusedCall(call_id, refusal), None))
+            self.report_unsent('no link to the node could be opened')
             return
         self.link = link
         self.request_number = next(link.request_numbers)
@@ -161,7 +156,15 @@
             self.handle_reply,
             waits_in_silence=not self.admitted.call.idempotent,
         )
-        link.send(self.create_message(link.clock()))
+        if not link.send(self.create_message(link.clock())):
+            link.forget_reply(self.request_number)
+            self.report_unsent('the request could not be written to the link')
+
+    def report_unsent(self, detail: str) -> None:
+        """Report that nothing of the request was sent."""
+        refusal = refuse_not_run(Reason.CONNECTION_LOST, detail)
+        call_id = self.admitted.call.call_id
+        self.on_result(AttemptResult(RefusedCall(call_id, refusal), None))
 
     def create_message(self, now: float) -> CallRequest:
         """Create the message that offers the request to the other node."""
--- a/tests/cover/test_remote_refusals.py
+++ b/tests/cover/test_remote_refusals.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ebonycleat import Outcome, Reason
+from ebonycleat.internal.connection.mesh_link import MeshLink
 from ebonycleat.internal.connection.mesh_messages import (
     CallRefusal,
     LoadReport,
@@ -12,20 +13,30 @@
     LocalNode,
     RemoteAttempt,
 )
-from tests.mesh_fakes import SERVICE, ManualClock, create_call
+from ebonycleat.internal.process.peer_calls import MeshMessageRouter
+from tests.mesh_fakes import (
+    SERVICE,
+    ManualClock,
+    RecordingTransport,
+    create_call,
+)
 
 LOAD = LoadReport(0, 0, 4, 10, 1280, is_draining=False)
 
 
-def receive_refusal(reason, *, has_not_run=True):
+def create_attempt(on_result, **options):
     clock = ManualClock()
-    call = create_call(clock)
-    results = []
-    attempt = RemoteAttempt(
+    call = create_call(clock, **options)
+    return RemoteAttempt(
         AdmittedRequest(call, 'id', 'host', b'', 2, call.deadline),
         LocalNode('here:1', SERVICE),
-        results.append,
+        on_result,
     )
+
+
+def receive_refusal(reason, *, has_not_run=True):
+    results = []
+    attempt = create_attempt(results.append)
     attempt.handle_reply(CallRefusal(1, reason, has_not_run, 200, LOAD))
     return results[0].result.refusal
 
@@ -51,3 +62,14 @@
 def test_an_unknown_reason_of_a_newer_node_counts_as_a_failure():
     """Guards against a node that fails on a reason it does not know."""
     assert receive_refusal('new-word').reason is Reason.TARGET_FAILED
+
+
+def test_a_request_that_a_link_cannot_encode_has_not_run():
+    """Guards against requests that get no result and a link that closes."""
+    results = []
+    link = MeshLink(MeshMessageRouter(), ManualClock())
+    link.connection_made(RecordingTransport())
+    create_attempt(results.append, team='shop \ud800').send(link)
+    assert results[0].result.refusal.outcome is Outcome.NOT_RUN
+    assert not link.reply_handlers
+    assert not link.transport.written
--- a/tests/cover/test_silent_mesh_links.py
+++ b/tests/cover/test_silent_mesh_links.py
@@ -14,30 +14,13 @@
     LoadReport,
     encode_frame,
 )
-from tests.mesh_fakes import ManualClock
+from tests.mesh_fakes import ManualClock, RecordingTransport
 
 ADDRESS = 'n2:1'
 LOAD = LoadReport(0, 0, 4, 10, 0, False)
 CHECK_INTERVAL_S = 0.1
 
 
-class FakeTransport:
-    """Records what a link writes and whether it was closed."""
-
-    def __init__(self):
-        self.written = []
-        self.is_aborted = False
-
-    def write(self, encoded):
-        self.written.append(encoded)
-
-    def is_closing(self):
-        return self.is_aborted
-
-    def abort(self):
-        self.is_aborted = True
-
-
 class ReplyHandler(LinkHandler):
     """Resolves replies, and sets silent links of a pool aside."""
 
@@ -66,7 +49,7 @@
     pool = LinkPool(handler, Hello('n1:1', 'maps'), clock)
     handler.pool = pool
     link = MeshLink(handler, clock)
-    link.connection_made(FakeTransport())
+    link.connection_made(RecordingTransport())
     link.node = ADDRESS
     pool.register(ADDRESS, link)
     return pool
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -48,6 +48,23 @@
         return self.now
 
 
+class RecordingTransport:
+    """Records what a link writes and whether it was closed."""
+
+    def __init__(self):
+        self.written = []
+        self.is_aborted = False
+
+    def write(self, encoded):
+        self.written.append(encoded)
+
+    def is_closing(self):
+        return self.is_aborted
+
+    def abort(self):
+        self.is_aborted = True
+
+
 class FakeSend:
     """A request in flight, which ends when the test gives its result."""
 
