A team's name cannot add headers and is sent as UTF-8

Callers saw: requests of a team whose name is not Latin-1 were refused or lost. Upstreams saw: a team called 'Acme', CR LF, 'X-Other: 1' gave them a header X-Other of its making; a name with a space at its end was read as that of another team, an empty one as a request without a team. Cause: encode_request put any text into the head and encoded it as Latin-1. Change: names are sent as their UTF-8 bytes. Requests of a team whose name no header can carry unchanged are refused as 'unsendable', not run, before anything is spent. encode_request itself refuses line breaks and null characters in any part of the head.

--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -111,13 +111,21 @@
     headers: HeaderPairs,
     body: bytes,
 ) -> bytes:
-    """Encode one request, with ``content-length`` if it can have a body."""
+    """Encode one request, with ``content-length`` if it can have a body.
+
+    Raises ``ValueError`` if a part of the head has a line break or a null
+    character, or one that is not in Latin-1.
+    """
     lines = [f'{method} {request_target} HTTP/1.1']
     lines += [f'{name}: {text}' for name, text in headers]
     if body or method in {'POST', 'PUT', 'PATCH'}:
         lines.append(f'content-length: {len(body)}')
     lines.append('\r\n')
-    return '\r\n'.join(lines).encode('latin-1') + body
+    head = '\r\n'.join(lines).encode('latin-1')
+    line_breaks = (head.count(b'\r'), head.count(b'\n'))
+    if line_breaks != (len(lines), len(lines)) or b'\0' in head:
+        raise ValueError('a header has a line break or a null character')
+    return head + body
 
 
 def encode_response(
--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -149,7 +149,10 @@
             return _STALE_CONFIGURATION
         if not caller.key:
             return _MISSING_KEY
-        return index.team_by_key.get(caller.key) or _UNKNOWN_KEY
+        team = index.team_by_key.get(caller.key)
+        if team is None:
+            return _UNKNOWN_KEY
+        return team if team.has_sendable_name else _UNSENDABLE_NAME
 
     def build_admitted(
         self,
@@ -239,6 +242,10 @@
     Reason.MISSING_KEY,
     'the request has no key; send the key of your team',
 )
+_UNSENDABLE_NAME = refuse_not_run(
+    Reason.UNSENDABLE,
+    'the name of the team cannot be sent to targets in a header',
+)
 _UNKNOWN_KEY = refuse_not_run(
     Reason.UNKNOWN_KEY,
     'the key belongs to no team of the configuration',
--- a/src/ebonycleat/internal/version/mesh_configuration.py
+++ b/src/ebonycleat/internal/version/mesh_configuration.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import hashlib
+import re
 from collections.abc import Mapping
 
 FINGERPRINT_BYTES = 8
@@ -14,6 +15,12 @@
 enough: with 64 bits, the probability that two of thousands of keys have the
 same fingerprint is about 1 in 10 to the 12."""
 
+_HEADER_VALUE = re.compile(
+    '[^\x00-\x20\x7f\ud800-\udfff]'
+    '([^\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]*[^\x00-\x20\x7f\ud800-\udfff])?'
+)
+"""Text without control characters that HTTP does not trim at its ends."""
+
 
 def fingerprint_key(key: str) -> bytes:
     """Return the digest that replaces a key in messages between nodes."""
@@ -92,6 +99,11 @@
     burst: float
     priority: int | None = None
 
+    @property
+    def has_sendable_name(self) -> bool:
+        """Whether a target that gets the name in a header reads this name."""
+        return _HEADER_VALUE.fullmatch(self.name) is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MeshService:
--- a/src/ebonycleat/platform/target_protocol.py
+++ b/src/ebonycleat/platform/target_protocol.py
@@ -36,10 +36,10 @@
             (names.REQUEST_ID, request.request_id),
             (names.DEADLINE_MS, str(time_left_ms)),
             (names.EXPECTED_INSTANCE, request.instance),
-            (names.ORIGIN_SERVICE, request.origin_service),
+            (names.ORIGIN_SERVICE, _encode_name(request.origin_service)),
         ]
         if request.team:
-            headers.append((names.TEAM_ID, request.team))
+            headers.append((names.TEAM_ID, _encode_name(request.team)))
         return (*headers, *request.headers)
 
     def is_response_to(self, request_id: str, headers: HeaderPairs) -> bool:
@@ -79,6 +79,15 @@
         )
 
 
+def _encode_name(name: str) -> str:
+    """Return the UTF-8 bytes of a name as characters of Latin-1.
+
+    Requests are encoded in Latin-1, which keeps the headers of callers
+    unchanged byte by byte.
+    """
+    return name.encode().decode('latin-1')
+
+
 def _parse_decimal(text: str) -> float | None:
     """Return a decimal number that is not negative, None for other texts."""
     if not _DECIMAL.fullmatch(text):
