Half a surrogate pair in one name does not void the configuration

Callers saw: after a configuration with the name "\ud800" (JSON allows it) and a kill, no node became ready again; requests of all teams got 503. Cause: the decoder refuses the whole record, and a node that has just started knows no earlier one. Change: such an escape is decoded as a null character and its digits, so the rest holds; requests of that team are refused as 'unsendable'. Evidence: the new cases fail before (InvalidConfiguration, node never at version 2) and pass now.

--- a/src/ebonycleat/platform/configuration_format.py
+++ b/src/ebonycleat/platform/configuration_format.py
@@ -1,5 +1,6 @@
 """The format in which operators write the configuration on the platform."""
 
+import re
 import types
 from typing import Annotated, Any
 
@@ -81,6 +82,13 @@
 
 _decoder = msgspec.json.Decoder(_Configuration)
 
+_SURROGATES = re.compile(
+    rb'\\u[dD][89abAB]..\\u[dD][c-fC-F]..'
+    rb'|\\u(?P<lone>[dD][89a-fA-F][0-9a-fA-F]{2})'
+    rb'|\\.'
+)
+"""Escapes of JSON; those of surrogates without their other half are named."""
+
 _ENTRY_TYPES = types.MappingProxyType({
     'routes': _Route,
     'services': _Service,
@@ -102,7 +110,7 @@
     def parse_configuration(self, record: bytes) -> MeshConfiguration:
         """Decode a record as a whole."""
         try:
-            decoded = _decoder.decode(record)
+            decoded = _decoder.decode(_replace_lone_surrogates(record))
         except (msgspec.DecodeError, RecursionError) as error:
             raise InvalidConfiguration(
                 _find_invalid_entry(record) or str(error)
@@ -140,6 +148,20 @@
         )
 
 
+def _replace_lone_surrogates(record: bytes) -> bytes:
+    """Replace escapes of half a surrogate pair, which cannot be decoded.
+
+    A null character and the digits of the escape take its place. Names stay
+    different, and a name with a null character is never sent.
+    """
+    return _SURROGATES.sub(_replace_escape, record)
+
+
+def _replace_escape(escape: re.Match[bytes]) -> bytes:
+    digits: bytes | None = escape['lone']
+    return escape[0] if digits is None else rb'\u0000' + digits
+
+
 def _find_invalid_entry(record: bytes) -> str:
     """Return the first entry of a table that is invalid, and why.
 
--- a/tests/cover/test_odd_names.py
+++ b/tests/cover/test_odd_names.py
@@ -1,5 +1,7 @@
 """Names of teams that cannot be sent to targets as they are."""
 
+import json
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,14 +11,18 @@
     find_header,
 )
 from ebonycleat.internal.connection.platform_interfaces import TargetRequest
+from ebonycleat.platform.configuration_format import PlatformConfigurationFormat
 from ebonycleat.platform.target_protocol import PlatformTargetProtocol
 from tests.loopback_http import run_with_timeout
 from tests.mesh_environment import create_configuration, run_mesh
+from tests.platform_examples import CONFIGURATION
 
 ODD_NAMES = (
     'Acme\r\nX-Other: 1',
     'Acme\nX-Other: 1',
     'Acme\0',
+    '\ud800',
+    'Acme \udc00\ud800',
     ' shop',
     'shop\t',
     '',
@@ -85,3 +91,22 @@
     )
     encoded = encode_request('GET', '/', headers, b'')
     assert encoded.count(b'\r\n') == len(headers) + 2
+
+
+@pytest.mark.parametrize(
+    ('escape', 'expected'),
+    [
+        (r'\ud800', '\0d800'),
+        (r'\uDC01x', '\0DC01x'),
+        (r'\ud800\ud83d\ude00', '\0d800\U0001f600'),
+        (r'\\ud800', r'\ud800'),
+        (r'\\\ud800', '\\\0d800'),
+    ],
+)
+def test_only_halves_of_surrogate_pairs_are_replaced(escape, expected):
+    """Guards against a configuration that one odd name makes unreadable."""
+    tree = add_team(CONFIGURATION, 'NAME')
+    record = json.dumps(tree).replace('NAME', escape).encode()
+    configuration = PlatformConfigurationFormat().parse_configuration(record)
+    assert configuration.teams[-1].name == expected
+    assert len(configuration.teams) == 3
