A gate refuses a long queue without recursion

No caller was seen to meet it. Cause: a call that may not be sent any more frees its slot, which starts the next one, which may not be sent either: dispatch, end_run and apply_decisions call each other once per queued call. From about 325 calls RecursionError left the others without a result. Change: decisions that follow from a decision are carried out after it. A call that is cancelled between its decision and its turn is not sent.

--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -56,7 +56,7 @@
 
     ``in_flight``, ``sent_at``, ``incarnation`` of the target and
     ``running_when_sent``, the number of calls at the target including this one,
-    are set when the call is sent.
+    are set when the call is sent. A call that ``is_cancelled`` is not sent.
     """
 
     gate_call: GateCall
@@ -65,6 +65,7 @@
     sent_at: float = 0
     incarnation: Incarnation | None = None
     running_when_sent: int = 0
+    is_cancelled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +105,10 @@
     'this node serves another service than the call is for; '
     'the sender has an outdated member record',
 )
+CANCELLED_REFUSAL = refuse_not_run(
+    Reason.CANCELLED,
+    'the caller disconnected before the request was sent',
+)
 UNSENDABLE_REFUSAL = refuse_not_run(
     Reason.UNSENDABLE,
     'the request cannot be encoded as a request to the target',
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -7,6 +7,7 @@
 right before a call is sent.
 """
 
+import collections
 from collections.abc import Callable, Iterable
 
 from ebonycleat.internal.connection.client_requests import (
@@ -34,6 +35,7 @@
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_calls import (
     GATE_RETRY_AFTER_S,
+    CANCELLED_REFUSAL,
     TARGET_SHED_REFUSAL,
     UNSENDABLE_REFUSAL,
     WRONG_SERVICE_REFUSAL,
@@ -93,7 +95,8 @@
     """Carries out the decisions of a ``Gate`` for the target of a mesh node.
 
     ``pending_calls`` has all calls that wait here or run at the target, by
-    call id. ``on_record_changed`` is called when the node's record must be
+    call id, and ``decisions`` what the gate has decided but the node not yet
+    done. ``on_record_changed`` is called when the node's record must be
     written anew: a crash of the target has made requests suspect, or the target
     has said in an answer that it leaves.
     """
@@ -124,6 +127,8 @@
         self.unix_time_ms = unix_time_ms
         self.pending_calls: dict[str, PendingCall] = {}
         self.running_by_request_id: dict[str, GateCall] = {}
+        self.decisions: collections.deque[GateDecision] = collections.deque()
+        self.is_applying = False
         self.backpressure = GateBackpressure(clock())
         self.call_counts = RouteCallCounts()
         self.crashes = CrashCounts()
@@ -205,6 +210,7 @@
         if pending_call is None:
             return
         if pending_call.in_flight is None:
+            pending_call.is_cancelled = True
             self.apply_decisions(self.gate.cancel(call_id, self.clock()))
         elif pending_call.gate_call.call.idempotent:
             is_late = pending_call.gate_call.call.deadline <= self.clock()
@@ -239,16 +245,29 @@
             )
 
     def apply_decisions(self, decisions: list[GateDecision]) -> None:
-        """Carry out the decisions of the gate."""
-        for decision in decisions:
-            if isinstance(decision, DispatchCall):
-                self.dispatch(decision.call)
-            else:
-                self.record_refusal(decision.call, decision.refusal)
-                self.resolve(
-                    decision.call.call_id,
-                    RefusedCall(decision.call.call_id, decision.refusal),
-                )
+        """Carry out the decisions of the gate.
+
+        Those that follow from a decision are carried out after it and not
+        within it: a whole queue may be refused call by call.
+        """
+        self.decisions.extend(decisions)
+        if self.is_applying:
+            return
+        self.is_applying = True
+        try:
+            while self.decisions:
+                self.apply_decision(self.decisions.popleft())
+        finally:
+            self.is_applying = False
+
+    def apply_decision(self, decision: GateDecision) -> None:
+        """Send or refuse the call of one decision."""
+        if isinstance(decision, DispatchCall):
+            self.dispatch(decision.call)
+            return
+        call_id = decision.call.call_id
+        self.record_refusal(decision.call, decision.refusal)
+        self.resolve(call_id, RefusedCall(call_id, decision.refusal))
 
     def record_refusal(self, call: Call, refusal: Refusal) -> None:
         """Count a refusal that was made for lack of capacity."""
@@ -259,7 +278,9 @@
         """Send a call to the target, or refuse it if that is not allowed."""
         pending_call = self.pending_calls[call.call_id]
         now = self.clock()
-        prepared = self.prepare_request(pending_call.gate_call, now)
+        prepared = CANCELLED_REFUSAL
+        if not pending_call.is_cancelled:
+            prepared = self.prepare_request(pending_call.gate_call, now)
         if isinstance(prepared, Refusal):
             self.end_run(call, RunOutcome(RunResult.FAILED))
             self.resolve(call.call_id, RefusedCall(call.call_id, prepared))
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -410,6 +410,39 @@
     assert not gate.pending_calls
 
 
+def test_a_long_queue_of_calls_that_may_not_be_sent_is_refused(clock):
+    """Guards against calls without a result when many are refused at once."""
+    gate = create_mesh_gate(clock, slots=200)
+    results = offer_calls(gate, clock, 700, deadline=clock() + 60)
+    clock.now += 6
+    gate.pool.sends[0].answer()
+    answer = Answer('call-0', 200, (), b'whole')
+    assert len(results) + len(gate.gate.running) == 700
+    reasons = [one.refusal.reason for one in results if one != answer]
+    assert set(reasons) == {Reason.STALE_CONFIGURATION}
+    assert len(reasons) > 600
+    assert len(gate.pending_calls) == len(gate.gate.running)
+
+
+def test_a_call_that_a_refusal_of_another_cancels_is_not_sent(clock):
+    """Guards against work for a caller that left while decisions were due."""
+    gate = create_mesh_gate(clock, slots=1)
+    offer_calls(gate, clock, deadline=clock() + 60)
+    results = []
+    gate.offer(
+        create_gate_call(clock, 1, deadline=clock() + 1),
+        lambda refused: gate.cancel('call-2'),
+    )
+    gate.offer(
+        create_gate_call(clock, 2, deadline=clock() + 60), results.append
+    )
+    clock.now += 1
+    gate.pool.sends[0].answer()
+    assert find_refusal(results).reason is Reason.CANCELLED
+    assert len(gate.pool.sends) == 1
+    assert not gate.gate.running
+
+
 def test_a_call_past_its_deadline_is_refused_even_with_a_free_slot(clock):
     """Guards against work whose caller no longer waits."""
     gate = create_mesh_gate(clock)
