A restarted node takes over its crash counts before it writes its record

Cause: the counts live in the process and in its member record. A new process took the counts of the other nodes only, and its first write erased its own, also where that write came before the store was read. The same write could erase that the target was leaving. Change: the first read of the member list takes over the own counts, and the node writes no record before that read.

--- a/src/ebonycleat/internal/process/crash_counts.py
+++ b/src/ebonycleat/internal/process/crash_counts.py
@@ -64,9 +64,20 @@
             self.own_counts[fingerprint] = (
                 self.own_counts.pop(fingerprint, 0) + 1
             )
+        self.drop_oldest()
+        return bool(fingerprints)
+
+    def adopt_own_counts(self, stored: CrashCountPairs) -> None:
+        """Take over the counts that an earlier process of this node stored."""
+        for fingerprint, count in stored:
+            known = self.own_counts.get(fingerprint, 0)
+            self.own_counts[fingerprint] = max(known, count)
+        self.drop_oldest()
+
+    def drop_oldest(self) -> None:
+        """Drop the counts that are more than a node publishes."""
         while len(self.own_counts) > MAX_FINGERPRINTS:
             self.own_counts.pop(next(iter(self.own_counts)))
-        return bool(fingerprints)
 
     def own_count_pairs(self) -> CrashCountPairs:
         """Return fingerprints with their crash counts, for the member record."""
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -73,6 +73,8 @@
         self.address = settings.peers.host_port
         self.stop_requested = asyncio.Event()
         self.has_failed = False
+        self.has_adopted_record = False
+        self.is_record_due = False
         self.wait_started = asyncio.Event()
         self.watch = NodeWatch(
             dependencies.log, settings.mesh_limits.max_descriptors
@@ -193,14 +195,16 @@
     def apply_members(self) -> None:
         """React to a changed member list.
 
-        Restores this node's target from its own stored record, takes the
-        crash counts of other nodes, checks that the store still holds the
-        own record, and divides limits by the new number of nodes.
+        Restores this node's target and crash counts from its own stored
+        record, takes the crash counts of other nodes, checks that the store
+        still holds the own record, and divides limits by the new number of
+        nodes.
         """
         members = self.fleet.members
         own = members.record_by_address.get(self.address)
         if own is not None:
             self.restore_target(own)
+        self.has_adopted_record = True
         self.gate.crashes.update_peer_counts(
             record.suspects
             for address, record in members.record_by_address.items()
@@ -211,13 +215,21 @@
         )
         self.background.lost_records.members_changed()
         self.update_node_count()
+        if self.is_record_due:
+            self.update_own_record()
 
     def restore_target(self, record: MemberRecord) -> None:
-        """Restore the target's state from this address's stored record."""
+        """Restore what this address's stored record tells about the target.
+
+        Crash counts are taken only from the first record that is read, the one
+        that an earlier process of this node wrote.
+        """
         if record.service != self.settings.service:
             # Another VM had this address before; its record is overwritten.
             self.update_own_record()
             return
+        if not self.has_adopted_record:
+            self.gate.crashes.adopt_own_counts(record.suspects)
         self.gate.target.restore(record, self.gate.unix_time_ms())
         self.gate.apply_target_state()
 
@@ -286,7 +298,14 @@
             )
 
     def update_own_record(self) -> None:
-        """Ask the writer to store the current state of node and target."""
+        """Ask the writer to store the current state of node and target.
+
+        Until the member list was read, an earlier process's record may hold
+        what this one must take over first.
+        """
+        self.is_record_due = not self.fleet.members.is_known
+        if self.is_record_due:
+            return
         target = self.gate.target
         incarnation = target.incarnation
         self.background.record_writer.schedule_write(
