A silent link stays suspect when its requests are given up early

Evidence: long after the fault some nodes still sent requests to single others over a dead link and logged 'caller disconnected before its answer was ready' for each, 181 and 175 times on two links in 12 s. Cause: silence was measured only while a reply was awaited. Callers that give up within 1.2 s, as most calls of upstreams do, end the awaited reply, and the next request started the measurement anew, so the link was never closed. Change: an answer stays overdue until any data arrives. A live link answers a ping. The new test fails before.

--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -99,8 +99,9 @@
     ``node`` is the address of the other node; on accepted links it is empty
     until the ``Hello`` of the other side arrives. ``reply_handlers`` has the
     handler of each awaited reply by request number. ``silent_since`` is the
-    time from which silence (no received data while a reply is awaited) is
-    measured; None after data has arrived, until the next silence is noticed.
+    time from which silence is measured: no data was received although a reply
+    was awaited. It is None after data has arrived, until the next silence is
+    noticed.
     ``patient_numbers`` are the awaited replies that silence does not end. A
     link that ``is_set_aside`` was silent and takes no new calls.
     """
@@ -190,7 +191,7 @@
         It is called with None if the link closes before the reply arrives, and
         unless it ``waits_in_silence`` also if the link falls silent.
         """
-        if not self.reply_handlers:
+        if self.silent_since is None and not self.reply_handlers:
             self.silent_since = self.clock()
         self.reply_handlers[number] = on_reply
         if waits_in_silence:
@@ -222,7 +223,7 @@
             self.close()
 
     def check_silence(self) -> None:
-        """Ping if nothing arrives while a reply is awaited, or give replies up.
+        """Ping if nothing arrives although an answer is due, or give it up.
 
         An unused link is closed after ``IDLE_CLOSE_S``.
         """
@@ -231,23 +232,26 @@
             if not self.reply_handlers:
                 self.close()
             return
-        if not self.reply_handlers:
-            self.silent_since = None
-            if (
-                now - max(self.last_sent_at, self.last_received_at)
-                > IDLE_CLOSE_S
-            ):
+        silence_s = self.measure_silence(now)
+        if silence_s > SILENCE_TIMEOUT_S:
+            self.give_up_replies()
+        elif silence_s > PING_AFTER_S:
+            self.send(Ping())
+        elif not self.reply_handlers:
+            used_at = max(self.last_sent_at, self.last_received_at)
+            if now - used_at > IDLE_CLOSE_S:
                 self.close()
-            return
-        since = self.silent_since
-        if since is None:
+
+    def measure_silence(self, now: float) -> float:
+        """Return the seconds for which an answer is overdue, 0 if none is.
+
+        It stays overdue if its reply is no longer awaited: callers may give up
+        sooner than ``SILENCE_TIMEOUT_S``, each one of them.
+        """
+        if self.silent_since is None and self.reply_handlers:
             if now - self.last_received_at > PING_AFTER_S:
                 self.silent_since = self.last_received_at
-                self.send(Ping())
-        elif now - since > SILENCE_TIMEOUT_S:
-            self.give_up_replies()
-        elif now - since > PING_AFTER_S:
-            self.send(Ping())
+        return 0 if self.silent_since is None else now - self.silent_since
 
     def restart_silence_timer(self) -> None:
         """Measure silence from now on, as if data had just arrived."""
--- a/tests/cover/test_silent_mesh_links.py
+++ b/tests/cover/test_silent_mesh_links.py
@@ -12,6 +12,8 @@
     CallRefusal,
     Hello,
     LoadReport,
+    Ping,
+    Pong,
     encode_frame,
 )
 from tests.mesh_fakes import ManualClock, RecordingTransport
@@ -125,3 +127,31 @@
     """Guards against "may have run" for a call that was never sent."""
     pool.find_open_link(ADDRESS).close()
     assert pool.find_open_link(ADDRESS) is None
+
+
+def test_requests_that_are_given_up_early_do_not_hide_a_silent_link(
+    pool, clock
+):
+    """Guards against a dead link that takes every request of some callers."""
+    link = pool.find_open_link(ADDRESS)
+    for number in range(10):
+        link.expect_reply(number, lambda reply: None)
+        pass_time(pool, clock, 0.3)
+        link.forget_reply(number)
+        pass_time(pool, clock, CHECK_INTERVAL_S)
+    assert link.transport.is_aborted
+    assert pool.find_open_link(ADDRESS) is None
+
+
+def test_a_link_that_answers_pings_stays_open(pool, clock):
+    """Guards against closing a link only because requests are cancelled."""
+    link = pool.find_open_link(ADDRESS)
+    for number in range(10):
+        link.expect_reply(number, lambda reply: None)
+        pass_time(pool, clock, 0.3)
+        link.forget_reply(number)
+        pass_time(pool, clock, 0.2)
+        if encode_frame(Ping()) in link.transport.written:
+            link.data_received(encode_frame(Pong()))
+            link.transport.written.clear()
+    assert pool.find_open_link(ADDRESS) is link
