New calls leave a silent link after half a second, and other links are verified

Callers saw: after the silence of many connections, each link to another node was found dead by the calls that it lost, 1.2 s for each link, one link after the other. Cause: one limit decided both when awaited replies are given up and when new calls take another connection; and only a link with calls was measured at all. Change: after 0.5 s without an answer new calls use a new connection, while the awaited replies keep their 1.2 s (and those that must not be repeated go on waiting). The first silent link has all other open links pinged, once a second at most. Both new tests fail before (the link stays in use; no ping is sent).

--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -11,6 +11,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -39,13 +40,23 @@
 Round trips take a few milliseconds.
 """
 
+SET_ASIDE_AFTER_S = 0.5
+"""Time without received data until new calls use another connection.
+
+Opening one costs a round trip; a call on a dead one costs its time.
+"""
+
 SILENCE_TIMEOUT_S = 1.2
-"""Time without received data until a link with awaited replies is closed.
+"""Time without received data until awaited replies are given up.
 
 It is reached after three lost packets in a row or when the network is
 interrupted.
 """
 
+VERIFY_INTERVAL_S = 1.0
+"""Time between two verifications of all links. Silent links are noticed one by
+one, and each notice would ping all others."""
+
 IDLE_CLOSE_S = 60.0
 """Links without traffic for this long are closed to free file descriptors."""
 
@@ -103,7 +114,8 @@
     was awaited. It is None after data has arrived, until the next silence is
     noticed.
     ``patient_numbers`` are the awaited replies that silence does not end. A
-    link that ``is_set_aside`` was silent and takes no new calls.
+    link that ``is_set_aside`` was silent and takes no new calls; what it still
+    awaits is given up after ``SILENCE_TIMEOUT_S``, except patient replies.
     """
 
     def __init__(
@@ -216,11 +228,14 @@
             on_reply = self.reply_handlers.pop(number, None)
             if on_reply is not None:
                 on_reply(None)
-        if self.reply_handlers:
+        if not self.reply_handlers:
+            self.close()
+
+    def set_aside(self) -> None:
+        """Use the link only for the replies that are awaited already."""
+        if not self.is_set_aside:
             self.is_set_aside = True
             self.handler.link_silent(self)
-        else:
-            self.close()
 
     def check_silence(self) -> None:
         """Ping if nothing arrives although an answer is due, or give it up.
@@ -228,13 +243,13 @@
         An unused link is closed after ``IDLE_CLOSE_S``.
         """
         now = self.clock()
-        if self.is_set_aside:
-            if not self.reply_handlers:
-                self.close()
-            return
         silence_s = self.measure_silence(now)
+        if silence_s > SET_ASIDE_AFTER_S:
+            self.set_aside()
         if silence_s > SILENCE_TIMEOUT_S:
             self.give_up_replies()
+        elif self.is_set_aside and not self.reply_handlers:
+            self.close()
         elif silence_s > PING_AFTER_S:
             self.send(Ping())
         elif not self.reply_handlers:
@@ -253,6 +268,12 @@
                 self.silent_since = self.last_received_at
         return 0 if self.silent_since is None else now - self.silent_since
 
+    def verify(self) -> None:
+        """Ping an unused link, so that its silence is noticed before a call."""
+        if self.silent_since is None:
+            self.silent_since = self.clock()
+            self.send(Ping())
+
     def restart_silence_timer(self) -> None:
         """Measure silence from now on, as if data had just arrived."""
         self.last_received_at = self.clock()
@@ -294,6 +315,7 @@
         self.silent_links: set[MeshLink] = set()
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.last_checked_at = clock()
+        self.verified_at = -math.inf
 
     def accept(self) -> MeshLink:
         """Create the protocol object of a link that another node opens."""
@@ -390,9 +412,17 @@
             self.links.pop(link.node)
 
     def set_aside(self, link: MeshLink) -> None:
-        """Keep a silent link only for the replies that it still awaits."""
+        """Keep a silent link only for the replies that it still awaits.
+
+        What silenced it may have silenced others, so those are verified.
+        """
         self.remove(link)
         self.silent_links.add(link)
+        now = self.clock()
+        if now - self.verified_at > VERIFY_INTERVAL_S:
+            self.verified_at = now
+            for other in tuple(self.links.values()):
+                other.verify()
 
     def list_links(self) -> list[MeshLink]:
         """Return all links that are not closed."""
--- a/tests/cover/test_silent_mesh_links.py
+++ b/tests/cover/test_silent_mesh_links.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ebonycleat.internal.connection.mesh_link import (
+    SET_ASIDE_AFTER_S,
     SILENCE_TIMEOUT_S,
     LinkHandler,
     LinkPool,
@@ -150,8 +151,46 @@
         link.expect_reply(number, lambda reply: None)
         pass_time(pool, clock, 0.3)
         link.forget_reply(number)
-        pass_time(pool, clock, 0.2)
+        pass_time(pool, clock, CHECK_INTERVAL_S)
         if encode_frame(Ping()) in link.transport.written:
             link.data_received(encode_frame(Pong()))
             link.transport.written.clear()
     assert pool.find_open_link(ADDRESS) is link
+
+
+def test_new_calls_use_another_link_before_awaited_replies_are_given_up(
+    pool, clock
+):
+    """Guards against calls that wait on a link which is probably dead."""
+    link = pool.find_open_link(ADDRESS)
+    replies = await_replies(link)
+    pass_time(pool, clock, SET_ASIDE_AFTER_S + CHECK_INTERVAL_S)
+    assert pool.find_open_link(ADDRESS) is None
+    assert not replies
+    refusal = CallRefusal(1, 'shed', True, 0, LOAD)
+    link.data_received(encode_frame(refusal))
+    assert replies == {1: refusal}
+
+
+def test_one_silent_link_has_the_others_verified(pool, clock):
+    """Guards against finding out dead links one by one, each by a call."""
+    silent = pool.find_open_link(ADDRESS)
+    others = []
+    for number in range(3):
+        link = MeshLink(pool.handler, clock)
+        link.connection_made(RecordingTransport())
+        link.node = f'n{number}:9'
+        pool.register(link.node, link)
+        others.append(link)
+    await_replies(silent)
+    pass_time(pool, clock, SET_ASIDE_AFTER_S + CHECK_INTERVAL_S)
+    assert [one.transport.written[-1] for one in others] == (
+        [encode_frame(Ping())] * 3
+    )
+    others[0].data_received(encode_frame(Pong()))
+    pass_time(pool, clock, SET_ASIDE_AFTER_S + CHECK_INTERVAL_S)
+    assert [pool.find_open_link(one.node) for one in others] == [
+        others[0],
+        None,
+        None,
+    ]
