Bodies in small chunks take the memory that their limits count

Callers saw: upstreams that answer with chunks of 2 bytes without end take a node beyond its memory; with it end the requests of all other callers there. Cause: MAX_RESPONSE_BYTES and MAX_HELD_BYTES count the payload, but each part was kept as an object of its own, which takes some 40 bytes. Bodies of callers were kept in the same way, and headers take many times their bytes. Change: a body is one buffer that grows; a response has at most 1,024 headers.

--- a/bench/endless_answers.py
+++ b/bench/endless_answers.py
@@ -22,7 +22,11 @@
     HttpResponse,
     encode_request,
 )
-from ebonycleat_tools.platform.proxy import ProxyMode
+from ebonycleat_tools.platform.proxy import (
+    CHUNK_BYTES,
+    ProxyMode,
+    repeat_chunk,
+)
 from ebonycleat_tools.platform.soak_environment import (
     SERVICE,
     SoakEnvironment,
@@ -81,7 +85,9 @@
     return int(fields['VmHWM'].split()[0]) / KB_PER_MB
 
 
-async def measure(connections: int, folder: str) -> tuple[float, str]:
+async def measure(
+    connections: int, chunk_bytes: int, folder: str
+) -> tuple[float, str]:
     """Return the peak memory in MB, and how often callers got which status."""
     plan = SoakPlan(nodes=1, zones=1, slots=connections, folder=folder)
     async with contextlib.AsyncExitStack() as stack:
@@ -89,7 +95,9 @@
         await environment.start()
         write_open_route(environment)
         await asyncio.sleep(START_S)
-        environment.nodes[0].proxy.change_mode(ProxyMode.ENDLESS_BODIES)
+        proxy = environment.nodes[0].proxy
+        proxy.endless_chunks = repeat_chunk(chunk_bytes)
+        proxy.change_mode(ProxyMode.ENDLESS_BODIES)
         results = await asyncio.gather(
             *(send_request(environment, one) for one in range(connections))
         )
@@ -108,11 +116,12 @@
     """Measure once and print the figures."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--connections', type=int, default=200)
+    parser.add_argument('--chunk-bytes', type=int, default=CHUNK_BYTES)
     parser.add_argument('--check', action='store_true')
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         memory_mb, statuses = asyncio.run(
-            measure(arguments.connections, folder)
+            measure(arguments.connections, arguments.chunk_bytes, folder)
         )
     sys.stdout.write(f'peak memory {memory_mb:.0f} MB; statuses {statuses}\n')
     is_within = memory_mb <= MAX_MEMORY_MB and statuses == (
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -53,6 +53,9 @@
 """Framing that is allowed besides ``MAX_HEAD_BYTES`` for each byte of the body:
 a chunk with a single byte needs five more."""
 
+MAX_HEADERS = 1024
+"""Limit of the headers of a response. Each takes many times its few bytes."""
+
 LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 """Headers that tell where a body ends.
 
@@ -135,7 +138,7 @@
         The parser is kept: it continues with the next response.
         """
         self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.sizes = ResponseSizes()
         self.has_headers = False
         self.is_delimited = False
@@ -187,7 +190,7 @@
         """Drop the body that was received so far."""
         self.pool.hold_bytes(-self.sizes.held)
         self.sizes.held = 0
-        self.body = []
+        self.body = bytearray()
 
     def on_message_begin(self) -> None:
         """Start a response (parser callback).
@@ -206,6 +209,9 @@
         """Add a header (parser callback)."""
         if self.is_complete:
             return
+        if len(self.headers) >= MAX_HEADERS:
+            self.failure_kind = SendFailureKind.ENDLESS
+            return
         decoded_name = decode_header_name(name)
         self.headers.append((decoded_name, text.decode('latin-1')))
         if decoded_name in LENGTH_HEADERS:
@@ -244,7 +250,7 @@
             self.failure_kind = SendFailureKind.TOO_LARGE
             self.free_body()
             return
-        self.body.append(part)
+        self.body += part
 
     def on_message_complete(self) -> None:
         """Accept the response if it belongs to the request (parser callback).
@@ -287,7 +293,7 @@
         response = HttpResponse(
             self.status,
             drop_hop_by_hop_headers(headers),
-            b''.join(self.body),
+            bytes(self.body),
         )
         self.in_flight = None
         self.free_body()
--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -262,7 +262,7 @@
         self.method = ''
         self.headers: list[tuple[str, str]] = []
         self.header_size = 0
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_size = 0
         self.framing_size = 0
         self.has_headers = False
@@ -386,9 +386,9 @@
         self.received.body_size += len(part)
         if self.received.body_size > self.listener.limits.body_bytes:
             self.refusal_status = BODY_TOO_LARGE
-            self.received.body.clear()
+            self.received.body = bytearray()
             return
-        self.received.body.append(part)
+        self.received.body += part
 
     def on_message_complete(self) -> None:
         """Queue the complete request (parser callback)."""
@@ -400,7 +400,7 @@
                 self.received.method,
                 self.received.request_target.decode('latin-1'),
                 tuple(self.received.headers),
-                b''.join(self.received.body),
+                bytes(self.received.body),
                 self.parser.should_keep_alive(),
             ),
         )
--- a/src/ebonycleat_tools/platform/proxy.py
+++ b/src/ebonycleat_tools/platform/proxy.py
@@ -8,7 +8,6 @@
 CHUNK_BYTES = 65_536
 KEPT_HEAD_BYTES = 20
 ENDLESS_BYTES = b'y' * 4096
-ENDLESS_CHUNK = b'%x\r\n%s\r\n' % (CHUNK_BYTES, b'y' * CHUNK_BYTES)
 ENDLESS_PAUSE_S = 0.001
 """Pause between two chunks, so that one answer does not take a whole core."""
 
@@ -32,6 +31,12 @@
     RESET = 'reset'
 
 
+def repeat_chunk(chunk_bytes: int) -> bytes:
+    """Return chunks of this size, together of about ``CHUNK_BYTES``."""
+    chunk = b'%x\r\n%s\r\n' % (chunk_bytes, b'y' * chunk_bytes)
+    return chunk * (CHUNK_BYTES // chunk_bytes)
+
+
 class FaultyProxy:
     """Forwards connections to one server; the mode can change at any time."""
 
@@ -45,6 +50,7 @@
         self.port = port
         self.delay_s = delay_s
         self.mode = ProxyMode.PASS
+        self.endless_chunks = repeat_chunk(CHUNK_BYTES)
         self.writers: set[asyncio.StreamWriter] = set()
         self.endless_writers = {
             ProxyMode.ENDLESS_HEADS: self.write_endless_head,
@@ -151,7 +157,7 @@
         chunked = b'transfer-encoding: chunked'
         writer.write(b'\r\n'.join((*lines, chunked, b'', b'')))
         while True:
-            writer.write(ENDLESS_CHUNK)
+            writer.write(self.endless_chunks)
             await writer.drain()
             await asyncio.sleep(ENDLESS_PAUSE_S)
 
