A planned stop waits until its last answers are sent

Cause: the stop waited for requests without an answer; an answer that was written counted as done, although most of it was still in the transport of a caller that reads slowly, or of the link to the node that passes it on. Change: the stop also waits for connections and links with unsent data, up to the end of the grace period, and says in 'node stopped' how many are left. Evidence: the new test fails before (the node ends while 20 MB are being read) and passes now.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -28,6 +28,7 @@
     decode_header_name,
     encode_response,
 )
+from ebonycleat.internal.connection.unsent_data import has_unsent
 
 MAX_PIPELINED_REQUESTS = 16
 """Number of queued requests of one connection at which reading pauses.
@@ -235,6 +236,13 @@
             connection.count_open_exchanges() for connection in self.connections
         )
 
+    def count_unsent(self) -> int:
+        """Return the number of connections with data that is still to be sent.
+
+        Closed ones count until their last answer has been sent.
+        """
+        return sum(has_unsent(one.transport) for one in self.connections)
+
     def close_idle(self) -> None:
         """Close idle connections now, and the others after their response."""
         self.is_closing = True
--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -17,6 +17,7 @@
 
 from ebonycleat.internal.connection.addresses import split_host_port
 from ebonycleat.internal.connection.errors import MalformedMessage
+from ebonycleat.internal.connection.unsent_data import has_unsent
 from ebonycleat.internal.connection.mesh_messages import (
     AnyMeshMessage,
     FrameDecoder,
@@ -429,6 +430,10 @@
         """Return all links that are not closed."""
         return [*self.links.values(), *self.accepted, *self.silent_links]
 
+    def count_unsent(self) -> int:
+        """Return the number of links with data that is still to be sent."""
+        return sum(has_unsent(link.transport) for link in self.list_links())
+
     def check_silence(self) -> None:
         """Check all links for silence; call it about every 0.1 s."""
         now = self.clock()
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -413,6 +413,12 @@
             'callers.unread_requests': self.listener.unread_requests,
         })
 
+    def has_unfinished_work(self) -> bool:
+        """Tell whether a request is open or an answer is not yet sent."""
+        if self.count_open_requests():
+            return True
+        return bool(self.listener.count_unsent() or self.links.count_unsent())
+
     def count_open_requests(self) -> int:
         """Count requests of callers and peers that await their answer."""
         return self.listener.count_open_exchanges() + len(
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -174,7 +174,7 @@
 
 
 async def _finish_requests(node: MeshNode) -> None:
-    """Drain the gate and wait until requests are answered.
+    """Drain the gate and wait until requests have their whole answers.
 
     New requests are accepted for at least ``MIN_DRAIN_S``, because callers
     notice the stop with a delay, and later if their answers are expected
@@ -200,6 +200,10 @@
         await asyncio.sleep(STOP_TICK_S)
         if clock() - stopped_at > MIN_DRAIN_S:
             node.listener.close_idle()
-            if not node.count_open_requests():
+            if not node.has_unfinished_work():
                 break
-    log.write_always('node stopped', open=node.count_open_requests())
+    log.write_always(
+        'node stopped',
+        open=node.count_open_requests(),
+        unsent=node.listener.count_unsent() + node.links.count_unsent(),
+    )
--- a/src/ebonycleat_tools/platform/target.py
+++ b/src/ebonycleat_tools/platform/target.py
@@ -37,7 +37,8 @@
     ``slots`` is what it reports. Without ``usable_slots`` it refuses what it
     cannot run; with it, it runs that many requests and leaves the others, and
     all that follow on their connections, without any answer.
-    ``answer_headers`` go with each answer to a request that has run. A target
+    ``answer_headers`` go with each answer to a request that has run, and so
+    does ``answer_body``; without one the body names the request. A target
     that ``repeats_refusals`` sends each one a second time, before its answer to
     the next request on the connection.
     """
@@ -50,6 +51,7 @@
     usable_slots: int | None = None
     answer_headers: tuple[tuple[str, str], ...] = ()
     repeats_refusals: bool = False
+    answer_body: bytes = b''
 
 
 class EmulatedTarget(ExchangeHandler):
@@ -142,7 +144,7 @@
             ('x-server-signature', self.options.instance),
             *self.options.answer_headers,
         )
-        body = f'by {request_id}'.encode()
+        body = self.options.answer_body or f'by {request_id}'.encode()
         exchange.respond(HttpResponse(OK, headers, body))
 
     async def send_heartbeat(self) -> HttpResponse | None:
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+import socket
 
 from ebonycleat.internal.connection.http_messages import find_header
 from ebonycleat.internal.process.clocks import boottime_s
+from ebonycleat.internal.process.mesh_runner import MIN_DRAIN_S
 from tests.loopback_http import run_with_timeout
 from tests.mesh_environment import create_configuration, run_mesh
 
@@ -232,6 +234,48 @@
     assert find_header(late.headers, 'retry-after')
 
 
+async def open_slow_reader(address, request):
+    """Send a request on a connection that buffers little of the answer."""
+    slow_socket = socket.socket()
+    slow_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow_socket.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(slow_socket, (address.host, address.port))
+    reader, writer = await asyncio.open_connection(sock=slow_socket, limit=4096)
+    writer.write(request)
+    await reader.readuntil(b'\r\n\r\n')
+    return reader, writer
+
+
+def test_a_planned_stop_waits_for_answers_that_are_being_read():
+    """Guards against answers that the end of a stopping node cuts off."""
+    clock = AdvancedClock()
+    body = b'x' * 20_000_000
+    request = (
+        b'GET /open/1 HTTP/1.1\r\nhost: maps.example\r\nx-request-id: 1\r\n'
+        b'connection: close\r\n\r\n'
+    )
+
+    async def scenario():
+        async with run_mesh(clock=clock, answer_body=body) as environment:
+            node = environment.nodes[0]
+            reader, writer = await open_slow_reader(
+                node.settings.callers, request
+            )
+            node.stop_requested.set()
+            await asyncio.sleep(0)
+            clock.advance_s = MIN_DRAIN_S + 0.5
+            ended_early, _ = await asyncio.wait(
+                environment.tasks[:1], timeout=0.5
+            )
+            received = await reader.read()
+            writer.close()
+            await asyncio.wait(environment.tasks[:1])
+            return bool(ended_early), len(received)
+
+    assert run_with_timeout(scenario()) == (False, len(body))
+
+
 def test_a_disconnected_caller_cancels_its_run_at_a_remote_target():
     """Guards against a remote target that works for a caller that has left."""
 
