A crash is counted although only the successor's heartbeat shows it

Cause: a crash counted the connections that had closed within the second before it was noticed. A quiet node notices it only by the first heartbeat of the next start, some seconds later. Change: a crash counts the connections that closed since the target was last heard of, by an answer or a new heartbeat a second after the closing; a minute at most.

--- a/src/ebonycleat/internal/process/crash_counts.py
+++ b/src/ebonycleat/internal/process/crash_counts.py
@@ -19,9 +19,13 @@
 refused as well. ``crash_suspects`` can refuse after two, because it runs
 suspects one at a time."""
 
-CRASH_WINDOW_S = 1.0
-"""Connections that closed within this time before a crash count as closed by
-it."""
+LIFE_AFTER_CLOSE_S = 1.0
+"""A target that is heard of this long after a connection closed did not crash
+then. What it sent before a crash may arrive a little later."""
+
+MAX_CLOSED_AGE_S = 60.0
+"""Connections that closed longer ago are not counted for a crash, even if the
+target was not heard of since."""
 
 MAX_FINGERPRINTS = 64
 """Maximum number of fingerprints that a node publishes; a target runs some tens
@@ -52,12 +56,23 @@
         """Record a request whose connection closed without an answer."""
         self.closed_connections.append((now, fingerprint))
 
+    def record_sign_of_life(self, now: float) -> None:
+        """Record that the target has sent something and still runs."""
+        closed = self.closed_connections
+        while closed and now - closed[0][0] > LIFE_AFTER_CLOSE_S:
+            closed.popleft()
+
     def record_target_crash(self, now: float) -> bool:
-        """Count a crash of the target; return True if it has any suspects."""
+        """Count a crash of the target; return True if it has any suspects.
+
+        The connections that it closed are those that have closed since it was
+        last heard of. A quiet node notices the crash only by the successor's
+        first heartbeat, some seconds later.
+        """
         fingerprints = {
             fingerprint
             for closed_at, fingerprint in self.closed_connections
-            if now - closed_at <= CRASH_WINDOW_S
+            if now - closed_at <= MAX_CLOSED_AGE_S
         }
         self.closed_connections.clear()
         for fingerprint in fingerprints:
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -152,6 +152,7 @@
         Returns whether the state of the target has changed.
         """
         before = self.target.incarnation
+        sequence = self.target.sequence
         was_usable = self.target.is_usable
         changed = self.target.handle_message(message, self.unix_time_ms())
         if self.target.incarnation != before:
@@ -160,6 +161,8 @@
             if was_usable:
                 # The earlier instance ended without deregistering.
                 self.record_target_crash()
+        elif self.target.sequence > sequence:
+            self.crashes.record_sign_of_life(self.clock())
         self.apply_target_state()
         return changed
 
@@ -407,6 +410,7 @@
             return
         report = self.channel.protocol.parse_response(result)
         if pending_call.incarnation == self.target.incarnation:
+            self.crashes.record_sign_of_life(self.clock())
             self.update_target_from(report, pending_call)
         if report.has_not_run:
             self.backpressure.load_of_depth(call.depth).refused += 1
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -356,6 +356,58 @@
     assert not offer_calls(gate, clock, path='/fetch/harmless')
 
 
+def crash_in_quiet_hours(gate, clock, number, down_s=3):
+    """Crash the target, which no other request meets before it is back."""
+    gate.offer(
+        create_gate_call(clock, number, path='/fetch/deadly'),
+        lambda result: None,
+    )
+    gate.pool.sends[-1].fail(SendFailureKind.CLOSED)
+    clock.now += down_s
+    gate.holder.record_proof(1, clock())
+    gate.handle_target_message(
+        create_heartbeat(f'i-{number}', started_ms=1000 * number)
+    )
+
+
+def test_crashes_that_only_the_successor_shows_are_counted(clock):
+    """Guards against a request that crashes targets in quiet hours for ever."""
+    gate = create_mesh_gate(clock)
+    for number in range(2, 5):
+        crash_in_quiet_hours(gate, clock, number)
+    results = offer_calls(gate, clock, path='/fetch/deadly')
+    assert find_refusal(results).reason is Reason.CRASH_SUSPECT
+
+
+@pytest.mark.parametrize('sign', ['heartbeat', 'answer'])
+def test_a_connection_that_closed_long_before_a_crash_is_not_counted(
+    clock, sign
+):
+    """Guards against suspects whose answer was lost while the target ran."""
+    gate = create_mesh_gate(clock)
+    offer_calls(gate, clock)
+    gate.pool.sends[-1].fail(SendFailureKind.CLOSED)
+    clock.now += 1.5
+    if sign == 'heartbeat':
+        gate.handle_target_message(create_heartbeat(sequence=2))
+    else:
+        offer_calls(gate, clock, path='/fetch/other')
+        gate.pool.sends[-1].answer()
+    gate.handle_target_message(create_heartbeat('i-2', started_ms=5000))
+    assert not gate.crashes.own_count_pairs()
+
+
+def test_a_repeated_heartbeat_is_no_sign_of_life(clock):
+    """Guards against crashes that a late copy of a heartbeat hides."""
+    gate = create_mesh_gate(clock)
+    offer_calls(gate, clock)
+    gate.pool.sends[-1].fail(SendFailureKind.CLOSED)
+    clock.now += 1.5
+    gate.handle_target_message(create_heartbeat(sequence=1))
+    gate.handle_target_message(create_heartbeat('i-2', started_ms=5000))
+    assert gate.crashes.own_count_pairs()
+
+
 def test_crashes_at_other_nodes_are_counted(clock):
     """Guards against a crash limit that each node counts separately."""
     gate = create_mesh_gate(clock)
