A request that is answered is no suspect of earlier crashes

Callers might have seen: counts of crashes never expired, so a popular request that ran beside three unrelated crashes was refused everywhere until the nodes were restarted. What crashes a target is never answered by it. Evidence: the new test (six crashes, each followed by an answer) fails before with a refusal.

--- a/src/ebonycleat/internal/process/crash_counts.py
+++ b/src/ebonycleat/internal/process/crash_counts.py
@@ -6,8 +6,8 @@
 Every request whose connection closed when a target crashed is a suspect. A
 node publishes the fingerprints of its suspects in its member record, so every
 node knows the sum over all nodes. A request that is suspected of several
-crashes is refused. An innocent request that ran beside the cause of a crash by
-chance rarely runs again while another target crashes.
+crashes is refused. An innocent request that ran beside the cause of a crash is
+cleared by its next answer from the same target.
 """
 
 import collections
@@ -35,7 +35,10 @@
 
 
 class CrashCounts:
-    """Crash counts of this node, and the sum that all other nodes published."""
+    """Crash counts of this node, and the sum that all other nodes published.
+
+    ``has_cleared`` is true if own counts were cleared that are still published.
+    """
 
     def __init__(self) -> None:
         """Start without suspects."""
@@ -45,6 +48,7 @@
             )
         )
         self.own_counts: dict[int, int] = {}
+        self.has_cleared = False
         self.peer_counts: collections.Counter[int] = collections.Counter()
 
     @property
@@ -62,6 +66,14 @@
         while closed and now - closed[0][0] > LIFE_AFTER_CLOSE_S:
             closed.popleft()
 
+    def record_answer(self, fingerprint: int) -> None:
+        """Clear a request that the target has answered.
+
+        It only ran beside the cause of the crashes that it was counted for.
+        """
+        if self.own_counts.pop(fingerprint, 0):
+            self.has_cleared = True
+
     def record_target_crash(self, now: float) -> bool:
         """Count a crash of the target; return True if it has any suspects.
 
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -412,6 +412,8 @@
         if pending_call.incarnation == self.target.incarnation:
             self.crashes.record_sign_of_life(self.clock())
             self.update_target_from(report, pending_call)
+        if self.crashes.own_counts and not report.has_not_run:
+            self.crashes.record_answer(fingerprint_call(call))
         if report.has_not_run:
             self.backpressure.load_of_depth(call.depth).refused += 1
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -249,6 +249,12 @@
             count,
         )
 
+    def publish_cleared_suspects(self) -> None:
+        """Write the own record anew if it has counts that were cleared."""
+        if self.gate.crashes.has_cleared:
+            self.gate.crashes.has_cleared = False
+            self.update_own_record()
+
     def tick_queues(self) -> None:
         """Process deadlines and retries of everything that is queued."""
         self.gate.tick()
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -125,6 +125,7 @@
         _tick(RUN_TICK_S, node.gate.cancel_silent_runs),
         _tick(COUNT_TICK_S, node.update_node_count),
         _tick(COUNT_TICK_S, node.check_descriptors),
+        _tick(COUNT_TICK_S, node.publish_cleared_suspects),
     )
     loop = asyncio.get_running_loop()
     tasks = [loop.create_task(coroutine) for coroutine in coroutines]
--- a/tests/cover/test_crash_counts.py
+++ b/tests/cover/test_crash_counts.py
@@ -110,6 +110,16 @@
     assert not node.gate.crashes.own_counts
 
 
+def test_cleared_counts_are_published_once():
+    """Guards against other nodes that go on counting what was cleared."""
+    node = create_node()
+    read_members(node)
+    node.gate.crashes.record_answer(8)
+    node.publish_cleared_suspects()
+    assert suspects_to_write(node) == {POISON: 3}
+    assert not node.gate.crashes.has_cleared
+
+
 @pytest.mark.parametrize('count', [MAX_FINGERPRINTS, MAX_FINGERPRINTS + 9])
 def test_no_more_counts_are_taken_over_than_a_node_publishes(count):
     """Guards against records that grow with each restart."""
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -397,6 +397,17 @@
     assert not gate.crashes.own_count_pairs()
 
 
+def test_a_request_that_is_answered_is_no_suspect_of_earlier_crashes(clock):
+    """Guards against refusing a popular request after unrelated crashes."""
+    gate = create_mesh_gate(clock)
+    for number in range(2, 8):
+        assert crash_target(gate, clock, number) is None
+        offer_calls(gate, clock, path='/fetch/deadly')
+        gate.pool.sends[-1].answer()
+    assert not gate.crashes.own_count_pairs()
+    assert gate.crashes.has_cleared
+
+
 def test_a_repeated_heartbeat_is_no_sign_of_life(clock):
     """Guards against crashes that a late copy of a heartbeat hides."""
     gate = create_mesh_gate(clock)
