Links log that they are silent and how many replies they give up

docs/OPERATIONS.md led from 'connection-lost' to nothing that says when a link was found silent. Now 'link is silent; new calls use another one' (peer, awaited) and 'replies of a silent link are given up' (peer, given_up), each once for a link.

--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -225,6 +225,11 @@
     def give_up_replies(self) -> None:
         """Resolve as lost the replies that silence ends; close if none is left."""
         given_up = self.reply_handlers.keys() - self.patient_numbers
+        if given_up:
+            logger.info(
+                'replies of a silent link are given up',
+                extra={'peer': self.node, 'given_up': len(given_up)},
+            )
         for number in given_up:
             on_reply = self.reply_handlers.pop(number, None)
             if on_reply is not None:
@@ -234,9 +239,14 @@
 
     def set_aside(self) -> None:
         """Use the link only for the replies that are awaited already."""
-        if not self.is_set_aside:
-            self.is_set_aside = True
-            self.handler.link_silent(self)
+        if self.is_set_aside:
+            return
+        self.is_set_aside = True
+        logger.info(
+            'link is silent; new calls use another one',
+            extra={'peer': self.node, 'awaited': len(self.reply_handlers)},
+        )
+        self.handler.link_silent(self)
 
     def check_silence(self) -> None:
         """Ping if nothing arrives although an answer is due, or give it up.
--- a/tests/cover/test_silent_mesh_links.py
+++ b/tests/cover/test_silent_mesh_links.py
@@ -184,7 +184,7 @@
         others.append(link)
     await_replies(silent)
     pass_time(pool, clock, SET_ASIDE_AFTER_S + CHECK_INTERVAL_S)
-    last_sent = {one.transport.written[-1] for one in others}
+    last_sent = {bytes(one.transport.written[-1]) for one in others}
     assert last_sent == {encode_frame(Ping())}
     others[0].data_received(encode_frame(Pong()))
     pass_time(pool, clock, SET_ASIDE_AFTER_S + CHECK_INTERVAL_S)
