Bodies of callers share a limit, and large ones are copied less often

Cause: each body had a limit, their sum had none, and a body was copied behind its head, into a message, behind the message's length, and twice out of the receive buffer. Change: the bodies of all open requests of a node may take the largest allowed body and 16 MiB. A body that finds no room is read and dropped, and its request refused as not run with a Retry-After on the same connection. Heads and bodies, lengths and large messages are written one after the other; a frame is decoded in place.

--- a/src/ebonycleat/internal/connection/client_requests.py
+++ b/src/ebonycleat/internal/connection/client_requests.py
@@ -61,6 +61,8 @@
 class OutgoingRequest(msgspec.Struct, frozen=True):
     """An encoded request, to be sent once.
 
+    ``body`` is written behind ``encoded``; a small one may be part of that.
+
     ``is_own_response`` decides by the headers of a response whether it belongs
     to this request: a server may first send a late extra response to an
     earlier one. ``is_identified_response`` must hold too if the connection has
@@ -84,6 +86,7 @@
     request_id: str = ''
     is_single: bool = False
     may_send: Callable[[], bool] = always_allow
+    body: bytes = b''
 
 
 class AbortableConnection(abc.ABC):
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -165,6 +165,8 @@
         self.reset_response()
         if self.transport is not None:
             self.transport.write(in_flight.request.encoded)
+            if in_flight.request.body:
+                self.transport.write(in_flight.request.body)
 
     def data_received(self, received: bytes) -> None:
         """Parse received data (asyncio callback).
--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -22,6 +22,7 @@
     ConnectionAcceptor,
     open_acceptor,
 )
+from ebonycleat.internal.connection.byte_account import ByteAccount
 from ebonycleat.internal.connection.http_messages import (
     HttpRequest,
     HttpResponse,
@@ -39,6 +40,12 @@
 MAX_CONCURRENT_REQUESTS = 8
 """Requests of one connection that may run side by side."""
 
+HELD_SLACK_BYTES = 16_777_216
+"""Bodies of other requests that fit beside the largest one allowed."""
+
+REFUSED_BODY_RETRY_AFTER_S = 1
+"""A body that found no room comes back when the others have been passed on."""
+
 FRAMING_SLACK_BYTES = 16_384
 FRAMING_BYTES_PER_BODY_BYTE = 8
 """Sizes of chunks and trailers may take ``FRAMING_SLACK_BYTES``, and this many
@@ -62,6 +69,7 @@
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
+UNAVAILABLE = 503
 HEADERS_TOO_LARGE = 431
 CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -83,6 +91,11 @@
     idle_timeout_s: float = 15
     connections: int = 10_000
 
+    @property
+    def held_bytes(self) -> int:
+        """Limit of the bodies of all requests that are received or open."""
+        return self.body_bytes + HELD_SLACK_BYTES
+
 
 class Exchange:
     """One request and its response.
@@ -118,6 +131,7 @@
             return
         self.is_finished = True
         self.on_abandoned = None
+        self.connection.listener.bodies.release(len(self.request.body))
         self.response = response
         self.connection.write_responses()
 
@@ -126,6 +140,7 @@
         if self.is_finished:
             return
         self.is_finished = True
+        self.connection.listener.bodies.release(len(self.request.body))
         if self.on_abandoned is not None:
             self.on_abandoned()
             self.on_abandoned = None
@@ -138,6 +153,11 @@
     def handle_exchange(self, exchange: Exchange) -> None:
         """Handle one exchange; ``exchange.respond`` may be called later."""
 
+    def refuse_dropped_body(self, exchange: Exchange) -> None:
+        """Refuse a request whose body found no room, as not run."""
+        retry_after = ('retry-after', str(REFUSED_BODY_RETRY_AFTER_S))
+        exchange.respond(HttpResponse(UNAVAILABLE, (retry_after,)))
+
     def may_run_beside(self, request: HttpRequest) -> bool:
         """Tell whether a request may run before earlier ones are answered.
 
@@ -169,6 +189,7 @@
         self.acceptor: ConnectionAcceptor | None = None
         self.evicted_connections = 0
         self.dropped_connections = 0
+        self.bodies = ByteAccount()
 
     def create_connection(self) -> 'ServerConnection':
         """Create the protocol object of an accepted connection."""
@@ -272,9 +293,15 @@
         self.header_size = 0
         self.body = bytearray()
         self.body_size = 0
+        self.is_body_dropped = False
         self.framing_size = 0
         self.has_headers = False
 
+    def drop_body(self, account: ByteAccount) -> None:
+        """Free the part of the body that was received so far."""
+        account.release(len(self.body))
+        self.body = bytearray()
+
 
 class ServerConnection(asyncio.Protocol):
     """Parses the requests of one connection and writes the responses.
@@ -310,6 +337,7 @@
         """Abandon the exchanges in progress (asyncio callback)."""
         self.listener.remove_connection(self)
         self.transport = None
+        self.received.drop_body(self.listener.bodies)
         self.drop_unread_requests()
         while self.exchanges:
             self.exchanges.popleft().abandon()
@@ -394,14 +422,22 @@
         self.received.body_size += len(part)
         if self.received.body_size > self.listener.limits.body_bytes:
             self.refusal_status = BODY_TOO_LARGE
-            self.received.body = bytearray()
+            self.received.drop_body(self.listener.bodies)
+        elif self.received.is_body_dropped:
             return
-        self.received.body += part
+        elif self.listener.bodies.hold(
+            len(part), self.listener.limits.held_bytes
+        ):
+            self.received.body += part
+        else:
+            self.received.is_body_dropped = True
+            self.received.drop_body(self.listener.bodies)
 
     def on_message_complete(self) -> None:
         """Queue the complete request (parser callback)."""
         self.receiving_since = None
         if self.refusal_status:
+            self.received.drop_body(self.listener.bodies)
             return
         self.queued_requests.append(
             HttpRequest(
@@ -410,6 +446,7 @@
                 tuple(self.received.headers),
                 bytes(self.received.body),
                 self.parser.should_keep_alive(),
+                self.received.is_body_dropped,
             ),
         )
         self.received = ReceivedRequest()
@@ -428,7 +465,10 @@
         while self.queued_requests and self.may_start(self.queued_requests[0]):
             exchange = Exchange(self, self.queued_requests.popleft())
             self.exchanges.append(exchange)
-            self.listener.handler.handle_exchange(exchange)
+            if exchange.request.is_body_dropped:
+                self.listener.handler.refuse_dropped_body(exchange)
+            else:
+                self.listener.handler.handle_exchange(exchange)
         self.update_reading()
         if self.transport is None or self.transport.is_closing():
             return
@@ -513,6 +553,8 @@
     def drop_unread_requests(self) -> None:
         """Drop requests that were received but will not be answered."""
         self.listener.unread_requests += len(self.queued_requests)
+        for request in self.queued_requests:
+            self.listener.bodies.release(len(request.body))
         self.queued_requests.clear()
 
     def is_busy(self) -> bool:
--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -45,7 +45,8 @@
 class HttpRequest(msgspec.Struct, frozen=True):
     """One complete request; header names are in lower case.
 
-    ``request_target`` is the path with the query string.
+    ``request_target`` is the path with the query string. A request whose
+    ``is_body_dropped`` had no room for its body and must be refused.
     """
 
     method: str
@@ -53,6 +54,7 @@
     headers: HeaderPairs
     body: bytes
     keep_alive: bool = True
+    is_body_dropped: bool = False
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -111,21 +113,34 @@
     headers: HeaderPairs,
     body: bytes,
 ) -> bytes:
-    """Encode one request, with ``content-length`` if it can have a body.
+    """Encode one request with its body; see ``encode_request_head``."""
+    head = encode_request_head(method, request_target, headers, len(body))
+    return head + body
+
+
+def encode_request_head(
+    method: str,
+    request_target: str,
+    headers: HeaderPairs,
+    body_size: int,
+) -> bytes:
+    """Encode a request up to its body of ``body_size`` bytes.
+
+    It has a ``content-length`` if it can have a body.
 
     Raises ``ValueError`` if a part of the head has a line break or a null
     character, or one that is not in Latin-1.
     """
     lines = [f'{method} {request_target} HTTP/1.1']
     lines += [f'{name}: {text}' for name, text in headers]
-    if body or method in {'POST', 'PUT', 'PATCH'}:
-        lines.append(f'content-length: {len(body)}')
+    if body_size or method in {'POST', 'PUT', 'PATCH'}:
+        lines.append(f'content-length: {body_size}')
     lines.append('\r\n')
     head = '\r\n'.join(lines).encode('latin-1')
     line_breaks = (head.count(b'\r'), head.count(b'\n'))
     if line_breaks != (len(lines), len(lines)) or b'\0' in head:
         raise ValueError('a header has a line break or a null character')
-    return head + body
+    return head
 
 
 def encode_response(
--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -24,7 +24,7 @@
     Hello,
     Ping,
     Pong,
-    encode_frame,
+    encode_frame_parts,
 )
 
 CONNECT_TIMEOUT_S = 0.5
@@ -183,13 +183,14 @@
         if self.transport is None or self.transport.is_closing():
             return False
         try:
-            encoded = encode_frame(message)
+            parts = encode_frame_parts(message)
         except ValueError:
             # For example a text with half of a surrogate pair.
             logger.exception('message cannot be encoded')
             return False
         self.last_sent_at = self.clock()
-        self.transport.write(encoded)
+        for part in parts:
+            self.transport.write(part)
         return True
 
     def expect_reply(
--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -16,6 +16,9 @@
 MAX_FRAME_BYTES = 134_217_728
 """Enough for the largest body that callers may send, and its headers."""
 
+MAX_JOINED_BYTES = 65_536
+"""Larger messages are not copied behind their length."""
+
 
 class MeshMessage(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Base of all messages."""
@@ -229,8 +232,16 @@
 
 def encode_frame(message: AnyMeshMessage) -> bytes:
     """Encode a message with its length in front."""
+    return b''.join(encode_frame_parts(message))
+
+
+def encode_frame_parts(message: AnyMeshMessage) -> tuple[bytes, ...]:
+    """Encode a frame, a large one in two parts that need not be joined."""
     encoded = _encoder.encode(message)
-    return len(encoded).to_bytes(LENGTH_BYTES, 'big') + encoded
+    prefix = len(encoded).to_bytes(LENGTH_BYTES, 'big')
+    if len(encoded) > MAX_JOINED_BYTES:
+        return prefix, encoded
+    return (prefix + encoded,)
 
 
 class FrameDecoder:
@@ -259,14 +270,16 @@
             end = body_start + length
             if len(self.buffer) < end:
                 break
-            messages.append(_decode(bytes(self.buffer[body_start:end])))
+            # A copy of the frame would double the memory of a large body.
+            with memoryview(self.buffer)[body_start:end] as frame:
+                messages.append(_decode(frame))
             start = end
         if start:
             self.buffer = self.buffer[start:]
         return messages
 
 
-def _decode(encoded: bytes) -> AnyMeshMessage:
+def _decode(encoded: memoryview) -> AnyMeshMessage:
     try:
         message: AnyMeshMessage = _decoder.decode(encoded)
     except (msgspec.DecodeError, RecursionError) as error:
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -5,6 +5,7 @@
 from typing import TypeAlias
 
 from ebonycleat.internal.connection.http_listener import (
+    REFUSED_BODY_RETRY_AFTER_S,
     Exchange,
     ExchangeHandler,
 )
@@ -117,6 +118,29 @@
             ),
         )
 
+    def refuse_dropped_body(self, exchange: Exchange) -> None:
+        """Refuse a request whose body found no room, as not run."""
+        caller_request = self.components.protocol.parse_request(
+            exchange.request
+        )
+        if isinstance(caller_request, Refusal):
+            self.refuse(exchange, '', caller_request)
+            return
+        refusal = refuse_not_run(
+            Reason.NODE_SATURATED,
+            'the node holds the bodies of too many requests; retry later',
+            retry_after_s=REFUSED_BODY_RETRY_AFTER_S
+            * self.components.tokens.rng.uniform(1, 2),
+        )
+        self.components.log.write_limited(
+            'request refused: no room for its body',
+            request=caller_request.request_id,
+            held_bytes=exchange.connection.listener.bodies.held_bytes,
+            limit=exchange.connection.listener.limits.held_bytes,
+            retry_after_s=refusal.retry_after_s,
+        )
+        self.refuse(exchange, caller_request.request_id, refusal)
+
     def refuse_surplus(self, exchange: Exchange, request_id: str) -> None:
         """Refuse a request on a connection beyond the limit."""
         refusal = refuse_not_run(
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -16,7 +16,7 @@
     SendFailureKind,
     SendResult,
 )
-from ebonycleat.internal.connection.http_messages import encode_request
+from ebonycleat.internal.connection.http_messages import encode_request_head
 from ebonycleat.internal.connection.http_pool import ConnectionPool
 from ebonycleat.internal.connection.platform_interfaces import (
     ControlMessage,
@@ -375,7 +375,9 @@
         if call.idempotent:
             max_idle_s = DEFAULT_MAX_IDLE_S
         return OutgoingRequest(
-            encode_request(call.method, call.path, headers, call.body),
+            encode_request_head(
+                call.method, call.path, headers, len(call.body)
+            ),
             lambda response_headers: self.channel.protocol.is_response_to(
                 request_id, response_headers
             ),
@@ -388,6 +390,7 @@
             ),
             request_id=request_id,
             may_send=lambda: self.may_still_send(gate_call, instance),
+            body=call.body,
         )
 
     def may_still_send(self, gate_call: GateCall, instance: str) -> bool:
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -413,6 +413,7 @@
             'callers.evicted': self.listener.evicted_connections,
             'callers.dropped': self.listener.dropped_connections,
             'callers.connection_limit': self.listener.limits.connections,
+            'callers.held_bytes': self.listener.bodies.held_bytes,
             'callers.accept_age_s': self.listener.accept_age_s(),
             'sockets.open': sum(self.count_sockets().values()),
             'sockets.limit': self.watch.max_descriptors,
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -64,6 +64,9 @@
     def abort(self):
         self.is_aborted = True
 
+    def close(self):
+        self.is_aborted = True
+
 
 class FakeSend:
     """A request in flight, which ends when the test gives its result."""
