An answer that was not kept whole is a failure, not an empty success

Cause: the parser's end of a message made the response complete although its body had been dropped or a header left out, and a complete response passed for a success. Change: it is complete only if nothing failed before its end.

--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -233,7 +233,7 @@
         if not is_head or self.status < FIRST_FINAL_STATUS:
             return
         if self.is_own_response():
-            self.is_complete = True
+            self.is_complete = self.failure_kind is None
         else:
             self.failure_kind = SendFailureKind.MALFORMED
             self.pool.count_unmatched_response()
@@ -257,7 +257,8 @@
     def on_message_complete(self) -> None:
         """Accept the response if it belongs to the request (parser callback).
 
-        Interim responses (1xx) are skipped.
+        Interim responses (1xx) are skipped. One that was not kept whole is no
+        response, although it is complete on the wire.
         """
         if self.is_complete or self.in_flight is None:
             return
@@ -267,7 +268,7 @@
         if self.in_flight.request.is_head:
             return
         if self.is_own_response():
-            self.is_complete = True
+            self.is_complete = self.failure_kind is None
             return
         # It belongs to an earlier request; the response to this one may
         # follow.
--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -1,9 +1,9 @@
 """Links between the nodes of a mesh: one connection carries many calls.
 
-If nothing arrives on a link while a reply is awaited, the calls that can be
-sent elsewhere are resolved as lost, while there is still time to do so. The
-other node may only be paused, so the calls that must not be repeated go on
-waiting for their reply on this link; it takes no new ones and closes after the
+If nothing arrives on a link although a reply is due, new calls soon use another
+one. Later the calls that can be sent elsewhere are resolved as lost, while there
+is still time to do so. The other node may only be paused, so the calls that
+must not be repeated go on waiting for their reply; the link closes after the
 last of them.
 """
 
@@ -17,7 +17,6 @@
 
 from ebonycleat.internal.connection.addresses import split_host_port
 from ebonycleat.internal.connection.errors import MalformedMessage
-from ebonycleat.internal.connection.unsent_data import has_unsent
 from ebonycleat.internal.connection.mesh_messages import (
     AnyMeshMessage,
     FrameDecoder,
@@ -26,6 +25,7 @@
     Pong,
     encode_frame_parts,
 )
+from ebonycleat.internal.connection.unsent_data import has_unsent
 
 CONNECT_TIMEOUT_S = 0.5
 """Time-out for opening a connection.
@@ -113,9 +113,8 @@
     handler of each awaited reply by request number. ``silent_since`` is the
     time from which silence is measured: no data was received although a reply
     was awaited. It is None after data has arrived, until the next silence is
-    noticed.
-    ``patient_numbers`` are the awaited replies that silence does not end. A
-    link that ``is_set_aside`` was silent and takes no new calls; what it still
+    noticed. ``patient_numbers`` are the awaited replies that silence does not
+    end. A link that ``is_set_aside`` was silent and takes no new calls; what it still
     awaits is given up after ``SILENCE_TIMEOUT_S``, except patient replies.
     """
 
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -35,8 +35,8 @@
 from ebonycleat.internal.process.event_log import EventLog
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_calls import (
-    GATE_RETRY_AFTER_S,
     CANCELLED_REFUSAL,
+    GATE_RETRY_AFTER_S,
     TARGET_SHED_REFUSAL,
     UNSENDABLE_REFUSAL,
     WRONG_SERVICE_REFUSAL,
@@ -97,8 +97,8 @@
     """Carries out the decisions of a ``Gate`` for the target of a mesh node.
 
     ``pending_calls`` has all calls that wait here or run at the target, by
-    call id, and ``decisions`` what the gate has decided but the node not yet
-    done. ``on_record_changed`` is called when the node's record must be
+    call id, and ``decisions`` what the gate has decided and the node has not
+    carried out yet. ``on_record_changed`` is called when the node's record must be
     written anew: a crash of the target has made requests suspect, or the target
     has said in an answer that it leaves.
     """
--- a/tests/nocover/test_memory_of_small_chunks.py
+++ b/tests/nocover/test_memory_of_small_chunks.py
@@ -76,12 +76,32 @@
     assert handler.exchanges[0].request.body == b'xy' * (BODY_BYTES // 2)
 
 
+@pytest.mark.parametrize('ending', [b'', b'\r\n', b'\r\n0\r\n\r\n'])
 @pytest.mark.parametrize('place', ['headers', 'trailers'])
-def test_an_answer_with_many_short_headers_is_a_failure(place):
-    """Guards against headers that take many times their bytes."""
+def test_an_answer_with_many_short_headers_is_a_failure(place, ending):
+    """Guards against headers that take many times their bytes.
+
+    It must not be passed on without the others if it ends in the same read.
+    """
     results = []
     connection, head = create_client_connection(results.append)
     if place == 'trailers':
         head += b'transfer-encoding: chunked\r\n\r\n0\r\n'
-    connection.data_received(head + b'a:bc\r\n' * (MAX_HEADERS + 2))
+    many_headers = b'a:bc\r\n' * (MAX_HEADERS + 2)
+    connection.data_received(head + many_headers + ending)
     assert results[0].kind is SendFailureKind.ENDLESS
+
+
+def test_a_body_that_finds_no_room_is_never_taken_for_an_empty_one(monkeypatch):
+    """Guards against a success whose body was dropped.
+
+    Bodies without end on other connections take all the room.
+    """
+    monkeypatch.setattr(
+        'ebonycleat.internal.connection.http_pool.MAX_HELD_BYTES', 1000
+    )
+    results = []
+    connection, head = create_client_connection(results.append)
+    body = b'content-length: 4096\r\n\r\n' + b'x' * 4096
+    connection.data_received(head + body)
+    assert results[0].kind is SendFailureKind.TOO_LARGE
