--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -33,8 +33,9 @@
     root request, is below it. ``shares`` lists overloaded services, each with
     the share of direct requests and the share of calls that it can accept, in
     thousandths. ``calls_per_request`` lists, in the same order, how many calls
-    to
-    that service one request causes on average, in thousandths.
+    to that service one request causes on average, in thousandths.
+    ``pace_percent`` is how long work takes at the target at this moment, 100
+    as usual. ``service_ms`` is the mean time that calls spend at the target.
     """
 
     queued: int
@@ -45,6 +46,8 @@
     is_draining: bool
     shares: tuple[tuple[str, int, int], ...] = ()
     calls_per_request: tuple[int, ...] = ()
+    pace_percent: int = 100
+    service_ms: int = 0
 
 
 class Hello(MeshMessage, frozen=True, tag=1):
@@ -61,7 +64,10 @@
     ``time_left_ms``, because the clocks of two VMs differ.
     ``key_fingerprint`` is a short digest of the caller's API key, empty on
     routes open to all. ``origin_service`` is the service of the VM where the
-    request entered the mesh.
+    request entered the mesh. ``objective_left_ms`` is the time that is left of
+    the route's latency objective, negative once it is missed; None means that
+    the objective is the deadline, as earlier versions assume. ``moves_left``
+    tells whether the receiver may hand the call back for another target.
     """
 
     number: int
@@ -80,6 +86,8 @@
     headers: HeaderPairs
     body: bytes
     key_fingerprint: bytes
+    objective_left_ms: int | None = None
+    moves_left: int = 0
 
 
 class CallResponse(MeshMessage, frozen=True, tag=3):
--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -137,6 +137,20 @@
     headers: HeaderPairs
 
 
+class TargetLoad(msgspec.Struct, frozen=True):
+    """Load of a target, as it tells it with a response.
+
+    ``pace`` is how long work takes on its VM at this moment, relative to the
+    usual time: 1 is as usual, 2 twice as long. It is None if the target does
+    not tell it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
 class ParsedResponse(msgspec.Struct, frozen=True):
     """A target's response, split into parts for the caller and for the node.
 
@@ -145,7 +159,8 @@
     if the request reached another instance than the one that it names.
     ``max_requests_per_s`` is how many requests the target takes from all nodes
     together for as long as it says so; None if it names no limit.
-    ``is_leaving`` is True if the target must get no new requests.
+    ``is_leaving`` is True if the target must get no new requests. ``load`` is
+    None if the target does not tell its load.
     """
 
     response: HttpResponse
@@ -153,6 +168,7 @@
     is_wrong_instance: bool
     max_requests_per_s: float | None
     is_leaving: bool
+    load: TargetLoad | None = None
 
 
 class CallerProtocol(abc.ABC):
--- /dev/null
+++ b/src/ebonycleat/internal/process/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides whether and when a call runs."""
--- a/src/ebonycleat/internal/process/gate_decisions.py
+++ b/src/ebonycleat/internal/process/gate_decisions.py
@@ -31,7 +31,9 @@
     ``queued`` and ``running`` are counts of calls, and ``limit`` is how many
     may run now. ``latency_s`` is the expected time in the queue and at the
     target. ``shares`` has the overloaded services that calls to this gate
-    reach, which can include the gate's own service.
+    reach, which can include the gate's own service. ``pace`` is how long work
+    takes at the target at this moment, 1 as usual. ``service_s`` is the mean
+    time that calls spend at the target, 0 if it is not known.
     """
 
     queued: int
@@ -41,3 +43,5 @@
     admission_level: int
     draining: bool
     shares: tuple[AdmissibleShares, ...] = ()
+    pace: float = 1
+    service_s: float = 0
--- a/src/ebonycleat/internal/process/load_codec.py
+++ b/src/ebonycleat/internal/process/load_codec.py
@@ -8,6 +8,7 @@
 
 MILLISECONDS_PER_S = 1000
 SHARE_SCALE = 1000
+PACE_SCALE = 100
 
 
 def encode_load(load: GateLoad) -> LoadReport:
@@ -30,6 +31,8 @@
         tuple(
             int(overloaded.calls * SHARE_SCALE) for overloaded in load.shares
         ),
+        int(load.pace * PACE_SCALE),
+        int(load.service_s * MILLISECONDS_PER_S),
     )
 
 
@@ -56,4 +59,6 @@
                 strict=False,
             )
         ),
+        report.pace_percent / PACE_SCALE,
+        report.service_ms / MILLISECONDS_PER_S,
     )
--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -195,6 +195,8 @@
             body=http_request.body,
             key_digest=fingerprint.hex(),
             depth=depth,
+            objective=now
+            + min(route.latency_objective_s or timeout_s, timeout_s),
         )
         return AdmittedRequest(
             call,
--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -189,6 +189,10 @@
             headers=call.headers,
             body=call.body,
             key_fingerprint=admitted.key_fingerprint,
+            objective_left_ms=int((call.objective - now) * MILLISECONDS_PER_S)
+            if call.objective < call.deadline
+            else None,
+            moves_left=call.moves_left,
         )
 
     def handle_reply(self, message: AnyMeshMessage | None) -> None:
--- a/src/ebonycleat/internal/process/peer_calls.py
+++ b/src/ebonycleat/internal/process/peer_calls.py
@@ -54,6 +54,10 @@
     def offer(self, link: MeshLink, message: CallRequest) -> None:
         """Offer one call to the gate; its result goes back over the link."""
         now = self.gate.clock()
+        time_left_ms = message.time_left_ms
+        objective_left_ms = message.objective_left_ms
+        if objective_left_ms is None:
+            objective_left_ms = time_left_ms
         call = Call(
             call_id=f'{link.node}/{next(self.call_numbers)}',
             root_id=message.request_id,
@@ -62,13 +66,15 @@
             service=message.service,
             priority=Priority(min(max(message.priority, 0), LOWEST_PRIORITY)),
             idempotent=message.is_idempotent,
-            deadline=now + message.time_left_ms / MILLISECONDS_PER_S,
+            deadline=now + time_left_ms / MILLISECONDS_PER_S,
             method=message.method,
             path=message.request_target,
             headers=message.headers,
             body=message.body,
             key_digest=message.key_fingerprint.hex(),
             depth=message.depth,
+            objective=now + objective_left_ms / MILLISECONDS_PER_S,
+            moves_left=message.moves_left,
         )
         self.calls_by_link.setdefault(link, {})[message.number] = call.call_id
         self.gate.offer(
--- /dev/null
+++ b/src/ebonycleat/internal/process/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which target runs a call."""
--- a/src/ebonycleat/internal/request/call.py
+++ b/src/ebonycleat/internal/request/call.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 from typing import TypeAlias
 
 import msgspec
@@ -40,7 +41,11 @@
     so that requests in a queue can be refused once the key is withdrawn; it is
     empty on routes open to all. ``retry_allowance`` is the number of retries
     that may still be made on behalf of this call, lent from the retry limit of
-    the root request.
+    the root request. ``objective`` is the time, on the same clock as
+    ``deadline``, until which an answer meets the route's latency objective; it
+    equals the deadline where the route has none. While ``moves_left`` is
+    positive, a gate may hand the call back for another target instead of
+    letting it wait.
     """
 
     call_id: str
@@ -59,6 +64,8 @@
     key_digest: str = ''
     depth: int = 0
     retry_allowance: int = 0
+    objective: float = math.inf
+    moves_left: int = 0
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/src/ebonycleat/internal/request/refusal.py
+++ b/src/ebonycleat/internal/request/refusal.py
@@ -53,6 +53,8 @@
     CONNECTION_LOST = 'connection-lost'
     CRASH_SUSPECT = 'crash-suspect'
     UNSENDABLE = 'unsendable'
+    ELSEWHERE = 'elsewhere'
+    EVACUATED = 'evacuated'
 
 
 HTTP_STATUS_BY_REASON: Mapping[Reason, HTTPStatus] = types.MappingProxyType({
@@ -82,6 +84,8 @@
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
     Reason.CRASH_SUSPECT: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.UNSENDABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.ELSEWHERE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.EVACUATED: HTTPStatus.SERVICE_UNAVAILABLE,
 })
 
 
--- a/src/ebonycleat/internal/version/mesh_configuration.py
+++ b/src/ebonycleat/internal/version/mesh_configuration.py
@@ -30,16 +30,21 @@
 class RouteKind(enum.Enum):
     """What the requests of a route are, and therefore what may be repeated.
 
-    An ``UPLOAD`` has a large body. Only ``IDEMPOTENT`` requests may run more
-    than once. A kind that this version does not know is ``UNKNOWN``.
+    An ``UPLOAD`` has a large body, a ``DOWNLOAD`` a large response. Only the
+    kinds in ``REPEATABLE_KINDS`` may run more than once. A kind that this
+    version does not know is ``UNKNOWN``.
     """
 
     IDEMPOTENT = 'idempotent'
     NON_IDEMPOTENT = 'non-idempotent'
     UPLOAD = 'upload'
+    DOWNLOAD = 'download'
     UNKNOWN = 'unknown'
 
 
+REPEATABLE_KINDS = frozenset((RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
     """A service that runs a share of a route's requests.
@@ -59,8 +64,8 @@
     ``path_prefix``. ``attempts`` is the maximum number of targets to which
     one request may be sent. ``timeout_s`` is the longest time that a caller
     may be kept waiting. ``latency_objective_s`` is the operators' latency
-    goal for an answer; nodes do not use it. ``priority`` 0 is the most
-    important. A route that ``is_open_to_all`` needs no key.
+    goal for an answer, 0 without one. ``priority`` 0 is the most important. A
+    route that ``is_open_to_all`` needs no key.
     """
 
     name: str
@@ -77,7 +82,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether a request of the route may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT
+        return self.kind in REPEATABLE_KINDS
 
     @property
     def services(self) -> set[str]:
@@ -107,14 +112,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MeshService:
-    """What operators configure for a service; nodes do not use it.
+    """What operators configure for a service.
 
-    ``max_connections`` is a limit for one target; 0 means no limit.
+    ``max_connections`` is a limit for one target; 0 means no limit. A target
+    that has just started is cold for ``warm_up_s`` seconds, in which it takes
+    ``warm_up_rate_per_s`` requests a second; 0 means no limit.
     """
 
     name: str
     health_path: str
     max_connections: int = 0
+    warm_up_s: float = 0
+    warm_up_rate_per_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonycleat/platform/configuration_format.py
+++ b/src/ebonycleat/platform/configuration_format.py
@@ -28,6 +28,7 @@
     'idempotent': RouteKind.IDEMPOTENT,
     'non_idempotent': RouteKind.NON_IDEMPOTENT,
     'upload': RouteKind.UPLOAD,
+    'download': RouteKind.DOWNLOAD,
 })
 
 _NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
@@ -56,6 +57,10 @@
 class _Service(msgspec.Struct, frozen=True, rename='camel'):
     health_path: str = ''
     max_connections: int = 0
+    warm_up_s: _NonNegativeNumber = msgspec.field(name='warmupS', default=0)
+    warm_up_rate_per_s: _NonNegativeNumber = msgspec.field(
+        name='warmupPerS', default=0
+    )
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
@@ -132,6 +137,8 @@
                     name,
                     service.health_path,
                     service.max_connections,
+                    service.warm_up_s,
+                    service.warm_up_rate_per_s,
                 )
                 for name, service in decoded.services.items()
             },
--- a/src/ebonycleat/platform/header_names.py
+++ b/src/ebonycleat/platform/header_names.py
@@ -11,7 +11,8 @@
 ORIGIN_SERVICE = 'x-caller-service'
 EXPECTED_INSTANCE = 'x-expected-instance'
 ANSWERING_INSTANCE = 'x-upstream-instance'
-# Numbers of running requests, waiting requests and slots of the target.
+# Numbers of running requests, waiting requests and slots of the target; some
+# targets add how long work takes at this moment, in percent of the usual time.
 TARGET_LOAD = 'x-upstream-load'
 NOT_EXECUTED = 'x-not-executed'
 # Requests a second that the target takes from all machines together.
--- a/src/ebonycleat/platform/target_protocol.py
+++ b/src/ebonycleat/platform/target_protocol.py
@@ -8,6 +8,7 @@
 )
 from ebonycleat.internal.connection.platform_interfaces import (
     ParsedResponse,
+    TargetLoad,
     TargetProtocol,
     TargetRequest,
 )
@@ -17,6 +18,11 @@
 MILLISECONDS_PER_S = 1000
 MISDIRECTED = 421
 IS_LEAVING = '1'
+USUAL_PACE = 100
+"""The fourth figure of a load where work takes as long as usual."""
+
+_COUNTS_IN_LOAD = 3
+_LOAD = re.compile(r'[0-9]{1,9}(,[0-9]{1,9}){2,3}')
 
 _DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{1,15})?')
 
@@ -76,9 +82,22 @@
                 find_header(response.headers, names.TARGET_LEAVING)
                 == IS_LEAVING
             ),
+            load=_parse_load(find_header(response.headers, names.TARGET_LOAD)),
         )
 
 
+def _parse_load(text: str) -> TargetLoad | None:
+    """Return the load in a header, None if it is absent or malformed."""
+    if not _LOAD.fullmatch(text):
+        return None
+    figures = [int(figure) for figure in text.split(',')]
+    pace = None
+    if len(figures) > _COUNTS_IN_LOAD:
+        pace = max(1, figures.pop()) / USUAL_PACE
+    running, waiting, slots = figures
+    return TargetLoad(running, waiting, slots, pace)
+
+
 def _encode_name(name: str) -> str:
     """Return the UTF-8 bytes of a name as characters of Latin-1.
 
