Entries share what a class may use among teams by max-min fairness

Cause: entries admitted the same fraction of all teams of a class, so one team at many times its usual demand took the room of the others before the fair queues of the gates saw their requests.

Change: the fraction of a class is divided by one level among the teams with demand in the last 2 s, weighted by their rates. Admitted requests are spread by a credit for each route, class and team. Requests of open routes get the fraction of their class, and calls of targets are admitted as before.

--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -10,8 +10,14 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 
+from ebonycleat.internal.process.admission.fair_shares import (
+    TeamShare,
+    TeamShares,
+    TeamWeights,
+)
 from ebonycleat.internal.process.backpressure import (
     UNLIMITED_SHARE,
     AdmissibleShares,
@@ -42,6 +48,12 @@
 CLASS_DECAY_TIME_S = 2.0
 """Time over which the counts of requests per class decay."""
 
+MAX_CREDITS = 8192
+"""Limit of routes, classes and teams whose credits are kept."""
+
+GOLDEN_RATIO = 0.618034
+"""Multiples of it, modulo 1, are spread evenly over 0 to 1."""
+
 
 @dataclasses.dataclass(slots=True)
 class ReportedShares:
@@ -87,14 +99,13 @@
     The counts decay within ``CLASS_DECAY_TIME_S``.
     """
 
-    def __init__(self, now: float) -> None:
-        """Start without counts."""
+    def __init__(self, now: float, weights: TeamWeights) -> None:
+        """Start without counts; teams share each class by ``weights``."""
         self.calls_by_class: dict[Priority, float] = collections.defaultdict(
             float
         )
-        self.admission_credit: dict[Priority, float] = collections.defaultdict(
-            float
-        )
+        self.teams: dict[Priority, TeamShares] = {}
+        self.weights = weights
         self.decayed_at = now
 
     def count(self, priority: Priority, calls: float, now: float) -> None:
@@ -128,19 +139,60 @@
         )
         return min(1, guaranteed + max(0, available / own))
 
-    def admit(self, priority: Priority, fraction: float) -> bool:
-        """Tell whether to admit one request, given the fraction to admit.
+    def count_team(self, call: Call, calls: float, now: float) -> None:
+        """Count one request for its team, if it has one."""
+        if not call.team:
+            return
+        if call.priority not in self.teams:
+            self.teams[call.priority] = TeamShares(self.weights)
+        self.teams[call.priority].count(call.team, calls, now)
+
+    def team_fraction(self, call: Call, share: float, now: float) -> float:
+        """Return the fraction of a team's requests that fits into the share.
 
-        Each request adds the fraction to a credit and an admitted one takes
-        1 from it, so that admitted requests are evenly spread.
+        What the class of the call may use is divided among its teams.
+        Requests of open routes have no team and get the fraction of the class.
         """
-        self.admission_credit[priority] = (
-            min(1, self.admission_credit[priority]) + fraction
-        )
-        if self.admission_credit[priority] < 1:
-            return False
-        self.admission_credit[priority] -= 1
-        return True
+        class_fraction = self.admitted_fraction(call.priority, share)
+        if class_fraction >= 1 or not call.team:
+            return class_fraction
+        shares = self.teams[call.priority]
+        return shares.fraction(call.team, class_fraction, now)
+
+
+class AdmissionCredits:
+    """Spreads the admitted requests of each route, class and team evenly.
+
+    Each request adds the fraction to admit to a credit, and an admitted one
+    takes 1 from it.
+    """
+
+    def __init__(self) -> None:
+        """Start without credits."""
+        self.credits: dict[tuple[str, Priority, str], float] = {}
+        self.first_credit: float = 0
+
+    def admit(self, call: Call, fraction: float) -> bool:
+        """Tell whether to admit one request, given the fraction to admit."""
+        key = (call.route, call.priority, call.team)
+        credit = self.credits.get(key)
+        if credit is None:
+            credit = self.choose_first_credit()
+        credit = min(1, credit) + fraction
+        is_admitted = credit >= 1
+        self.credits[key] = credit - is_admitted
+        return is_admitted
+
+    def choose_first_credit(self) -> float:
+        """Return the credit of a team that is not known yet.
+
+        The credits are spread evenly over 0 to 1. If all began alike, the
+        first requests of all teams that send few would be refused together.
+        """
+        if len(self.credits) >= MAX_CREDITS:
+            self.credits.clear()
+        self.first_credit = math.fmod(self.first_credit + GOLDEN_RATIO, 1)
+        return self.first_credit
 
 
 class EntryBackpressure:
@@ -157,6 +209,8 @@
         self.services_on_route: dict[str, dict[str, float]] = {}
         self.services_behind_target: dict[str, dict[str, float]] = {}
         self.demand: dict[tuple[str, bool], ClassDemand] = {}
+        self.weights = TeamWeights()
+        self.credits = AdmissionCredits()
 
     def record_shares(
         self,
@@ -260,22 +314,50 @@
             share = overloaded.direct if is_direct else overloaded.called
             demand = self.demand.setdefault(
                 (overloaded.service, is_direct),
-                ClassDemand(now),
+                ClassDemand(now, self.weights),
             )
             demand.count(call.priority, overloaded.calls, now)
+            demand.count_team(call, overloaded.calls, now)
             if share < UNLIMITED_SHARE:
-                fraction = min(
-                    fraction,
-                    demand.admitted_fraction(call.priority, share),
-                )
+                fraction = min(fraction, demand.team_fraction(call, share, now))
         return fraction
 
     def admit(self, call: Call, fraction: float) -> bool:
         """Tell whether to admit this request, given the fraction to admit."""
         if fraction >= 1:
             return True
-        demand = self.demand.setdefault((call.route, True), ClassDemand(0))
-        return demand.admit(call.priority, fraction)
+        return self.credits.admit(call, fraction)
+
+    def find_limiting_share(self, call: Call, now: float) -> TeamShare | None:
+        """Return the share that limits the team of a call more than others.
+
+        None is returned if its whole class is limited as much.
+        """
+        shares = (
+            self.describe_share(call, overloaded, now)
+            for overloaded in self.overloaded_on_route(call.route, now)
+        )
+        return min(
+            (share for share in shares if share is not None),
+            key=lambda share: share.team_fraction,
+            default=None,
+        )
+
+    def describe_share(
+        self, call: Call, overloaded: AdmissibleShares, now: float
+    ) -> TeamShare | None:
+        """Return the share of a call's team at one service if it is limited."""
+        is_direct = overloaded.service == call.service
+        demand = self.demand.get((overloaded.service, is_direct))
+        if demand is None or call.priority not in demand.teams:
+            return None
+        class_fraction = demand.admitted_fraction(
+            call.priority,
+            overloaded.direct if is_direct else overloaded.called,
+        )
+        return demand.teams[call.priority].describe(
+            overloaded.service, call.team, class_fraction, now
+        )
 
 
 def _reported_within(
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -1,6 +1,7 @@
 """The entry of a mesh node: takes callers' requests and answers them."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
@@ -54,6 +55,9 @@
 the second times the fraction that is shed. Callers wait at most a third of the
 time that they have left, about 1.5 s."""
 
+TEAM_LIMIT_LOG_INTERVAL_S = 10.0
+"""A team that stays over its share is logged once in this time."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryComponents:
@@ -80,6 +84,7 @@
         self.components = components
         self.backpressure = EntryBackpressure(components.call_counts)
         self.stop_admission = StopAdmission()
+        self.team_limits_logged_at: dict[str, float] = {}
 
     def handle_exchange(self, exchange: Exchange) -> None:
         """Admit a request and send it to a target, or refuse it.
@@ -185,6 +190,7 @@
             MIN_SHED_RETRY_AFTER_S + (1 - fraction) * SHED_RETRY_AFTER_RANGE_S
         )
         wait_s *= components.tokens.rng.uniform(1, 2)
+        self.record_team_limit(admitted)
         components.log.write_limited(
             'request shed at the entry',
             request=admitted.request_id,
@@ -207,6 +213,31 @@
             retry_after_s=wait_s,
         )
 
+    def record_team_limit(self, admitted: AdmittedRequest) -> None:
+        """Count a request shed since its team is over its share, and log it."""
+        components = self.components
+        call = admitted.call
+        now = components.clock()
+        share = self.backpressure.find_limiting_share(call, now)
+        if share is None:
+            return
+        components.metrics.count('shed', 'team_over_share')
+        logged_at = self.team_limits_logged_at.get(call.team, -math.inf)
+        if now - logged_at < TEAM_LIMIT_LOG_INTERVAL_S:
+            return
+        self.team_limits_logged_at[call.team] = now
+        components.log.write_limited(
+            'team limited to its share',
+            request=admitted.request_id,
+            team=call.team,
+            route=call.route,
+            service=share.service,
+            calls_per_s=round(share.calls_per_s, 2),
+            weight=share.weight,
+            part_admitted=round(share.team_fraction, 3),
+            part_of_class=round(share.class_fraction, 3),
+        )
+
     def handle_token_decision(
         self,
         exchange: Exchange,
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -165,9 +165,11 @@
             configuration.teams,
             self.dependencies.clock(),
         )
-        self.gate.gate.set_team_weights({
+        team_rates = {
             team.name: team.rate_per_s for team in configuration.teams
-        })
+        }
+        self.gate.gate.set_team_weights(team_rates)
+        self.entry.backpressure.weights.set_rates(team_rates)
 
     def apply_settings(self, settings: MeshSettings) -> None:
         """Apply the limits of a reloaded settings file.
