Entries admit what can be finished while a target refuses calls by itself

Cause: shares compare load with slots. While a target refused a part of its calls although slots were free, entries admitted all requests that make several calls in a row there; nearly all of them failed after other services had worked for them.

Change: a gate publishes the part of calls that its target accepts, and a share of the load at which it refuses little, found by a trial. Entries limit requests that reach the service through calls to what can be finished, by the calls that a request on the route makes. Few single refusals change nothing.

--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -36,6 +36,9 @@
     to that service one request causes on average, in thousandths.
     ``pace_percent`` is how long work takes at the target at this moment, 100
     as usual. ``service_ms`` is the mean time that calls spend at the target.
+    ``refusals`` lists, in the order of ``shares``, the part of calls that the
+    targets of the service do not refuse by themselves, and the share of the load
+    of which they refuse little, both in thousandths; older versions send none.
     """
 
     queued: int
@@ -48,6 +51,7 @@
     calls_per_request: tuple[int, ...] = ()
     pace_percent: int = 100
     service_ms: int = 0
+    refusals: tuple[tuple[int, int], ...] = ()
 
 
 class Hello(MeshMessage, frozen=True, tag=1):
--- a/src/ebonycleat/internal/process/backpressure.py
+++ b/src/ebonycleat/internal/process/backpressure.py
@@ -10,6 +10,11 @@
 
 import dataclasses
 
+from ebonycleat.internal.process.admission.target_refusals import (
+    FittingShare,
+    TargetRefusals,
+)
+
 DESIRED_UTILISATION = 0.92
 """Share of the slots that should be in use. The rest absorbs bursts that are
 shorter than the time in which a share gets back to the entries."""
@@ -44,13 +49,17 @@
 
     ``direct`` is for direct requests and ``called`` for calls that other
     targets make. ``calls`` is how many calls at the service's gates one
-    request on the route of the answer causes.
+    request on the route of the answer causes. ``accepted`` is the part of
+    calls that its targets do not refuse by themselves, with the retries allowed.
+    ``fitting`` is the share of the offered load of which they refuse little.
     """
 
     service: str
     direct: float
     called: float
     calls: float = 1
+    accepted: float = 1
+    fitting: float = 1
 
 
 class RequestKindLoad:
@@ -133,8 +142,16 @@
         """Start with shares of 1."""
         self.direct = RequestKindLoad(now)
         self.called = RequestKindLoad(now)
+        self.target_refusals = TargetRefusals()
+        self.accepted: float = 1
+        self.fitting = FittingShare(self.target_refusals)
         self.updated_at = now
 
+    @property
+    def is_target_refusing(self) -> bool:
+        """Whether the target refuses more calls than retries make up for."""
+        return min(self.accepted, self.fitting.share) < UNLIMITED_SHARE
+
     def load_of_depth(self, depth: int) -> RequestKindLoad:
         """Return the load of direct requests (depth 0) or of calls."""
         return self.called if depth else self.direct
@@ -158,6 +175,9 @@
         if elapsed_s <= 0 or limit <= 0:
             return
         self.updated_at = now
+        self.target_refusals.decay(elapsed_s)
+        self.accepted = self.target_refusals.accepted_part()
+        self.fitting.update(elapsed_s, now)
         step = min(1, elapsed_s / SHARE_RESPONSE_S)
         direct = self.direct.close_interval(queued_direct, elapsed_s, now)
         called = self.called.close_interval(queued_called, elapsed_s, now)
@@ -172,6 +192,14 @@
 
     def published_shares(self, service: str) -> AdmissibleShares | None:
         """Return the shares to publish, None if the gate can take all."""
-        if min(self.direct.share, self.called.share) >= UNLIMITED_SHARE:
-            return None
-        return AdmissibleShares(service, self.direct.share, self.called.share)
+        shares = AdmissibleShares(
+            service,
+            self.direct.share,
+            self.called.share,
+            accepted=self.accepted,
+            fitting=self.fitting.share,
+        )
+        lowest = min(
+            shares.direct, shares.called, shares.accepted, shares.fitting
+        )
+        return None if lowest >= UNLIMITED_SHARE else shares
--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -18,7 +18,11 @@
     TeamShares,
     TeamWeights,
 )
+from ebonycleat.internal.process.admission.target_refusals import (
+    share_to_finish,
+)
 from ebonycleat.internal.process.backpressure import (
+    MIN_SHARE,
     UNLIMITED_SHARE,
     AdmissibleShares,
 )
@@ -67,6 +71,8 @@
     called: float
     received_at: float
     calls_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+    accepted: float = 1
+    fitting: float = 1
 
     def add_sample(
         self,
@@ -80,8 +86,14 @@
         self.calls_by_route[route] = calls
         self.direct += (reported.direct - self.direct) * SHARE_SMOOTHING_FACTOR
         self.called += (reported.called - self.called) * SHARE_SMOOTHING_FACTOR
+        self.add_refusals(reported.accepted, reported.fitting)
         self.received_at = now
 
+    def add_refusals(self, accepted: float, fitting: float) -> None:
+        """Add what one target of the service accepts, and what share fits."""
+        self.accepted += (accepted - self.accepted) * SHARE_SMOOTHING_FACTOR
+        self.fitting += (fitting - self.fitting) * SHARE_SMOOTHING_FACTOR
+
     def current(self, service: str, now: float) -> AdmissibleShares:
         """Return the shares of ``service``, raised while unconfirmed."""
         stale_s = max(0, now - self.received_at - REPORTED_SHARE_VALID_S)
@@ -90,6 +102,8 @@
             service,
             min(1, self.direct * rise),
             min(1, self.called * rise),
+            accepted=min(1, self.accepted * rise),
+            fitting=min(1, self.fitting * rise),
         )
 
 
@@ -224,6 +238,11 @@
         requests that the target gets on the parent request's route.
         """
         route = admitted.call.route
+        service = admitted.call.service
+        if service in self.reported and all(
+            reported.service != service for reported in shares
+        ):
+            self.reported[service].add_refusals(1, 1)
         for reported in shares:
             averaged = self.reported.setdefault(
                 reported.service,
@@ -311,7 +330,7 @@
         fraction: float = 1
         for overloaded in self.overloaded_on_route(call.route, now):
             is_direct = overloaded.service == call.service
-            share = overloaded.direct if is_direct else overloaded.called
+            share = share_for(overloaded, is_direct)
             demand = self.demand.setdefault(
                 (overloaded.service, is_direct),
                 ClassDemand(now, self.weights),
@@ -352,14 +371,25 @@
         if demand is None or call.priority not in demand.teams:
             return None
         class_fraction = demand.admitted_fraction(
-            call.priority,
-            overloaded.direct if is_direct else overloaded.called,
+            call.priority, share_for(overloaded, is_direct)
         )
         return demand.teams[call.priority].describe(
             overloaded.service, call.team, class_fraction, now
         )
 
 
+def share_for(overloaded: AdmissibleShares, is_direct: bool) -> float:
+    """Return the share of the requests on a route to be admitted.
+
+    A direct request that its target refuses costs no other service anything,
+    so refusing it earlier saves nothing unless the target then refuses less.
+    """
+    if is_direct:
+        return min(overloaded.direct, overloaded.fitting)
+    to_finish = share_to_finish(overloaded.accepted, overloaded.calls)
+    return min(overloaded.called, overloaded.fitting, max(MIN_SHARE, to_finish))
+
+
 def _reported_within(
     reported_at: dict[str, float] | None,
     valid_s: float,
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -247,13 +247,29 @@
         now = self.clock()
         if self.gate.queue:
             self.decisions.add(self.gate.tick(now))
-        if self.backpressure.is_update_due(now):
-            called = sum(1 for queued in self.gate.queue if queued.call.depth)
-            self.backpressure.update(
-                len(self.gate.queue) - called,
-                called,
-                self.gate.usable_slots(now),
-                now,
+        backpressure = self.backpressure
+        if not backpressure.is_update_due(now):
+            return
+        was_refusing = backpressure.is_target_refusing
+        called = sum(1 for queued in self.gate.queue if queued.call.depth)
+        backpressure.update(
+            len(self.gate.queue) - called,
+            called,
+            self.gate.usable_slots(now),
+            now,
+        )
+        if backpressure.is_target_refusing is not was_refusing:
+            self.log.write_limited(
+                'target accepts calls again'
+                if was_refusing
+                else 'target refuses calls by itself',
+                instance=self.target.instance,
+                refused=round(backpressure.target_refusals.refused, 2),
+                answered=round(backpressure.target_refusals.answered, 2),
+                part_accepted=round(backpressure.accepted, 3),
+                share_that_fits=round(backpressure.fitting.share, 3),
+                running=len(self.gate.running),
+                limit=self.limit.allowed_calls(now),
             )
 
     def apply_decision(self, decision: GateDecision) -> None:
@@ -430,6 +446,10 @@
             self.update_target_from(report, pending_call)
         if self.crashes.own_counts and not report.has_not_run:
             self.crashes.record_answer(fingerprint_call(call))
+        if not (report.is_wrong_instance or report.is_leaving):
+            self.backpressure.target_refusals.record(
+                is_refused=report.has_not_run
+            )
         if report.has_not_run:
             self.backpressure.load_of_depth(call.depth).refused += 1
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -398,6 +398,8 @@
             'gate.limit': load.limit,
             'gate.queued_late': len(self.gate.gate.queue.late_ids),
             'gate.refused_early': self.gate.gate.early_refusals,
+            'gate.target_accepts': self.gate.backpressure.accepted,
+            'gate.fitting_share': self.gate.backpressure.fitting.share,
             'gate.connections': len(pool.connections),
             'gate.connections_opened': pool.connections_opened,
             'gate.foreign_answers': pool.unmatched_responses,
