--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -165,9 +165,11 @@
             configuration.teams,
             self.dependencies.clock(),
         )
-        self.gate.gate.set_team_weights({
+        team_rates = {
             team.name: team.rate_per_s for team in configuration.teams
-        })
+        }
+        self.gate.gate.set_team_weights(team_rates)
+        self.entry.backpressure.weights.set_rates(team_rates)
 
     def apply_settings(self, settings: MeshSettings) -> None:
         """Apply the limits of a reloaded settings file.
@@ -394,6 +396,10 @@
             'gate.queued': load.queued,
             'gate.running': load.running,
             'gate.limit': load.limit,
+            'gate.queued_late': len(self.gate.gate.queue.late_ids),
+            'gate.refused_early': self.gate.gate.early_refusals,
+            'gate.target_accepts': self.gate.backpressure.accepted,
+            'gate.fitting_share': self.gate.backpressure.fitting.share,
             'gate.connections': len(pool.connections),
             'gate.connections_opened': pool.connections_opened,
             'gate.foreign_answers': pool.unmatched_responses,
