Choose targets by expected delay, with their speed and pace

Cause: the score multiplied an average latency of all routes (15 ms and 480 ms mixed) by the occupancy, so a target that happened to get long calls looked slow. Speeds of targets differ by a factor of 2.5 and their pace changes several times a second.

Change: gates read load and pace from each response, count calls of others at the target, and report pace and the service time of the route at the usual pace. Entries keep the ratio of each target's service times to those of all on the same route. Of two drawn candidates one with a free slot is taken before one where calls wait, then the one with the lower (calls / slots) x ratio x pace x service time. Draws are weighted by speed. Reports fade between 0.5 and 1 s, and calls in flight are the lower bound. Targets without load or pace, and nodes of an older version, are compared by the latencies seen, per route.

--- a/bench/policy_hop.py
+++ b/bench/policy_hop.py
@@ -144,7 +144,9 @@
         else:
             self.ledger.refund(sent.call_id, reply.unused_retries)
             if refusal is None:
-                router.record_answer(member, reply.load, now - sent_at, now)
+                router.record_answer(
+                    member, reply.load, now - sent_at, now, sent.route
+                )
                 self.node.budget.record_success(self.call.service, now)
             elif refusal.reason is Reason.TARGET_FAILED:
                 router.record_failure(member, reached=True, now=now)
--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -35,7 +35,8 @@
     thousandths. ``calls_per_request`` lists, in the same order, how many calls
     to that service one request causes on average, in thousandths.
     ``pace_percent`` is how long work takes at the target at this moment, 100
-    as usual. ``service_ms`` is the mean time that calls spend at the target.
+    as usual. ``service_ms`` is the mean time that calls on the route of the
+    reply spend at the target, at its usual pace; 0 if it is not known.
     """
 
     queued: int
--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -54,9 +54,9 @@
 class PendingCall:
     """A call that waits at the gate or runs at the target.
 
-    ``in_flight``, ``sent_at``, ``incarnation`` of the target and
-    ``running_when_sent``, the number of calls at the target including this one,
-    are set when the call is sent. A call that ``is_cancelled`` is not sent.
+    ``in_flight``, ``sent_at``, ``incarnation`` of the target, its
+    ``pace_when_sent`` and ``running_when_sent``, the number of calls at the
+    target including this one, are set when the call is sent. A call that ``is_cancelled`` is not sent.
     """
 
     gate_call: GateCall
@@ -65,6 +65,7 @@
     sent_at: float = 0
     incarnation: Incarnation | None = None
     running_when_sent: int = 0
+    pace_when_sent: float = 1
     is_cancelled: bool = False
 
 
--- a/src/ebonycleat/internal/process/gate_decisions.py
+++ b/src/ebonycleat/internal/process/gate_decisions.py
@@ -29,11 +29,13 @@
     """Load of a gate as reported with answers and heartbeats.
 
     ``queued`` and ``running`` are counts of calls, and ``limit`` is how many
-    may run now. ``latency_s`` is the expected time in the queue and at the
-    target. ``shares`` has the overloaded services that calls to this gate
-    reach, which can include the gate's own service. ``pace`` is how long work
-    takes at the target at this moment, 1 as usual. ``service_s`` is the mean
-    time that calls spend at the target, 0 if it is not known.
+    may run now. ``running`` includes calls at the target that came from others.
+    ``latency_s`` is the expected time in the queue and at the target.
+    ``shares`` has the overloaded services that calls to this gate reach, which
+    can include the gate's own service. ``pace`` is how long work takes at the
+    target at this moment, 1 as usual. ``service_s`` is the mean time that calls
+    on the route of the answer spend at the target, without the queue and at its
+    usual pace, 0 if it is not known.
     """
 
     queued: int
--- a/src/ebonycleat/internal/process/ingress.py
+++ b/src/ebonycleat/internal/process/ingress.py
@@ -130,7 +130,7 @@
         if request is None or request.attempt is None:
             return []
         attempt = request.attempt
-        self.update_router(attempt, call_result, load, now)
+        self.update_router(request, attempt, call_result, load, now)
         request.end_attempt(call_result.retries_unused)
         if isinstance(call_result, Answer):
             service = request.call.service
@@ -342,6 +342,7 @@
 
     def update_router(
         self,
+        request: OpenRequest,
         attempt: Attempt,
         call_result: CallResult,
         load: GateLoad,
@@ -351,7 +352,9 @@
         member: Member = attempt.member
         if isinstance(call_result, Answer):
             latency_s = now - attempt.sent_at
-            self.router.record_answer(member, load, latency_s, now)
+            self.router.record_answer(
+                member, load, latency_s, now, request.call.route
+            )
         elif call_result.refusal.reason in TARGET_FAILURE_REASONS:
             self.router.record_failure(member, True, now)
         else:
--- a/src/ebonycleat/internal/process/load_codec.py
+++ b/src/ebonycleat/internal/process/load_codec.py
@@ -5,6 +5,7 @@
 from ebonycleat.internal.connection.mesh_messages import LoadReport
 from ebonycleat.internal.process.backpressure import AdmissibleShares
 from ebonycleat.internal.process.gate_decisions import GateLoad
+from ebonycleat.internal.process.placement.target_pace import check_pace
 
 MILLISECONDS_PER_S = 1000
 SHARE_SCALE = 1000
@@ -31,8 +32,8 @@
         tuple(
             int(overloaded.calls * SHARE_SCALE) for overloaded in load.shares
         ),
-        int(load.pace * PACE_SCALE),
-        int(load.service_s * MILLISECONDS_PER_S),
+        round(load.pace * PACE_SCALE),
+        round(load.service_s * MILLISECONDS_PER_S),
     )
 
 
@@ -59,6 +60,6 @@
                 strict=False,
             )
         ),
-        report.pace_percent / PACE_SCALE,
-        report.service_ms / MILLISECONDS_PER_S,
+        check_pace(report.pace_percent / PACE_SCALE),
+        max(0, report.service_ms) / MILLISECONDS_PER_S,
     )
--- a/src/ebonycleat/internal/process/load_reporter.py
+++ b/src/ebonycleat/internal/process/load_reporter.py
@@ -18,6 +18,9 @@
 from ebonycleat.internal.process.gate_decisions import GateLoad
 from ebonycleat.internal.process.load_codec import encode_load
 from ebonycleat.internal.process.local_target import LocalTarget
+from ebonycleat.internal.process.placement.target_load import (
+    TargetLoadTracker,
+)
 
 SharesSource: TypeAlias = Callable[[str], Iterable[AdmissibleShares]]
 
@@ -38,17 +41,20 @@
         self,
         gate: Gate,
         target: LocalTarget,
+        target_load: TargetLoadTracker,
         backpressure: GateBackpressure,
         clock: Callable[[], float],
     ) -> None:
         """Report on ``gate`` and ``target``; ``clock`` is in seconds.
 
+        ``target_load`` is what the target reports about itself.
         ``backpressure`` has the gate's own shares. ``overloaded_behind_target``
         is set later to a function of the entry, which observes the calls of
         the target.
         """
         self.gate = gate
         self.target = target
+        self.target_load = target_load
         self.backpressure = backpressure
         self.clock = clock
         self.overloaded_behind_target: SharesSource = no_overloaded_services
@@ -85,10 +91,17 @@
         self.reports = {}
 
     def measure(self, route: str, now: float) -> GateLoad:
-        """Measure the present load, and add the overloaded services."""
+        """Measure the present load, and add the overloaded services.
+
+        Calls at the target that this gate has not sent count as running.
+        """
         load = self.gate.current_load(now)
+        target_load = self.target_load
         return msgspec.structs.replace(
             load,
+            running=load.running + target_load.other_calls_at(now),
+            pace=target_load.pace_at(now),
+            service_s=target_load.service_s(route),
             draining=load.draining or self.target.is_leaving,
             shares=self.overloaded_services(route),
         )
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -53,6 +53,9 @@
 )
 from ebonycleat.internal.process.load_reporter import LoadReporter
 from ebonycleat.internal.process.local_target import LocalTarget
+from ebonycleat.internal.process.placement.target_load import (
+    TargetLoadTracker,
+)
 from ebonycleat.internal.process.route_call_counts import RouteCallCounts
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import (
@@ -132,8 +135,9 @@
         self.call_counts = RouteCallCounts()
         self.crashes = CrashCounts()
         self.on_record_changed: Callable[[], None] = do_nothing
+        self.target_load = TargetLoadTracker()
         self.load_reporter = LoadReporter(
-            gate, channel.target, self.backpressure, clock
+            gate, channel.target, self.target_load, self.backpressure, clock
         )
 
     @property
@@ -158,6 +162,7 @@
         if self.target.incarnation != before:
             self.limit.reset_backoff()
             self.gate.signals.start_rate.reset()
+            self.target_load.reset()
             if was_usable:
                 # The earlier instance ended without deregistering.
                 self.record_target_crash()
@@ -282,6 +287,7 @@
         pending_call.sent_at = now
         pending_call.incarnation = self.target.incarnation
         pending_call.running_when_sent = len(self.gate.running)
+        pending_call.pace_when_sent = self.target_load.pace_at(now)
         self.call_counts.record_run(call.route, now)
         self.running_by_request_id[pending_call.gate_call.request_id] = (
             pending_call.gate_call
@@ -412,7 +418,8 @@
             self.resolve(call.call_id, RefusedCall(call.call_id, refusal))
             return
         report = self.channel.protocol.parse_response(result)
-        if pending_call.incarnation == self.target.incarnation:
+        is_current = pending_call.incarnation == self.target.incarnation
+        if is_current:
             self.crashes.record_sign_of_life(self.clock())
             self.update_target_from(report, pending_call)
         if self.crashes.own_counts and not report.has_not_run:
@@ -426,6 +433,10 @@
             return
         is_success = report.response.status < 500
         run_result = RunResult.SUCCEEDED if is_success else RunResult.FAILED
+        if is_success and is_current:
+            self.target_load.record_run(
+                call.route, service_s, pending_call.pace_when_sent, self.clock()
+            )
         self.end_run(call, RunOutcome(run_result, service_s))
         response = report.response
         self.resolve(
@@ -444,6 +455,9 @@
             self.target.record_other_instance()
             self.apply_target_state()
             return
+        self.target_load.record_report(
+            report.load, len(self.gate.running), self.clock()
+        )
         if report.is_leaving and self.target.record_leaving():
             self.log.write_always(
                 'target says in an answer that it leaves',
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -394,6 +394,7 @@
             'gate.queued': load.queued,
             'gate.running': load.running,
             'gate.limit': load.limit,
+            **self.target_gauges(),
             'gate.connections': len(pool.connections),
             'gate.connections_opened': pool.connections_opened,
             'gate.foreign_answers': pool.unmatched_responses,
@@ -420,6 +421,18 @@
             'callers.unread_requests': self.listener.unread_requests,
         })
 
+    def target_gauges(self) -> dict[str, float]:
+        """Return what is known of the speed of targets."""
+        now = self.dependencies.clock()
+        target_load = self.gate.target_load
+        ratios = self.entry.components.router.uneven_ratios(now)
+        return {
+            'target.pace': target_load.pace_at(now),
+            'target.service_s': target_load.service_s(''),
+            'target.other_calls': target_load.other_calls_at(now),
+            **{f'entry.ratio.{node}': ratio for node, ratio in ratios.items()},
+        }
+
     def has_unfinished_work(self) -> bool:
         """Tell whether a request is open or an answer is not yet sent."""
         if self.count_open_requests():
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -17,6 +17,9 @@
     shedding_position_of,
 )
 from ebonycleat.internal.process.gate_decisions import GateLoad
+from ebonycleat.internal.process.placement.target_draw import draw_two
+from ebonycleat.internal.process.placement.target_speed import SpeedTable
+from ebonycleat.internal.process.target_stats import INITIAL_LATENCY_S
 from ebonycleat.internal.process.target_stats_table import (
     Member,
     TargetStatsTable,
@@ -34,6 +37,11 @@
 one from other zones."""
 
 OTHER_ZONE_PENALTY = 1.1
+UNEVEN_RATIO = 1.25
+MAX_UNEVEN_TARGETS = 16
+"""Targets whose ratio differs from 1 by this factor are listed on the metrics
+page, the most different ones and at most so many."""
+
 LEVEL_MARGIN = 128
 """A call whose position is this close below a level may be refused after the
 level's next change."""
@@ -80,6 +88,7 @@
         self.local_node = local_node
         self.rng = rng
         self.target_stats = TargetStatsTable()
+        self.speeds = SpeedTable()
         self.reported_levels = ReportedLevels()
 
     def choose(self, request: PlacementRequest, now: float) -> PlacementChoice:
@@ -147,8 +156,26 @@
 
         Always choosing the best of all would send all callers to it at once.
         """
-        drawn = self.rng.sample(members, min(2, len(members)))
-        return min(drawn, key=lambda member: self.score(member, now))
+        if len(members) < 2:
+            return members[0]
+        fastest = self.speeds.fastest_ratio(members[0].service)
+        first, second = draw_two(
+            members,
+            lambda member: self.draw_weight(member, fastest, now),
+            self.rng,
+        )
+        if self.rank(second, now) < self.rank(first, now):
+            return second
+        return first
+
+    def draw_weight(self, member: Member, fastest: float, now: float) -> float:
+        """Return how likely a drawn member is kept, from 0 to 1.
+
+        A target of twice the speed serves twice the calls, so it has to be
+        drawn twice as often.
+        """
+        stats = self.target_stats.stats_of(member.node)
+        return fastest / stats.speed.ratio_at(now)
 
     def choose_by_level(
         self,
@@ -184,8 +211,34 @@
         )
 
     def score(self, member: Member, now: float) -> float:
-        """Return the expected time at the target; lower is better."""
-        return self.target_stats.stats_of(member.node).score(member.load, now)
+        """Return the expected seconds at the target; lower is better."""
+        return self.target_stats.stats_of(member.node).score(
+            member.load, self.usual_s(member), now
+        )
+
+    def rank(self, member: Member, now: float) -> tuple[bool, float]:
+        """Return whether a call has to wait at the target, and its score."""
+        return self.target_stats.stats_of(member.node).rank(
+            member.load, self.usual_s(member), now
+        )
+
+    def usual_s(self, member: Member) -> float:
+        """Return the mean seconds of a call to the member's service."""
+        return self.speeds.mean_s(member.service, INITIAL_LATENCY_S)
+
+    def uneven_ratios(self, now: float) -> dict[str, float]:
+        """Return the ratios of targets that are faster or slower than usual."""
+        ratios = {
+            node: stats.speed.ratio_at(now)
+            for node, stats in self.target_stats.by_node.items()
+        }
+        uneven = [
+            (max(ratio, 1 / ratio), node)
+            for node, ratio in ratios.items()
+            if not 1 / UNEVEN_RATIO < ratio < UNEVEN_RATIO
+        ]
+        uneven.sort(reverse=True)
+        return {node: ratios[node] for _, node in uneven[:MAX_UNEVEN_TARGETS]}
 
     def record_sent(self, member: Member, now: float) -> None:
         """Record that an attempt was sent to a member."""
@@ -197,9 +250,19 @@
         load: GateLoad,
         latency_s: float,
         now: float,
+        route: str = '',
     ) -> None:
         """Record a complete answer, its latency and the load sent with it."""
-        self.target_stats.stats_of(member.node).record_success(latency_s)
+        stats = self.target_stats.stats_of(member.node)
+        stats.record_success(latency_s)
+        self.speeds.record_answer(
+            stats.speed,
+            member.service,
+            route,
+            load.service_s,
+            latency_s,
+            now,
+        )
         self.record_refusal(member, load, now)
 
     def record_refusal(
--- a/src/ebonycleat/internal/process/target_stats.py
+++ b/src/ebonycleat/internal/process/target_stats.py
@@ -3,6 +3,17 @@
 import dataclasses
 
 from ebonycleat.internal.process.gate_decisions import GateLoad
+from ebonycleat.internal.process.placement.expected_delay import (
+    FULL_OCCUPANCY,
+    REPORTED_LOAD_VALID_S,
+    count_calls,
+    expected_delay_s,
+)
+from ebonycleat.internal.process.placement.target_pace import (
+    USUAL_PACE,
+    decay_pace,
+)
+from ebonycleat.internal.process.placement.target_speed import TargetSpeed
 
 FAILURES_TO_EJECT = 3
 """Consecutive failures after which a target is ejected. Fewer would eject
@@ -11,7 +22,6 @@
 INITIAL_EJECTION_S = 5
 MAX_EJECTION_S = 60
 EJECTION_RESET_S = 60
-REPORTED_LOAD_VALID_S = 1
 DRAINING_VALID_S = 5
 """A target that reported that it is draining is avoided this long. A restarted
 one is used again at most this long after its last report."""
@@ -21,7 +31,6 @@
 
 INITIAL_LATENCY_S = 0.01
 LATENCY_SMOOTHING_FACTOR = 0.125
-IDLE_OCCUPANCY = 0.1
 OVERDUE_GAP_FACTOR = 4
 """Answers are overdue after this many mean gaps between answers. Few gaps
 between independent answers are longer than that."""
@@ -96,6 +105,7 @@
         self.latency_s: float = INITIAL_LATENCY_S
         self.unavailable_until: float = 0
         self.waiting_since: float = 0
+        self.speed = TargetSpeed()
         self.ejection = Ejection(INITIAL_EJECTION_S, MAX_EJECTION_S)
 
     def record_sent(self, now: float) -> None:
@@ -171,23 +181,56 @@
         """Return the calls at the target relative to its limit.
 
         The load that came with a recent answer counts first, then the one
-        that the member announced; without either, the result is 0.
+        that the member announced; without either, the result is 0. A report
+        loses weight with its age, down to the calls of this node.
         """
         reported = self.reported
-        if reported and now - reported.received_at <= REPORTED_LOAD_VALID_S:
-            load = reported.load
-            calls = load.queued + load.running + reported.sent_since
-            return calls / max(1, load.limit)
+        if reported:
+            age_s = now - reported.received_at
+            if age_s <= REPORTED_LOAD_VALID_S:
+                load = reported.load
+                calls = count_calls(
+                    load.queued + load.running,
+                    age_s,
+                    reported.sent_since,
+                    self.in_flight,
+                )
+                return calls / max(1, load.limit)
         if announced:
-            calls = max(announced.queued + announced.running, self.in_flight)
+            in_flight = self.in_flight
+            calls = max(announced.queued + announced.running, in_flight)
             return calls / max(1, announced.limit)
         return 0
 
-    def score(self, announced: GateLoad | None, now: float) -> float:
-        """Return the expected time at the target; lower is better.
+    def pace(self, announced: GateLoad | None, now: float) -> float:
+        """Return the pace to assume at the target now; 1 is usual."""
+        reported = self.reported
+        if reported:
+            return decay_pace(reported.load.pace, now - reported.received_at)
+        return announced.pace if announced else USUAL_PACE
+
+    def score(
+        self, announced: GateLoad | None, usual_s: float, now: float
+    ) -> float:
+        """Return the expected seconds of a call there; lower is better.
 
-        A target without a recent report counts as idle, so that it is tried
+        ``usual_s`` is the mean time of a call at the targets of the service. A
+        target without a recent report counts as idle, so that it is tried
         again.
         """
-        occupancy = IDLE_OCCUPANCY + self.occupancy(announced, now)
-        return self.latency_s * occupancy
+        return self.rank(announced, usual_s, now)[1]
+
+    def rank(
+        self, announced: GateLoad | None, usual_s: float, now: float
+    ) -> tuple[bool, float]:
+        """Return whether a call has to wait there, and the score.
+
+        The lower rank is better: a free slot anywhere beats waiting, also for
+        a fast target.
+        """
+        occupancy = self.occupancy(announced, now)
+        ratio = self.speed.ratio_at(now) * self.pace(announced, now)
+        return (
+            occupancy >= FULL_OCCUPANCY,
+            expected_delay_s(occupancy, usual_s * ratio),
+        )
--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -231,7 +231,9 @@
             self.router.record_failure(member, False, now)
         elif isinstance(attempt_result.result, Answer):
             latency_s = now - attempt.started_at
-            self.router.record_answer(member, load, latency_s, now)
+            self.router.record_answer(
+                member, load, latency_s, now, self.admitted.call.route
+            )
         elif attempt_result.result.refusal.outcome is Outcome.NOT_RUN:
             self.router.record_refusal(member, load, now)
         else:
