Move a queued call once if another target can start it in time

Cause: figures about targets are some milliseconds old, and a target's pace changes while calls wait. A call then misses its objective in one queue while another target could start it.

Change: the first offer of a request has one move if another target is expected to start it in time. The gate hands the call back, on arrival or from the queue, if it would start too late for the objective, or for the deadline where the objective is lost. The reason `elsewhere` is not run, no overload refusal, no failure and no retry. The next offer has no move. If no other target is left, the call goes back to the first gate.

--- a/src/ebonycleat/internal/process/fair_queue.py
+++ b/src/ebonycleat/internal/process/fair_queue.py
@@ -171,6 +171,10 @@
         """Iterate over a copy of the waiting calls, the oldest first."""
         return iter(tuple(self.by_id.values()))
 
+    def count_by_rank(self) -> list[int]:
+        """Return how many calls wait in each rank, the first one first."""
+        return [ranked.count for ranked in self.rank_queues]
+
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Set the teams' shares by weights such as their configured rates.
 
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -26,6 +26,11 @@
 )
 from ebonycleat.internal.process.gate_refusals import RefusalFactory
 from ebonycleat.internal.process.gate_signals import GateSignals
+from ebonycleat.internal.process.placement.move_decision import (
+    MOVE_CHECK_INTERVAL_S,
+    find_late_calls,
+    starts_too_late,
+)
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.request.refusal import Reason
@@ -57,6 +62,8 @@
         )
         self.running: dict[str, Call] = {}
         self.draining = False
+        self.next_move_check_at: float = 0
+        self.handed_back = 0
 
     @property
     def admission_level(self) -> int:
@@ -79,7 +86,11 @@
             return [self.start_immediately(call, now)]
         self.update_signals(now)
         entry = self.signals.create_queued_call(call, now)
-        decisions = self.refuse_on_arrival(entry, now) or self.enqueue(entry)
+        decisions = (
+            self.refuse_on_arrival(entry, now)
+            or self.hand_back_on_arrival(entry, now)
+            or self.enqueue(entry)
+        )
         return decisions + self.start_queued_calls(now)
 
     def finish_run(
@@ -146,7 +157,7 @@
             self.signals.record_empty_queue()
             return []
         self.update_signals(now)
-        return self.start_queued_calls(now)
+        return self.start_queued_calls(now) + self.hand_back_queued(now)
 
     def current_load(self, now: float) -> GateLoad:
         """Return the load to report with answers and heartbeats."""
@@ -227,6 +238,49 @@
             ]
         return []
 
+    def hand_back_on_arrival(
+        self, entry: QueuedCall, now: float
+    ) -> list[GateDecision]:
+        """Hand back a call that would start too late; return [] if it stays.
+
+        Without a move left a call stays.
+        """
+        call = entry.call
+        if not call.moves_left:
+            return []
+        allowed = self.limit.allowed_calls(now)
+        ahead = sum(self.queue.count_by_rank()[: entry.rank + 1])
+        interval_s = self.signals.start_interval_s(allowed)
+        if not starts_too_late(entry, ahead, interval_s, now):
+            return []
+        self.handed_back += 1
+        return [
+            self.refusal_factory.refuse(
+                call,
+                Reason.ELSEWHERE,
+                f'{ahead} calls are ahead; another target may start it sooner',
+            ),
+        ]
+
+    def hand_back_queued(self, now: float) -> list[GateDecision]:
+        """Hand back the queued calls that start too late and may be moved."""
+        if now < self.next_move_check_at or not self.queue.by_id:
+            return []
+        self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
+        allowed = self.limit.allowed_calls(now)
+        late = find_late_calls(
+            self.queue,
+            self.queue.count_by_rank(),
+            self.signals.start_interval_s(allowed),
+            now,
+        )
+        self.handed_back += len(late)
+        return self.refuse_queued(
+            late,
+            Reason.ELSEWHERE,
+            'other calls took its place in the queue, or the target became slow',
+        )
+
     def enqueue(self, entry: QueuedCall) -> list[GateDecision]:
         """Queue a call; when the queue is full, refuse one call instead.
 
--- a/src/ebonycleat/internal/process/load_reporter.py
+++ b/src/ebonycleat/internal/process/load_reporter.py
@@ -41,20 +41,18 @@
         self,
         gate: Gate,
         target: LocalTarget,
-        target_load: TargetLoadTracker,
         backpressure: GateBackpressure,
         clock: Callable[[], float],
     ) -> None:
         """Report on ``gate`` and ``target``; ``clock`` is in seconds.
 
-        ``target_load`` is what the target reports about itself.
         ``backpressure`` has the gate's own shares. ``overloaded_behind_target``
         is set later to a function of the entry, which observes the calls of
         the target.
         """
         self.gate = gate
         self.target = target
-        self.target_load = target_load
+        self.target_load = TargetLoadTracker()
         self.backpressure = backpressure
         self.clock = clock
         self.overloaded_behind_target: SharesSource = no_overloaded_services
--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -14,6 +14,9 @@
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
 )
+from ebonycleat.internal.process.placement.move_decision import (
+    MOVES_PER_REQUEST,
+)
 from ebonycleat.internal.request.call import LOWEST_PRIORITY, Call, Priority
 from ebonycleat.internal.request.refusal import (
     Reason,
@@ -197,6 +200,7 @@
             depth=depth,
             objective=now
             + min(route.latency_objective_s or timeout_s, timeout_s),
+            moves_left=MOVES_PER_REQUEST,
         )
         return AdmittedRequest(
             call,
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -299,6 +299,10 @@
         self.stop_admission.slowest_runs.record(call.route, latency_s, now)
         if isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN:
             components.tokens.return_token(call.team, latency_s)
+        if run.moved_from:
+            is_answered = isinstance(result, Answer)
+            outcome = 'answered' if is_answered else 'refused'
+            components.metrics.count('moved', outcome)
         if isinstance(result, Answer):
             components.metrics.count_answer(call, result.status, latency_s)
             exchange.respond(
@@ -315,6 +319,7 @@
             outcome=result.outcome.value,
             detail=result.detail,
             nodes_tried=sorted(run.tried_nodes),
+            moved_from=run.moved_from,
             latency_ms=round(latency_s * 1000),
             version=components.admission.holder.version,
         )
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -53,9 +53,7 @@
 )
 from ebonycleat.internal.process.load_reporter import LoadReporter
 from ebonycleat.internal.process.local_target import LocalTarget
-from ebonycleat.internal.process.placement.target_load import (
-    TargetLoadTracker,
-)
+from ebonycleat.internal.process.placement.move_log import log_handed_back
 from ebonycleat.internal.process.route_call_counts import RouteCallCounts
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import (
@@ -135,9 +133,8 @@
         self.call_counts = RouteCallCounts()
         self.crashes = CrashCounts()
         self.on_record_changed: Callable[[], None] = do_nothing
-        self.target_load = TargetLoadTracker()
         self.load_reporter = LoadReporter(
-            gate, channel.target, self.target_load, self.backpressure, clock
+            gate, channel.target, self.backpressure, clock
         )
 
     @property
@@ -162,7 +159,7 @@
         if self.target.incarnation != before:
             self.limit.reset_backoff()
             self.gate.signals.start_rate.reset()
-            self.target_load.reset()
+            self.load_reporter.target_load.reset()
             if was_usable:
                 # The earlier instance ended without deregistering.
                 self.record_target_crash()
@@ -271,9 +268,15 @@
         self.resolve(call_id, RefusedCall(call_id, decision.refusal))
 
     def record_refusal(self, call: Call, refusal: Refusal) -> None:
-        """Count a refusal that was made for lack of capacity."""
+        """Count a refusal that was made for lack of capacity.
+
+        A call that is handed back runs at another target or comes back, so it
+        is no such refusal.
+        """
         if refusal.reason in OVERLOAD_REASONS:
             self.backpressure.load_of_depth(call.depth).refused += 1
+        elif refusal.reason is Reason.ELSEWHERE:
+            log_handed_back(self.log, self.gate, call, refusal, self.clock())
 
     def dispatch(self, call: Call) -> None:
         """Send a call to the target, or refuse it if that is not allowed."""
@@ -287,7 +290,9 @@
         pending_call.sent_at = now
         pending_call.incarnation = self.target.incarnation
         pending_call.running_when_sent = len(self.gate.running)
-        pending_call.pace_when_sent = self.target_load.pace_at(now)
+        pending_call.pace_when_sent = self.load_reporter.target_load.pace_at(
+            now
+        )
         self.call_counts.record_run(call.route, now)
         self.running_by_request_id[pending_call.gate_call.request_id] = (
             pending_call.gate_call
@@ -434,7 +439,7 @@
         is_success = report.response.status < 500
         run_result = RunResult.SUCCEEDED if is_success else RunResult.FAILED
         if is_success and is_current:
-            self.target_load.record_run(
+            self.load_reporter.target_load.record_run(
                 call.route, service_s, pending_call.pace_when_sent, self.clock()
             )
         self.end_run(call, RunOutcome(run_result, service_s))
@@ -455,7 +460,7 @@
             self.target.record_other_instance()
             self.apply_target_state()
             return
-        self.target_load.record_report(
+        self.load_reporter.target_load.record_report(
             report.load, len(self.gate.running), self.clock()
         )
         if report.is_leaving and self.target.record_leaving():
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -394,6 +394,7 @@
             'gate.queued': load.queued,
             'gate.running': load.running,
             'gate.limit': load.limit,
+            'gate.handed_back': self.gate.gate.handed_back,
             **self.target_gauges(),
             'gate.connections': len(pool.connections),
             'gate.connections_opened': pool.connections_opened,
@@ -424,7 +425,7 @@
     def target_gauges(self) -> dict[str, float]:
         """Return what is known of the speed of targets."""
         now = self.dependencies.clock()
-        target_load = self.gate.target_load
+        target_load = self.gate.load_reporter.target_load
         ratios = self.entry.components.router.uneven_ratios(now)
         return {
             'target.pace': target_load.pace_at(now),
--- a/src/ebonycleat/internal/process/placement/expected_delay.py
+++ b/src/ebonycleat/internal/process/placement/expected_delay.py
@@ -37,3 +37,12 @@
     ahead and this one have run.
     """
     return (IDLE_OCCUPANCY + occupancy) * relative_s
+
+
+def expected_wait_s(occupancy: float, relative_s: float) -> float:
+    """Return the expected seconds until a call starts at a target.
+
+    The time until the next slot of a full target is free is left out; it is
+    shorter than the age of most reports.
+    """
+    return max(0, occupancy - FULL_OCCUPANCY) * relative_s
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -17,11 +17,19 @@
     shedding_position_of,
 )
 from ebonycleat.internal.process.gate_decisions import GateLoad
+from ebonycleat.internal.process.placement.expected_delay import (
+    expected_wait_s,
+)
+from ebonycleat.internal.process.placement.move_decision import (
+    is_too_late,
+    objective_margin_s,
+)
 from ebonycleat.internal.process.placement.target_draw import draw_two
 from ebonycleat.internal.process.placement.target_speed import SpeedTable
 from ebonycleat.internal.process.target_stats import INITIAL_LATENCY_S
 from ebonycleat.internal.process.target_stats_table import (
     Member,
+    MemberState,
     TargetStatsTable,
 )
 from ebonycleat.internal.request.call import Call, Priority
@@ -42,6 +50,10 @@
 """Targets whose ratio differs from 1 by this factor are listed on the metrics
 page, the most different ones and at most so many."""
 
+ALTERNATIVES_CHECKED = 2
+"""How many other targets are looked at before a call is allowed to move. If
+neither can start it in time, the service is probably full."""
+
 LEVEL_MARGIN = 128
 """A call whose position is this close below a level may be refused after the
 level's next change."""
@@ -226,6 +238,45 @@
         """Return the mean seconds of a call to the member's service."""
         return self.speeds.mean_s(member.service, INITIAL_LATENCY_S)
 
+    def may_start_elsewhere(
+        self, request: PlacementRequest, chosen: Member, now: float
+    ) -> bool:
+        """Tell whether another target is expected to start a call in time.
+
+        Only a few of the others are checked, so that the time does not grow
+        with the fleet.
+        """
+        members = request.members
+        count = len(members)
+        if count < 2:
+            return False
+        first = int(self.rng.random() * count)
+        for step in range(min(count, ALTERNATIVES_CHECKED + 1)):
+            member = members[(first + step) % count]
+            if member.node != chosen.node and self.starts_in_time(
+                member, request.call, now
+            ):
+                return True
+        return False
+
+    def starts_in_time(self, member: Member, call: Call, now: float) -> bool:
+        """Tell whether a usable member is expected to start a call in time."""
+        stats = self.target_stats.stats_of(member.node)
+        if member.state is not MemberState.UP or not stats.has_no_faults(now):
+            return False
+        if stats.is_answer_overdue(now):
+            return False
+        relative_s = self.usual_s(member) * stats.relative_time(
+            member.load, now
+        )
+        occupancy = stats.occupancy(member.load, now)
+        return not is_too_late(
+            now + expected_wait_s(occupancy, relative_s),
+            call.deadline - relative_s,
+            objective_margin_s(call),
+            now,
+        )
+
     def uneven_ratios(self, now: float) -> dict[str, float]:
         """Return the ratios of targets that are faster or slower than usual."""
         ratios = {
--- a/src/ebonycleat/internal/process/target_stats.py
+++ b/src/ebonycleat/internal/process/target_stats.py
@@ -209,6 +209,10 @@
             return decay_pace(reported.load.pace, now - reported.received_at)
         return announced.pace if announced else USUAL_PACE
 
+    def relative_time(self, announced: GateLoad | None, now: float) -> float:
+        """Return how long calls take there now; 1 is usual for the service."""
+        return self.speed.ratio_at(now) * self.pace(announced, now)
+
     def score(
         self, announced: GateLoad | None, usual_s: float, now: float
     ) -> float:
@@ -229,8 +233,8 @@
         a fast target.
         """
         occupancy = self.occupancy(announced, now)
-        ratio = self.speed.ratio_at(now) * self.pace(announced, now)
+        relative_s = usual_s * self.relative_time(announced, now)
         return (
             occupancy >= FULL_OCCUPANCY,
-            expected_delay_s(occupancy, usual_s * ratio),
+            expected_delay_s(occupancy, relative_s),
         )
--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -4,6 +4,10 @@
 another gate without counting as a retry. A request that may have been sent to
 a target is retried only on idempotent routes, within the attempts of the route
 and the retry budget of the fleet.
+
+The first gate may hand a request back for another target instead of letting it
+wait. That happens once; if no other target is left, the request goes back to
+that gate and waits there.
 """
 
 import abc
@@ -101,10 +105,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """An attempt at one gate; ``cancel`` is set once it has started."""
+    """An attempt at one gate; ``cancel`` is set once it has started.
+
+    ``has_move`` is true if the gate may hand the request back.
+    """
 
     member: Member
     started_at: float
+    has_move: bool = False
     cancel: Callable[[], None] | None = None
     is_over: bool = False
 
@@ -114,7 +122,9 @@
 
     ``target_attempts`` counts the attempts that may have reached a target,
     ``overload_refusals`` those that were refused for overload. ``refusal`` is
-    the refusal that the caller would get now.
+    the refusal that the caller would get now. ``moved_from`` is the node whose
+    gate handed the request back, and ``waiting_place`` the same member until
+    the request is offered to it again.
     """
 
     def __init__(
@@ -145,6 +155,8 @@
         self.overload_refusals = 0
         self.target_attempts = 0
         self.refusal: Refusal | None = None
+        self.moved_from = ''
+        self.waiting_place: Member | None = None
 
     def start(self) -> None:
         """Make the first attempt, and start the timer of the deadline."""
@@ -176,20 +188,40 @@
         """Offer the request to the best gate that was not tried yet."""
         now = self.clock()
         call = self.admitted.call
-        chosen = self.router.choose(
-            PlacementRequest(
-                call,
-                self.gate_client.members_of(call.service),
-                avoid_nodes=frozenset(self.tried_nodes),
-            ),
-            now,
+        placement = PlacementRequest(
+            call,
+            self.gate_client.members_of(call.service),
+            avoid_nodes=frozenset(self.tried_nodes),
         )
+        chosen = self.router.choose(placement, now)
         if isinstance(chosen, Refusal):
-            self.finish(self.refusal or chosen)
-            return
+            if self.waiting_place is None:
+                self.finish(self.refusal or chosen)
+                return
+            chosen = self.waiting_place
+            self.waiting_place = None
+        if call.moves_left and not self.may_move(placement, chosen, now):
+            self.admitted = without_moves(self.admitted)
         self.tried_nodes.add(chosen.node)
         self.router.record_sent(chosen, now)
-        attempt = Attempt(chosen, now)
+        self.offer(chosen, now)
+
+    def may_move(
+        self, placement: PlacementRequest, chosen: Member, now: float
+    ) -> bool:
+        """Tell whether the gate of this offer may hand the request back.
+
+        Only the first offer has a move, and only if another target is expected
+        to start the request in time.
+        """
+        if self.tried_nodes:
+            return False
+        return self.router.may_start_elsewhere(placement, chosen, now)
+
+    def offer(self, chosen: Member, now: float) -> None:
+        """Offer the request to the gate of the chosen member."""
+        has_move = bool(self.admitted.call.moves_left)
+        attempt = Attempt(chosen, now, has_move)
         self.attempt = attempt
         attempt.cancel = self.gate_client.start_attempt(
             chosen,
@@ -216,6 +248,9 @@
             )
             self.finish(result)
         else:
+            if is_handed_back(attempt, result.refusal):
+                self.moved_from = attempt.member.node
+                self.waiting_place = attempt.member
             self.handle_refusal(result)
 
     def update_router(
@@ -269,7 +304,9 @@
         time_left_s = self.admitted.answer_deadline - self.clock()
         if time_left_s < MIN_RETRY_TIME_S or refusal.reason in FINAL_REASONS:
             return False
-        if len(self.tried_nodes) >= MAX_GATE_ATTEMPTS:
+        # A move costs no attempt: the gate would have kept the request.
+        max_nodes = MAX_GATE_ATTEMPTS + bool(self.moved_from)
+        if len(self.tried_nodes) >= max_nodes:
             return False
         if self.overload_refusals >= MAX_OVERLOAD_REFUSALS:
             return False
@@ -311,3 +348,17 @@
         """Report the final answer or refusal."""
         self.stop_timer()
         self.on_end(self, result)
+
+
+def is_handed_back(attempt: Attempt, refusal: Refusal) -> bool:
+    """Tell whether a gate has used the move that its offer had."""
+    if not attempt.has_move or refusal.reason is not Reason.ELSEWHERE:
+        return False
+    return refusal.outcome is Outcome.NOT_RUN
+
+
+def without_moves(admitted: AdmittedRequest) -> AdmittedRequest:
+    """Return a request that its next gate keeps."""
+    return msgspec.structs.replace(
+        admitted, call=msgspec.structs.replace(admitted.call, moves_left=0)
+    )
--- a/tests/cover/test_target_load.py
+++ b/tests/cover/test_target_load.py
@@ -180,11 +180,13 @@
     """
     clock = ManualClock()
     gate = create_mesh_gate(clock, slots=4)
-    gate.target_load.record_report(TargetLoad(0, 0, 4, 2.0), 0, clock())
+    gate.load_reporter.target_load.record_report(
+        TargetLoad(0, 0, 4, 2.0), 0, clock()
+    )
     for number in range(2):
         gate.offer(create_gate_call(clock, number), lambda result: None)
     clock.now += 0.2
-    gate.target_load.reported_at = clock()
+    gate.load_reporter.target_load.reported_at = clock()
     gate.pool.sends[0].answer(headers=(('x-upstream-load', '3,1,4,200'),))
     load = decode_load(gate.load_reporter.report_for_route('fetch'))
     assert (load.running, load.pace, load.service_s) == (3, 2, 0.1)
