--- a/src/ebonycleat/internal/process/fair_queue.py
+++ b/src/ebonycleat/internal/process/fair_queue.py
@@ -232,6 +232,10 @@
         """Iterate over a copy of the waiting calls, the oldest first."""
         return iter(tuple(self.by_id.values()))
 
+    def count_by_position(self) -> list[int]:
+        """Return how many calls wait at each position of ``start_order``."""
+        return [queue.count for queue in self.start_order]
+
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Set the teams' shares by weights such as their configured rates.
 
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -26,6 +26,11 @@
 )
 from ebonycleat.internal.process.gate_refusals import RefusalFactory
 from ebonycleat.internal.process.gate_signals import GateSignals
+from ebonycleat.internal.process.placement.move_decision import (
+    MOVE_CHECK_INTERVAL_S,
+    find_late_calls,
+    starts_too_late,
+)
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.request.refusal import Reason
@@ -58,6 +63,8 @@
         self.running: dict[str, Call] = {}
         self.draining = False
         self.early_refusals = 0
+        self.next_move_check_at: float = 0
+        self.handed_back = 0
 
     @property
     def admission_level(self) -> int:
@@ -80,8 +87,11 @@
             return [self.start_immediately(call, now)]
         self.update_signals(now)
         entry = self.signals.create_queued_call(call, now)
-        decisions = self.refuse_on_arrival(entry, now) or self.enqueue(
-            entry, now
+        decisions = (
+            self.refuse_on_arrival(entry, now)
+            or self.hand_back_on_arrival(entry, now)
+            or self.refuse_long_wait(entry, now)
+            or self.enqueue(entry, now)
         )
         return decisions + self.start_queued_calls(now)
 
@@ -149,7 +159,7 @@
             self.signals.record_empty_queue()
             return []
         self.update_signals(now)
-        return self.start_queued_calls(now)
+        return self.start_queued_calls(now) + self.hand_back_queued(now)
 
     def current_load(self, now: float) -> GateLoad:
         """Return the load to report with answers and heartbeats."""
@@ -228,7 +238,7 @@
                     'the target is overloaded; retry later',
                 ),
             ]
-        return self.refuse_long_wait(entry, now)
+        return []
 
     def refuse_long_wait(
         self, entry: QueuedCall, now: float
@@ -259,6 +269,48 @@
             ),
         ]
 
+    def hand_back_on_arrival(
+        self, entry: QueuedCall, now: float
+    ) -> list[GateDecision]:
+        """Hand back a call that would start too late; return [] if it stays.
+
+        Without a move left a call stays.
+        """
+        call = entry.call
+        if not call.moves_left:
+            return []
+        allowed = self.limit.allowed_calls(now)
+        ahead = round(self.queue.count_ahead(entry))
+        interval_s = self.signals.start_interval_s(allowed)
+        if not starts_too_late(entry, ahead, interval_s, now):
+            return []
+        self.handed_back += 1
+        return [
+            self.refusal_factory.refuse(
+                call,
+                Reason.ELSEWHERE,
+                f'{ahead} calls are ahead; another target may start it sooner',
+            ),
+        ]
+
+    def hand_back_queued(self, now: float) -> list[GateDecision]:
+        """Hand back the queued calls that start too late and may be moved."""
+        if now < self.next_move_check_at or not self.queue.by_id:
+            return []
+        self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
+        allowed = self.limit.allowed_calls(now)
+        late = find_late_calls(
+            self.queue,
+            self.signals.start_interval_s(allowed),
+            now,
+        )
+        self.handed_back += len(late)
+        return self.refuse_queued(
+            late,
+            Reason.ELSEWHERE,
+            'other calls took its place in the queue, or the target became slow',
+        )
+
     def enqueue(self, entry: QueuedCall, now: float) -> list[GateDecision]:
         """Queue a call; when the queue is full, refuse one call instead.
 
