Limit the calls that start at a target that may be cold

Cause: a target that has just started crashes if it gets many more requests a second than its service's warmupPerS. A gate gave it all its slots, also after one successful trial call.

Change: a token bucket and a limit of open calls in the gate, in force while heartbeats or health responses say that the target is cold and while its warmth is not known. Health checks go out only then or after a second without a heartbeat. The gate can be closed for an evacuation. Services without warmupPerS are served as before.

--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -350,6 +350,13 @@
             kind = SendFailureKind.TRUNCATED
         self.fail(kind, '' if error is None else str(error))
 
+    def is_lost_early(self) -> bool:
+        """Tell whether an idle connection was lost, and not by keep-alive."""
+        if self.transport is not None:
+            return False
+        idle_s = asyncio.get_running_loop().time() - self.idle_since
+        return idle_s < self.idle_limit_s
+
     def fail(self, kind: SendFailureKind, detail: str = '') -> None:
         """Close the connection and report the failure of the request."""
         in_flight = self.in_flight
--- a/src/ebonycleat/internal/connection/http_pool.py
+++ b/src/ebonycleat/internal/connection/http_pool.py
@@ -35,7 +35,8 @@
     The pool does not limit its size: the user of the pool limits the number
     of requests in flight, and counts failures by kind in ``failure_counts``.
     ``refused_ids`` has the ids of the requests that the server refused, by
-    connection: it may repeat a refusal there.
+    connection: it may repeat a refusal there. ``on_idle_lost`` is called when
+    an idle connection is lost before the server's keep-alive time is over.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -50,6 +51,7 @@
         self.connections_opened = 0
         self.held_bytes = 0
         self.failure_counts: collections.Counter[str] = collections.Counter()
+        self.on_idle_lost: Callable[[], None] = _do_nothing
 
     def __enter__(self) -> Self:
         """Return the pool."""
@@ -160,6 +162,8 @@
         self.refused_ids.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
+            if connection.is_lost_early():
+                self.on_idle_lost()
 
     def record_refusal(
         self, connection: ClientConnection, request_id: str
@@ -176,3 +180,7 @@
     def count_unmatched_response(self) -> None:
         """Count a response that belongs to no request in flight."""
         self.unmatched_responses += 1
+
+
+def _do_nothing() -> None:
+    """Do nothing: the default of ``on_idle_lost``."""
--- a/src/ebonycleat/internal/connection/platform_interfaces.py
+++ b/src/ebonycleat/internal/connection/platform_interfaces.py
@@ -171,6 +171,17 @@
     load: TargetLoad | None = None
 
 
+class HealthReport(msgspec.Struct, frozen=True):
+    """What a target's response to a health check says.
+
+    ``warm_up_left_s`` is the time until the target has warmed up, 0 if it is
+    warm.
+    """
+
+    instance: str
+    warm_up_left_s: float
+
+
 class CallerProtocol(abc.ABC):
     """The HTTP conventions of the platform between callers and nodes."""
 
@@ -206,6 +217,16 @@
     def parse_response(self, response: HttpResponse) -> ParsedResponse:
         """Split a response; headers meant for nodes are not forwarded."""
 
+    @abc.abstractmethod
+    def render_health_check(
+        self, host: str, instance: str, time_left_s: float
+    ) -> HeaderPairs:
+        """Return all headers of a health check of an instance."""
+
+    @abc.abstractmethod
+    def parse_health(self, response: HttpResponse) -> HealthReport | None:
+        """Read the response to a health check; None if it tells nothing."""
+
 
 class TargetState(enum.Enum):
     """State that a target reports in its heartbeats."""
@@ -285,6 +306,14 @@
     def select_newest_record(self, page: TopicPage) -> bytes:
         """Return the newest configuration record of a page, empty if none."""
 
+    @abc.abstractmethod
+    def list_evacuations(self, page: TopicPage) -> list[tuple[str, bool]]:
+        """Return the zones of a page's evacuation records, in their order.
+
+        Each comes with whether the zone is evacuated; a removed record says
+        that it is not any more.
+        """
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformInterfaces:
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -30,9 +30,14 @@
 from ebonycleat.internal.request.call import Call, Priority
 from ebonycleat.internal.request.refusal import Reason
 
+EVACUATED_DETAIL = 'the zone of the target is evacuated'
+
 
 class Gate:
-    """Queue, concurrency limit and admission level of one target."""
+    """Queue, concurrency limit and admission level of one target.
+
+    While ``is_evacuated`` is true, all calls that have not started are refused.
+    """
 
     def __init__(
         self,
@@ -57,6 +62,7 @@
         )
         self.running: dict[str, Call] = {}
         self.draining = False
+        self.is_evacuated = False
 
     @property
     def admission_level(self) -> int:
@@ -92,6 +98,7 @@
         call = self.running.pop(call_id, None)
         if call is None:
             return []
+        self.signals.warm_up.record_end(call_id)
         self.limit.record_outcome(outcome, now)
         if outcome.result is RunResult.SUCCEEDED:
             service_times = self.signals.service_times
@@ -150,12 +157,13 @@
 
     def current_load(self, now: float) -> GateLoad:
         """Return the load to report with answers and heartbeats."""
-        allowed = 0 if self.draining else self.limit.allowed_calls(now)
+        is_closed = self.draining or self.is_evacuated
+        allowed = 0 if is_closed else self.limit.allowed_calls(now)
         service_s = self.signals.service_times.overall_s
         return GateLoad(
             queued=len(self.queue),
             running=len(self.running),
-            limit=0 if self.draining else math.ceil(self.usable_slots(now)),
+            limit=0 if is_closed else math.ceil(self.usable_slots(now)),
             latency_s=service_s + self.signals.queue_delay_s(allowed),
             admission_level=self.admission_level,
             draining=self.draining,
@@ -163,10 +171,7 @@
 
     def usable_slots(self, now: float) -> float:
         """Return how many calls run at most, by slots and by start rate."""
-        return self.signals.start_rate.usable_slots(
-            self.limit.allowed_calls(now),
-            self.signals.service_times.overall_s,
-        )
+        return self.signals.usable_slots(self.limit.allowed_calls(now))
 
     def needs_no_update(self) -> bool:
         """Tell whether no call waits and no admission level is adapted."""
@@ -179,11 +184,13 @@
         the queue, the admission level and the teams' shares used a third of
         a gate's processor time.
         """
-        if self.draining or not self.needs_no_update():
+        if self.draining or self.is_evacuated:
+            return False
+        if not self.needs_no_update():
             return False
         if len(self.running) >= self.limit.allowed_calls(now):
             return False
-        return self.signals.start_rate.may_start(now)
+        return self.signals.may_start(now)
 
     def start_immediately(self, call: Call, now: float) -> GateDecision:
         """Dispatch a call that skips the queue."""
@@ -205,6 +212,8 @@
         """Refuse a call that must not be queued; return [] if it may be."""
         call = entry.call
         refuse = self.refusal_factory.refuse
+        if self.is_evacuated:
+            return [refuse(call, Reason.EVACUATED, EVACUATED_DETAIL)]
         if self.draining:
             return [refuse(call, Reason.DRAINING, 'the target is draining')]
         if not self.limit.allowed_calls(now):
@@ -262,6 +271,10 @@
             )
             for expired in self.queue.pop_expired(now)
         ]
+        if self.is_evacuated:
+            decisions += self.refuse_queued(
+                self.queue, Reason.EVACUATED, EVACUATED_DETAIL
+            )
         allowed = self.limit.allowed_calls(now)
         if not allowed:
             decisions += self.refuse_queued(
@@ -269,9 +282,8 @@
                 Reason.NO_TARGET,
                 'the target is down',
             )
-        start_rate = self.signals.start_rate
         while self.queue and len(self.running) < allowed:
-            if not start_rate.may_start(now):
+            if not self.signals.may_start(now):
                 break
             rate = self.signals.dispatch_rate(allowed, now)
             decisions.append(self.start_next_queued(rate, now))
@@ -294,9 +306,9 @@
             )
         self.signals.team_usage.record_dispatch(call.team, cost, now)
         self.signals.level.count_started()
-        self.signals.start_rate.record_start()
+        has_start_token = self.signals.record_start(call.call_id)
         self.running[call.call_id] = call
-        return DispatchCall(call)
+        return DispatchCall(call, has_start_token)
 
     def refuse_queued(
         self,
--- a/src/ebonycleat/internal/process/gate_calls.py
+++ b/src/ebonycleat/internal/process/gate_calls.py
@@ -57,6 +57,7 @@
     ``in_flight``, ``sent_at``, ``incarnation`` of the target and
     ``running_when_sent``, the number of calls at the target including this one,
     are set when the call is sent. A call that ``is_cancelled`` is not sent.
+    ``has_start_token`` tells that it was counted for a target that may be cold.
     """
 
     gate_call: GateCall
@@ -66,6 +67,7 @@
     incarnation: Incarnation | None = None
     running_when_sent: int = 0
     is_cancelled: bool = False
+    has_start_token: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +111,16 @@
     Reason.CANCELLED,
     'the caller disconnected before the request was sent',
 )
+COLD_TARGET_REFUSAL = refuse_not_run(
+    Reason.NO_TARGET,
+    'the target may have started anew before the request was sent',
+    retry_after_s=GATE_RETRY_AFTER_S,
+)
+EVACUATED_REFUSAL = refuse_not_run(
+    Reason.EVACUATED,
+    'the zone was evacuated before the request was sent to the target',
+    retry_after_s=GATE_RETRY_AFTER_S,
+)
 UNSENDABLE_REFUSAL = refuse_not_run(
     Reason.UNSENDABLE,
     'the request cannot be encoded as a request to the target',
--- a/src/ebonycleat/internal/process/gate_decisions.py
+++ b/src/ebonycleat/internal/process/gate_decisions.py
@@ -10,9 +10,13 @@
 
 
 class DispatchCall(msgspec.Struct, frozen=True):
-    """Send this call to the target now."""
+    """Send this call to the target now.
+
+    ``has_start_token`` tells that it was counted for a target that may be cold.
+    """
 
     call: Call
+    has_start_token: bool = False
 
 
 class RefuseCall(msgspec.Struct, frozen=True):
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -1,5 +1,6 @@
 """Signals on which a gate bases its decisions, from its own observations."""
 
+from ebonycleat.internal.process.admission.warm_up import WarmUpLimit
 from ebonycleat.internal.process.admission_level import (
     ADMIT_ALL_LEVEL,
     AdmissionLevel,
@@ -25,7 +26,8 @@
 class GateSignals:
     """Service times, usage of teams, queue delay and admission level.
 
-    ``start_rate`` is the limit of calls per second that the target asks for.
+    ``start_rate`` is the limit of calls per second that the target asks for,
+    ``warm_up`` the one for a target that is or may be cold.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self.team_usage = TeamUsage()
         self.service_times = ServiceTimes()
         self.start_rate = StartRateLimit()
+        self.warm_up = WarmUpLimit()
         self.standing_since: float | None = None
         self.is_queue_delayed = False
 
@@ -80,8 +83,24 @@
         return max(
             self.service_times.overall_s / max(1, allowed),
             self.start_rate.interval_s,
+            self.warm_up.interval_s,
         )
 
+    def may_start(self, now: float) -> bool:
+        """Tell whether the limits of starts allow one now."""
+        return self.start_rate.may_start(now) and self.warm_up.may_start(now)
+
+    def record_start(self, call_id: str) -> bool:
+        """Count a call that starts; tell whether the target may be cold."""
+        self.start_rate.record_start()
+        return self.warm_up.record_start(call_id)
+
+    def usable_slots(self, allowed: int) -> float:
+        """Return how many of the allowed calls run at the limits' rates."""
+        service_s = self.service_times.overall_s
+        slots = self.start_rate.usable_slots(allowed, service_s)
+        return self.warm_up.usable_slots(slots, service_s)
+
     def update(self, allowed: int, now: float) -> None:
         """Adapt the admission level, and detect a standing queue."""
         delay_s = self.queue_delay_s(allowed)
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -21,8 +21,12 @@
 from ebonycleat.internal.connection.platform_interfaces import (
     ControlMessage,
     ParsedResponse,
+    TargetHeartbeat,
     TargetRequest,
 )
+from ebonycleat.internal.process.admission.cold_target_watch import (
+    ColdTargetWatch,
+)
 from ebonycleat.internal.process.backpressure import GateBackpressure
 from ebonycleat.internal.process.callbacks import do_nothing
 from ebonycleat.internal.process.concurrency_limit import DeclaredLimit
@@ -36,6 +40,8 @@
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_calls import (
     CANCELLED_REFUSAL,
+    COLD_TARGET_REFUSAL,
+    EVACUATED_REFUSAL,
     GATE_RETRY_AFTER_S,
     TARGET_SHED_REFUSAL,
     UNSENDABLE_REFUSAL,
@@ -135,6 +141,12 @@
         self.load_reporter = LoadReporter(
             gate, channel.target, self.backpressure, clock
         )
+        self.cold_watch = ColdTargetWatch(
+            gate.signals.warm_up, channel, log, clock
+        )
+        self.cold_watch.on_released = self.apply_target_state
+        self.cold_watch.apply_configuration(holder.index)
+        holder.listeners.append(self.cold_watch.apply_configuration)
 
     @property
     def target(self) -> LocalTarget:
@@ -161,8 +173,11 @@
             if was_usable:
                 # The earlier instance ended without deregistering.
                 self.record_target_crash()
+            self.cold_watch.record_unknown('new start of the target')
         elif self.target.sequence > sequence:
             self.crashes.record_sign_of_life(self.clock())
+            if isinstance(message, TargetHeartbeat):
+                self.cold_watch.record_heartbeat(message.warm_up_left_s)
         self.apply_target_state()
         return changed
 
@@ -186,6 +201,17 @@
             self.limit.remove_target()
         self.decisions.add(self.gate.tick(self.clock()))
 
+    def set_evacuated(self, *, is_evacuated: bool) -> None:
+        """Refuse all calls while the own zone is evacuated.
+
+        Those that run at the target are finished.
+        """
+        if is_evacuated != self.gate.is_evacuated:
+            self.gate.is_evacuated = is_evacuated
+            self.load_reporter.invalidate()
+            self.cold_watch.set_evacuated(is_evacuated=is_evacuated)
+            self.decisions.add(self.gate.tick(self.clock()))
+
     def find_parent(self, ancestor_ids: Iterable[str]) -> GateCall | None:
         """Return the running request for which the target makes a call.
 
@@ -245,6 +271,7 @@
     def tick(self) -> None:
         """Refuse expired calls, start waiting ones, update the backpressure."""
         now = self.clock()
+        self.cold_watch.update()
         if self.gate.queue:
             self.decisions.add(self.gate.tick(now))
         if self.backpressure.is_update_due(now):
@@ -259,21 +286,21 @@
     def apply_decision(self, decision: GateDecision) -> None:
         """Send or refuse the call of one decision."""
         if isinstance(decision, DispatchCall):
-            self.dispatch(decision.call)
+            self.dispatch(
+                decision.call, has_start_token=decision.has_start_token
+            )
             return
         call_id = decision.call.call_id
-        self.record_refusal(decision.call, decision.refusal)
+        if decision.refusal.reason in OVERLOAD_REASONS:
+            load = self.backpressure.load_of_depth(decision.call.depth)
+            load.refused += 1
         self.resolve(call_id, RefusedCall(call_id, decision.refusal))
 
-    def record_refusal(self, call: Call, refusal: Refusal) -> None:
-        """Count a refusal that was made for lack of capacity."""
-        if refusal.reason in OVERLOAD_REASONS:
-            self.backpressure.load_of_depth(call.depth).refused += 1
-
-    def dispatch(self, call: Call) -> None:
+    def dispatch(self, call: Call, *, has_start_token: bool) -> None:
         """Send a call to the target, or refuse it if that is not allowed."""
         pending_call = self.pending_calls[call.call_id]
         now = self.clock()
+        pending_call.has_start_token = has_start_token
         prepared = self.prepare_request(pending_call, now)
         if isinstance(prepared, Refusal):
             self.end_run(call, RunOutcome(RunResult.FAILED))
@@ -303,6 +330,10 @@
         if pending_call.is_cancelled:
             return CANCELLED_REFUSAL
         gate_call = pending_call.gate_call
+        warm_up = self.gate.signals.warm_up
+        has_token = pending_call.has_start_token
+        if not warm_up.may_send(now, now, has_token=has_token):
+            return COLD_TARGET_REFUSAL
         try:
             refusal = self.find_dispatch_refusal(gate_call, now)
             return refusal or self.build_target_request(gate_call, now)
@@ -321,6 +352,8 @@
     ) -> Refusal | None:
         """Return why a call must not be sent now, None if it may be."""
         call = gate_call.call
+        if self.gate.is_evacuated:
+            return EVACUATED_REFUSAL
         if not self.target.is_usable:
             return refuse_not_run(
                 Reason.DRAINING,
@@ -397,14 +430,21 @@
         """Check a call again that names an instance of the target."""
         if self.target.instance != instance:
             return False
-        refusal = self.find_dispatch_refusal(gate_call, self.clock())
-        return refusal is None
+        now = self.clock()
+        pending_call = self.pending_calls[gate_call.call.call_id]
+        if not self.gate.signals.warm_up.may_send(
+            pending_call.sent_at, now, has_token=pending_call.has_start_token
+        ):
+            return False
+        return self.find_dispatch_refusal(gate_call, now) is None
 
     def send_finished(self, call: Call, result: SendResult) -> None:
         """Handle the result of a request that was sent to the target."""
         pending_call = self.pending_calls[call.call_id]
         service_s = self.clock() - pending_call.sent_at
         if isinstance(result, SendFailure):
+            # Before the end of the run, which lets waiting calls start.
+            self.cold_watch.record_failure(result.kind)
             self.end_run(call, RunOutcome(run_result_of(result), service_s))
             self.log_failure(pending_call, result)
             self.record_failure(pending_call, result)
--- a/src/ebonycleat/platform/configuration_format.py
+++ b/src/ebonycleat/platform/configuration_format.py
@@ -22,6 +22,7 @@
 )
 
 CONFIGURATION_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
 VERSION_BASE = 16
 
 KIND_BY_WORD = types.MappingProxyType({
@@ -114,6 +115,14 @@
                 newest = record
         return newest
 
+    def list_evacuations(self, page: TopicPage) -> list[tuple[str, bool]]:
+        """Return the zones of the records, and whether each has a value."""
+        return [
+            (key.removeprefix(EVACUATION_PREFIX), bool(record))
+            for key, record in page.records
+            if key.startswith(EVACUATION_PREFIX) and key != EVACUATION_PREFIX
+        ]
+
     def parse_configuration(self, record: bytes) -> MeshConfiguration:
         """Decode a record as a whole."""
         try:
--- a/src/ebonycleat/platform/header_names.py
+++ b/src/ebonycleat/platform/header_names.py
@@ -18,6 +18,8 @@
 # Requests a second that the target takes from all machines together.
 TARGET_RATE_LIMIT = 'server-limit'
 TARGET_LEAVING = 'server-leaving'
+# In health responses: milliseconds until the target has warmed up.
+WARM_UP_LEFT_MS = 'x-warmup-ms'
 RETRY_AFTER = 'retry-after'
 HOST = 'host'
 CONTENT_ENCODING = 'content-encoding'
--- a/src/ebonycleat/platform/target_protocol.py
+++ b/src/ebonycleat/platform/target_protocol.py
@@ -7,6 +7,7 @@
     find_header,
 )
 from ebonycleat.internal.connection.platform_interfaces import (
+    HealthReport,
     ParsedResponse,
     TargetLoad,
     TargetProtocol,
@@ -17,6 +18,7 @@
 
 MILLISECONDS_PER_S = 1000
 MISDIRECTED = 421
+HEALTH_STATUSES = frozenset((200, 503))
 IS_LEAVING = '1'
 USUAL_PACE = 100
 """The fourth figure of a load where work takes as long as usual."""
@@ -85,6 +87,30 @@
             load=_parse_load(find_header(response.headers, names.TARGET_LOAD)),
         )
 
+    def render_health_check(
+        self, host: str, instance: str, time_left_s: float
+    ) -> HeaderPairs:
+        """Return the headers of a health check."""
+        return (
+            (names.HOST, host),
+            (names.DEADLINE_MS, str(int(time_left_s * MILLISECONDS_PER_S))),
+            (names.EXPECTED_INSTANCE, instance),
+        )
+
+    def parse_health(self, response: HttpResponse) -> HealthReport | None:
+        """Read the response to a health check.
+
+        A refusal that was not run, or a time that is no number, tells nothing.
+        """
+        headers = response.headers
+        instance = find_header(headers, names.ANSWERING_INSTANCE)
+        has_run = not find_header(headers, names.NOT_EXECUTED)
+        left_ms = _parse_decimal(dict(headers).get(names.WARM_UP_LEFT_MS, '0'))
+        is_answer = response.status in HEALTH_STATUSES and has_run
+        if not instance or left_ms is None or not is_answer:
+            return None
+        return HealthReport(instance, left_ms / MILLISECONDS_PER_S)
+
 
 def _parse_load(text: str) -> TargetLoad | None:
     """Return the load in a header, None if it is absent or malformed."""
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -91,6 +91,8 @@
     """A connection pool that records requests and leaves results to the test."""
 
     def __init__(self):
+        self.host = '127.0.0.1'
+        self.port = 80
         self.sends = []
         self.connections = set()
         self.connections_opened = 0
@@ -104,11 +106,15 @@
         return send
 
 
-def create_configuration_holder(clock, teams=(TEAM,), routes=(), version=1):
+def create_configuration_holder(
+    clock, teams=(TEAM,), routes=(), version=1, services=None
+):
     holder = ConfigurationHolder(5)
     limits = CallerLimits(1000, 1000, 3, 15)
     holder.apply_if_newer(
-        MeshConfiguration(version, tuple(routes), tuple(teams), {}, limits),
+        MeshConfiguration(
+            version, tuple(routes), tuple(teams), services or {}, limits
+        ),
     )
     holder.record_proof(version, clock())
     return holder
