Evacuate zones by records in the store

Cause: operators could not keep requests from the targets of a zone.

Change: records evacuate/ZONE are read with the configuration and passed on with requests for a proof. Of two states of a zone the later position counts; a restored store that lacks a record ends no evacuation. Entries leave evacuated zones out, gates there refuse calls as not run, and the entry offers them to another zone without a further retry.

--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -16,6 +16,9 @@
 MAX_FRAME_BYTES = 134_217_728
 """Enough for the largest body that callers may send, and its headers."""
 
+ZoneStates: TypeAlias = tuple[tuple[str, bool, int, int], ...]
+"""Zones, whether each was evacuated, and the era and offset as of which."""
+
 MAX_JOINED_BYTES = 65_536
 """Larger messages are not copied behind their length."""
 
@@ -138,13 +141,18 @@
     ``members_offset`` the offset up to which it has read the members, in the
     era ``members_era`` of the store. The receiver first sends a
     ``ConfigurationUpdate`` and a ``MembersUpdate`` if it has newer ones.
-    Earlier versions name no era.
+    Earlier versions name no era. ``zones`` is what the sender knows of
+    evacuated zones, up to ``zones_offset`` in the era ``zones_era``; both are
+    -1 without any knowledge and for earlier versions.
     """
 
     number: int
     version: int
     members_offset: int
     members_era: int | None = None
+    zones_era: int = -1
+    zones_offset: int = -1
+    zones: ZoneStates = ()
 
 
 class FreshnessReply(MeshMessage, frozen=True, tag=9):
@@ -154,7 +162,8 @@
     is the newest configuration; negative if it never had. ``has_lost_store``
     asks the receiver to choose another node to read the store for it.
     ``compared_era`` is the era of the store in which the sender has asked its
-    neighbours for newer data; earlier versions name none.
+    neighbours for newer data; earlier versions name none. ``zones`` and its
+    position are as in the request.
     """
 
     number: int
@@ -162,6 +171,9 @@
     age_ms: int
     has_lost_store: bool = False
     compared_era: int | None = None
+    zones_era: int = -1
+    zones_offset: int = -1
+    zones: ZoneStates = ()
 
 
 class ConfigurationUpdate(MeshMessage, frozen=True, tag=10):
--- a/src/ebonycleat/internal/process/configuration_holder.py
+++ b/src/ebonycleat/internal/process/configuration_holder.py
@@ -9,6 +9,9 @@
 
 from collections.abc import Callable
 
+from ebonycleat.internal.process.placement.evacuated_zones import (
+    EvacuatedZones,
+)
 from ebonycleat.internal.version.mesh_configuration import (
     ConfigurationIndex,
     MeshConfiguration,
@@ -22,7 +25,9 @@
 class ConfigurationHolder:
     """Holds the newest configuration; versions never go back.
 
-    ``listeners`` are called with the index of each new version.
+    ``listeners`` are called with the index of each new version. ``evacuated``
+    has the zones to whose targets nothing may be sent; operators write them to
+    the same topic of the store.
     """
 
     def __init__(self, key_withdrawal_s: float | None) -> None:
@@ -35,6 +40,7 @@
         self.key_withdrawal_s = key_withdrawal_s
         self.index: ConfigurationIndex | None = None
         self.proved_at: float | None = None
+        self.evacuated = EvacuatedZones()
         self.listeners: list[Callable[[ConfigurationIndex], None]] = []
 
     @property
--- a/src/ebonycleat/internal/process/mesh_components.py
+++ b/src/ebonycleat/internal/process/mesh_components.py
@@ -184,7 +184,10 @@
             gate_client,
             gate_client.gate.call_counts,
             create_router(
-                settings.zone, settings.peers.host_port, dependencies.rng
+                settings.zone,
+                settings.peers.host_port,
+                dependencies.rng,
+                fleet.configuration.evacuated,
             ),
             fleet.retry_budget,
             dependencies.metrics,
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -52,6 +52,7 @@
     MeshMessageRouter,
     PeerCallServer,
 )
+from ebonycleat.internal.process.placement.evacuated_zones import ZonesChange
 from ebonycleat.internal.process.retry_budget import (
     RetryBudget,
     divide_retry_limits,
@@ -128,6 +129,9 @@
         self.message_router.links = self.links
         self.message_router.handle_other = self.handle_message
         self.fleet.configuration.listeners.append(self.apply_configuration)
+        self.fleet.configuration.evacuated.listeners.append(
+            self.apply_evacuation
+        )
         self.background.follower.on_members_changed = self.apply_members
         self.background.token_exchanger.on_waiting = self.wait_started.set
 
@@ -169,6 +173,21 @@
             team.name: team.rate_per_s for team in configuration.teams
         })
 
+    def apply_evacuation(self, change: ZonesChange) -> None:
+        """Close the gate while the own zone is evacuated, and log the change."""
+        evacuated = self.fleet.configuration.evacuated.zones
+        self.dependencies.log.write_always(
+            'evacuated zones changed',
+            begun=sorted(change.begun),
+            ended=sorted(change.ended),
+            evacuated=sorted(evacuated),
+            era=change.position.era,
+            offset=change.position.offset,
+            queued=len(self.gate.gate.queue),
+            running=len(self.gate.gate.running),
+        )
+        self.gate.set_evacuated(is_evacuated=self.settings.zone in evacuated)
+
     def apply_settings(self, settings: MeshSettings) -> None:
         """Apply the limits of a reloaded settings file.
 
@@ -398,6 +417,9 @@
             'gate.connections_opened': pool.connections_opened,
             'gate.foreign_answers': pool.unmatched_responses,
             'gate.held_bytes': pool.held_bytes,
+            **self.gate.cold_watch.gauges(),
+            'zones.evacuated': len(holder.evacuated.zones),
+            'gate.evacuated': int(self.gate.gate.is_evacuated),
             **{
                 f'gate.failed.{kind}': count
                 for kind, count in pool.failure_counts.items()
--- a/src/ebonycleat/internal/process/proof_exchange.py
+++ b/src/ebonycleat/internal/process/proof_exchange.py
@@ -16,6 +16,7 @@
     FreshnessRequest,
     MembersUpdate,
 )
+from ebonycleat.internal.connection.platform_interfaces import StorePosition
 from ebonycleat.internal.process.configuration_holder import (
     ConfigurationHolder,
 )
@@ -183,9 +184,16 @@
             lambda reply: self.handle_reply(link, reply, reply_future),
         )
         position = self.members.position
+        evacuated = self.holder.evacuated
         link.send(
             FreshnessRequest(
-                number, self.holder.version, position.offset, position.era
+                number,
+                self.holder.version,
+                position.offset,
+                position.era,
+                evacuated.position.era,
+                evacuated.position.offset,
+                evacuated.encode_states(),
             )
         )
 
@@ -196,6 +204,8 @@
         reply_future: asyncio.Future[AnyMeshMessage | None],
     ) -> None:
         """Pass a reply on; send its node the configuration that it lacks."""
+        if isinstance(reply, FreshnessReply):
+            self.merge_zones(reply)
         index = self.holder.index
         if (
             isinstance(reply, FreshnessReply)
@@ -210,6 +220,11 @@
         if not reply_future.done():
             reply_future.set_result(reply)
 
+    def merge_zones(self, message: FreshnessRequest | FreshnessReply) -> None:
+        """Take over what another node knows of evacuated zones."""
+        position = StorePosition(message.zones_era, message.zones_offset)
+        self.holder.evacuated.merge(position, message.zones)
+
     def send_proof(
         self,
         link: MeshLink,
@@ -225,6 +240,8 @@
         """
         now = self.clock()
         self.subscribers[link] = now
+        self.merge_zones(request)
+        evacuated = self.holder.evacuated
         index = self.holder.index
         if index is not None and request.version < index.version:
             link.send(
@@ -246,6 +263,9 @@
                 age_ms,
                 has_lost_store,
                 self.compared_era,
+                evacuated.position.era,
+                evacuated.position.offset,
+                evacuated.encode_states(),
             )
         )
 
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -17,6 +17,9 @@
     shedding_position_of,
 )
 from ebonycleat.internal.process.gate_decisions import GateLoad
+from ebonycleat.internal.process.placement.evacuated_zones import (
+    EvacuatedZones,
+)
 from ebonycleat.internal.process.target_stats_table import (
     Member,
     TargetStatsTable,
@@ -43,6 +46,13 @@
 of them followed the levels, they would crowd one target."""
 
 
+ALL_EVACUATED_REFUSAL = refuse_not_run(
+    Reason.EVACUATED,
+    'all zones with targets of the service are evacuated',
+    retry_after_s=1.0,
+)
+
+
 class PlacementRequest(msgspec.Struct, frozen=True):
     """An attempt for which to choose one of ``members``.
 
@@ -71,20 +81,31 @@
         zone: str,
         local_node: str,
         rng: random.Random,
+        evacuated: EvacuatedZones,
     ) -> None:
         """Create the router of ``local_node`` in ``zone``.
 
-        ``rng`` draws the two candidates of ``choose_of_two``.
+        ``rng`` draws the two candidates of ``choose_of_two``. Members in
+        ``evacuated`` zones are not chosen.
         """
         self.zone = zone
         self.local_node = local_node
         self.rng = rng
+        self.evacuated = evacuated
         self.target_stats = TargetStatsTable()
         self.reported_levels = ReportedLevels()
 
     def choose(self, request: PlacementRequest, now: float) -> PlacementChoice:
         """Choose a member, or refuse a call that all gates would refuse."""
-        usable = self.target_stats.usable_members(request.members, now)
+        members = request.members
+        evacuated = self.evacuated.zones
+        if evacuated:
+            members = [
+                member for member in members if member.zone not in evacuated
+            ]
+            if request.members and not members:
+                return ALL_EVACUATED_REFUSAL
+        usable = self.target_stats.usable_members(members, now)
         if request.avoid_zones or request.avoid_nodes:
             usable = [
                 member
@@ -236,6 +257,7 @@
     zone: str,
     local_node: str,
     rng: random.Random,
+    evacuated: EvacuatedZones | None = None,
 ) -> Router:
-    """Create the router of one node."""
-    return Router(zone, local_node, rng)
+    """Create the router of one node, by default without evacuated zones."""
+    return Router(zone, local_node, rng, evacuated or EvacuatedZones())
--- a/src/ebonycleat/internal/process/store_follower.py
+++ b/src/ebonycleat/internal/process/store_follower.py
@@ -284,6 +284,12 @@
             # Records below the offset were written again since the restore.
             self.configuration_position = None
             return
+        # Before the configuration, without which a new node runs no calls.
+        self.holder.evacuated.apply_records(
+            self.platform.configuration.list_evacuations(page),
+            StorePosition(page.era, page.next_offset),
+            is_complete=position is None,
+        )
         if self.apply_configuration_page(page):
             await self.record_proof(page, sent_at)
 
--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -114,7 +114,8 @@
 
     ``target_attempts`` counts the attempts that may have reached a target,
     ``overload_refusals`` those that were refused for overload. ``refusal`` is
-    the refusal that the caller would get now.
+    the refusal that the caller would get now. ``evacuated_zones`` are those in
+    which a gate refused the request because its zone is evacuated.
     """
 
     def __init__(
@@ -142,6 +143,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.attempt: Attempt | None = None
         self.tried_nodes: set[str] = set()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.overload_refusals = 0
         self.target_attempts = 0
         self.refusal: Refusal | None = None
@@ -180,6 +182,7 @@
             PlacementRequest(
                 call,
                 self.gate_client.members_of(call.service),
+                avoid_zones=self.evacuated_zones,
                 avoid_nodes=frozenset(self.tried_nodes),
             ),
             now,
@@ -209,6 +212,8 @@
         self.attempt = None
         self.update_router(attempt, attempt_result)
         result = attempt_result.result
+        if is_evacuated(result):
+            self.evacuated_zones |= {attempt.member.zone}
         if isinstance(result, Answer):
             self.budget.record_success(
                 self.admitted.call.service,
@@ -267,8 +272,12 @@
         time_left_s = self.admitted.answer_deadline - self.clock()
         if time_left_s < MIN_RETRY_TIME_S or refusal.reason in FINAL_REASONS:
             return False
-        if len(self.tried_nodes) >= MAX_GATE_ATTEMPTS:
+        offers = len(self.tried_nodes) - len(self.evacuated_zones)
+        if offers >= MAX_GATE_ATTEMPTS:
             return False
+        if refusal.reason is Reason.EVACUATED:
+            # A retry that was taken for this attempt is still unused.
+            return True
         if self.overload_refusals >= MAX_OVERLOAD_REFUSALS:
             return False
         if refusal.outcome is Outcome.UNKNOWN and not self.is_idempotent():
@@ -309,3 +318,11 @@
         """Report the final answer or refusal."""
         self.stop_timer()
         self.on_end(self, result)
+
+
+def is_evacuated(result: CallResult) -> bool:
+    """Tell whether a gate refused a call because its zone is evacuated."""
+    return (
+        isinstance(result, RefusedCall)
+        and result.refusal.reason is Reason.EVACUATED
+    )
--- a/src/ebonycleat/platform/settings.py
+++ b/src/ebonycleat/platform/settings.py
@@ -77,6 +77,9 @@
         'budgetWindowS', default=10
     )
     propagation_s: _PositiveNumber = _field_with_key('propagationS', default=2)
+    evacuate_s: _PositiveNumber | None = _field_with_key(
+        'evacuateS', default=None
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -143,7 +146,10 @@
         retry_share=bounds.retry_budget_ratio,
         retry_slack=bounds.budget_slack,
         retry_window_s=bounds.budget_window_s,
-        propagation_s=bounds.propagation_s,
+        # Evacuations are read together with the configuration.
+        propagation_s=min(
+            bounds.propagation_s, bounds.evacuate_s or bounds.propagation_s
+        ),
     )
 
 
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -7,6 +7,7 @@
 from ebonycleat.internal.connection.http_messages import find_header
 from ebonycleat.internal.process.clocks import boottime_s
 from ebonycleat.internal.process.mesh_runner import MIN_DRAIN_S
+from ebonycleat_tools.platform.store import CONFIGURATION_TOPIC
 from tests.loopback_http import run_with_timeout
 from tests.mesh_environment import create_configuration, run_mesh
 
@@ -350,3 +351,33 @@
 
     ids = run_with_timeout(scenario())
     assert len(ids) == len(set(ids))
+
+
+def test_queued_calls_of_an_evacuated_zone_are_run_in_another_one():
+    """Guards against calls that end with the evacuation of their zone."""
+
+    async def scenario():
+        async with run_mesh(('a', 'b'), work_s=0.2) as environment:
+            gates = [node.gate.gate for node in environment.nodes]
+            sends = [
+                environment.send(1, '/renew/1', request_id=f'id-{number}')[1]
+                for number in range(16)
+            ]
+            await environment.wait_until(
+                lambda: any(gate.queue for gate in gates)
+            )
+            number = 0 if gates[0].queue else 1
+            received = environment.targets[number].received_requests
+            topic = environment.store.topic(CONFIGURATION_TOPIC)
+            topic.append(f'evacuate/{"ab"[number]}', b'{}')
+            await environment.wait_until(lambda: gates[number].is_evacuated)
+            before = len(received)
+            answers = await asyncio.gather(*sends)
+            after = len(received)
+            ids = list_received_ids(environment)
+        return answers, sorted(ids), after - before
+
+    answers, ids, received_since = run_with_timeout(scenario())
+    assert {answer.status for answer in answers} == {200}
+    assert ids == sorted(f'id-{number}' for number in range(16))
+    assert not received_since
--- a/tests/store_zone.py
+++ b/tests/store_zone.py
@@ -63,6 +63,7 @@
         self.unusable_records = 0
         self.versions = [FIRST_VERSION]
         self.written_at = [0]
+        self.evacuations = {}
         self.written = asyncio.Event()
         self.member_log = [(node, encode_record(node)) for node in NODES]
         self.joined = asyncio.Event()
@@ -72,6 +73,8 @@
         self.era += 1
         del self.versions[versions:]
         del self.written_at[versions:]
+        for offset in range(versions, 1000):
+            self.evacuations.pop(offset, None)
         del self.member_log[members:]
 
     def add_member(self, node):
@@ -92,10 +95,21 @@
         self.written.set()
         self.written = asyncio.Event()
 
+    def write_evacuation(self, record):
+        """Write the record of zone a; it takes the offset of a version."""
+        self.evacuations[len(self.versions)] = 'evacuate/a', record
+        self.write_version(self.versions[-1])
+
     def records_from(self, offset):
         usable = len(self.versions) - self.unusable_records
         return tuple(
-            ('config', encode_version(version) if number < usable else b'?')
+            self.evacuations.get(
+                number,
+                (
+                    'config',
+                    encode_version(version) if number < usable else b'?',
+                ),
+            )
             for number, version in enumerate(self.versions)
             if number >= offset
         )
@@ -110,7 +124,8 @@
 
     async def read_newest(self, topic):
         offset = len(self.versions)
-        records = self.records_from(offset - 1)
+        newest = dict(self.records_from(0))
+        records = tuple(pair for pair in newest.items() if pair[1])
         if topic is StoreTopic.MEMBERS:
             offset = len(self.member_log)
             records = tuple(self.newest_members().items())
