--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -117,14 +117,25 @@
     is_over: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class HandBack:
+    """The gate of ``member`` handed the request back.
+
+    The request ``can_return`` to that gate once.
+    """
+
+    member: Member
+    can_return: bool = True
+
+
 class MeshRequestRun:
     """Offers a request to gates until it has a final answer.
 
     ``target_attempts`` counts the attempts that may have reached a target,
     ``overload_refusals`` those that were refused for overload. ``refusal`` is
-    the refusal that the caller would get now. ``moved_from`` is the node whose
-    gate handed the request back, and ``waiting_place`` the same member until
-    the request is offered to it again.
+    the refusal that the caller would get now. ``hand_back`` is set once a gate
+    has handed the request back. ``evacuated_zones`` are those in which a gate
+    refused the request because its zone is evacuated.
     """
 
     def __init__(
@@ -152,11 +163,16 @@
         self.timer: asyncio.TimerHandle | None = None
         self.attempt: Attempt | None = None
         self.tried_nodes: set[str] = set()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.overload_refusals = 0
         self.target_attempts = 0
         self.refusal: Refusal | None = None
-        self.moved_from = ''
-        self.waiting_place: Member | None = None
+        self.hand_back: HandBack | None = None
+
+    @property
+    def moved_from(self) -> str:
+        """The node whose gate handed the request back, empty if none did."""
+        return '' if self.hand_back is None else self.hand_back.member.node
 
     def start(self) -> None:
         """Make the first attempt, and start the timer of the deadline."""
@@ -191,15 +207,16 @@
         placement = PlacementRequest(
             call,
             self.gate_client.members_of(call.service),
+            avoid_zones=self.evacuated_zones,
             avoid_nodes=frozenset(self.tried_nodes),
         )
         chosen = self.router.choose(placement, now)
         if isinstance(chosen, Refusal):
-            if self.waiting_place is None:
+            if self.hand_back is None or not self.hand_back.can_return:
                 self.finish(self.refusal or chosen)
                 return
-            chosen = self.waiting_place
-            self.waiting_place = None
+            chosen = self.hand_back.member
+            self.hand_back.can_return = False
         if call.moves_left and not self.may_move(placement, chosen, now):
             self.admitted = without_moves(self.admitted)
         self.tried_nodes.add(chosen.node)
@@ -241,6 +258,8 @@
         self.attempt = None
         self.update_router(attempt, attempt_result)
         result = attempt_result.result
+        if is_evacuated(result):
+            self.evacuated_zones |= {attempt.member.zone}
         if isinstance(result, Answer):
             self.budget.record_success(
                 self.admitted.call.service,
@@ -249,8 +268,7 @@
             self.finish(result)
         else:
             if is_handed_back(attempt, result.refusal):
-                self.moved_from = attempt.member.node
-                self.waiting_place = attempt.member
+                self.hand_back = HandBack(attempt.member)
             self.handle_refusal(result)
 
     def update_router(
@@ -305,9 +323,13 @@
         if time_left_s < MIN_RETRY_TIME_S or refusal.reason in FINAL_REASONS:
             return False
         # A move costs no attempt: the gate would have kept the request.
-        max_nodes = MAX_GATE_ATTEMPTS + bool(self.moved_from)
-        if len(self.tried_nodes) >= max_nodes:
+        max_offers = MAX_GATE_ATTEMPTS + (self.hand_back is not None)
+        offers = len(self.tried_nodes) - len(self.evacuated_zones)
+        if offers >= max_offers:
             return False
+        if refusal.reason is Reason.EVACUATED:
+            # A retry that was taken for this attempt is still unused.
+            return True
         if self.overload_refusals >= MAX_OVERLOAD_REFUSALS:
             return False
         if refusal.outcome is Outcome.UNKNOWN and not self.is_idempotent():
@@ -362,3 +384,11 @@
     return msgspec.structs.replace(
         admitted, call=msgspec.structs.replace(admitted.call, moves_left=0)
     )
+
+
+def is_evacuated(result: CallResult) -> bool:
+    """Tell whether a gate refused a call because its zone is evacuated."""
+    return (
+        isinstance(result, RefusedCall)
+        and result.refusal.reason is Reason.EVACUATED
+    )
--- a/tests/cover/test_target_load.py
+++ b/tests/cover/test_target_load.py
@@ -9,6 +9,9 @@
 from bench.placement_simulation import PlacementSimulation
 from ebonycleat.internal.connection.platform_interfaces import TargetLoad
 from ebonycleat.internal.process.load_codec import decode_load, encode_load
+from ebonycleat.internal.process.placement.evacuated_zones import (
+    EvacuatedZones,
+)
 from ebonycleat.internal.process.placement.target_load import (
     TargetLoadTracker,
 )
@@ -40,7 +43,7 @@
 
 
 def create_old_router(rng):
-    return OldRouter('a', '', rng)
+    return OldRouter('a', '', rng, EvacuatedZones())
 
 
 def create_new_router(rng):
