--- a/src/ebonycleat/internal/process/admission/backlog.py
+++ b/src/ebonycleat/internal/process/admission/backlog.py
@@ -44,8 +44,11 @@
         """Seconds until the calls ahead have started."""
         return self.calls_ahead * self.start_interval_s
 
-    def is_too_long(self, slots: int) -> bool:
-        """Tell whether the call could not start in time, by a margin."""
+    def is_too_long(self, slots: float) -> bool:
+        """Tell whether the call could not start in time, by a margin.
+
+        ``slots`` is how many calls run at most, by slots and by start rate.
+        """
         if self.calls_ahead < max(MIN_CALLS_AHEAD, slots):
             return False
         return self.needed_s > self.time_left_s * REFUSAL_MARGIN
--- a/src/ebonycleat/internal/process/admission/target_refusals.py
+++ b/src/ebonycleat/internal/process/admission/target_refusals.py
@@ -102,11 +102,6 @@
         part = self.refused / (self.refused + self.answered)
         return part * min(1, certainty)
 
-    def accepted_part(self) -> float:
-        """Return the part of calls that succeed, with the retries allowed."""
-        refused = self.refused_part
-        return (1 - refused) * (1 + min(refused, MAX_EXTRA_ARRIVALS))
-
 
 class TrialPhase(enum.Enum):
     """What a ``FittingShare`` does.
@@ -236,14 +231,16 @@
 
 
 def finished_part(accepted: float, calls: float) -> float:
-    """Return the part of requests of which all calls are accepted.
+    """Return the part of requests of which all calls succeed.
 
-    ``calls`` is the mean number of calls that a request makes. No call follows
+    ``accepted`` is the part of calls that targets accept, without retries, and
+    ``calls`` the mean number of calls that a request makes. No call follows
     a refused one, so ``calls`` is less than the n of a request that finishes:
     m = (1 - q^n) / (1 - q) for calls in a row, and hence q^n = 1 - m (1 - q).
     """
-    in_a_row = 1 - calls * (1 - accepted)
-    return max(in_a_row, math.pow(accepted, calls) * TRUNCATION_FACTOR)
+    succeeding = accepted * (1 + min(1 - accepted, MAX_EXTRA_ARRIVALS))
+    in_a_row = 1 - calls * (1 - succeeding)
+    return max(in_a_row, math.pow(succeeding, calls) * TRUNCATION_FACTOR)
 
 
 def share_to_finish(accepted: float, calls: float) -> float:
--- a/src/ebonycleat/internal/process/backpressure.py
+++ b/src/ebonycleat/internal/process/backpressure.py
@@ -42,6 +42,10 @@
 UNLIMITED_SHARE = 0.995
 """Larger shares are not published: the service can take all requests."""
 
+NEARLY_ALL_ACCEPTED = 0.95
+"""If a target accepts this part of its calls or more, the rest is left to
+retries, and nothing is published."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissibleShares:
@@ -50,7 +54,7 @@
     ``direct`` is for direct requests and ``called`` for calls that other
     targets make. ``calls`` is how many calls at the service's gates one
     request on the route of the answer causes. ``accepted`` is the part of
-    calls that its targets do not refuse by themselves, with the retries allowed.
+    calls that its targets do not refuse by themselves.
     ``fitting`` is the share of the offered load of which they refuse little.
     """
 
@@ -150,7 +154,9 @@
     @property
     def is_target_refusing(self) -> bool:
         """Whether the target refuses more calls than retries make up for."""
-        return min(self.accepted, self.fitting.share) < UNLIMITED_SHARE
+        if self.fitting.share < UNLIMITED_SHARE:
+            return True
+        return self.accepted < NEARLY_ALL_ACCEPTED
 
     def load_of_depth(self, depth: int) -> RequestKindLoad:
         """Return the load of direct requests (depth 0) or of calls."""
@@ -176,7 +182,7 @@
             return
         self.updated_at = now
         self.target_refusals.decay(elapsed_s)
-        self.accepted = self.target_refusals.accepted_part()
+        self.accepted = 1 - self.target_refusals.refused_part
         self.fitting.update(elapsed_s, now)
         step = min(1, elapsed_s / SHARE_RESPONSE_S)
         direct = self.direct.close_interval(queued_direct, elapsed_s, now)
@@ -199,7 +205,5 @@
             accepted=self.accepted,
             fitting=self.fitting.share,
         )
-        lowest = min(
-            shares.direct, shares.called, shares.accepted, shares.fitting
-        )
-        return None if lowest >= UNLIMITED_SHARE else shares
+        is_short = min(shares.direct, shares.called) < UNLIMITED_SHARE
+        return shares if is_short or self.is_target_refusing else None
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -259,12 +259,12 @@
         trial call runs.
         """
         allowed = self.limit.allowed_calls(now)
-        has_few_waiting = len(self.queue) < allowed
+        slots = self.usable_slots(now)
         is_trial = allowed < min(2, self.limit.slots)
-        if self.signals.sheds_by_level or has_few_waiting or is_trial:
+        if self.signals.sheds_by_level or len(self.queue) < slots or is_trial:
             return []
         backlog = self.signals.estimate_backlog(entry, allowed, now)
-        if not backlog.is_too_long(allowed):
+        if not backlog.is_too_long(slots):
             return []
         self.early_refusals += 1
         return [
--- a/src/ebonycleat/internal/process/gate_signals.py
+++ b/src/ebonycleat/internal/process/gate_signals.py
@@ -98,9 +98,20 @@
 
     def usable_slots(self, allowed: int) -> float:
         """Return how many of the allowed calls run at the limits' rates."""
-        service_s = self.service_times.overall_s
-        slots = self.start_rate.usable_slots(allowed, service_s)
-        return self.warm_up.usable_slots(slots, service_s)
+        return self.warm_up.usable_slots(
+            self.warm_slots(allowed), self.service_times.overall_s
+        )
+
+    def warm_slots(self, allowed: int) -> float:
+        """Return the same for a target that is not cold.
+
+        The shares of overloaded services count with these. Entries take the
+        share of one gate for that of the service, and would refuse requests
+        because of one cold target among many.
+        """
+        return self.start_rate.usable_slots(
+            allowed, self.service_times.overall_s
+        )
 
     def update(self, allowed: int, now: float) -> None:
         """Adapt the admission level, and detect a standing queue."""
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -289,7 +289,7 @@
         backpressure.update(
             len(self.gate.queue) - called,
             called,
-            self.gate.usable_slots(now),
+            self.gate.signals.warm_slots(self.limit.allowed_calls(now)),
             now,
         )
         if backpressure.is_target_refusing is not was_refusing:
--- a/tests/cover/test_cold_targets.py
+++ b/tests/cover/test_cold_targets.py
@@ -170,6 +170,7 @@
     """Guards against believing another process, or an earlier answer.
 
     Calls that waited start with the answer, and entries hear of more slots.
+    They hear of no overloaded service, of which this may be one target of many.
     """
     target = ColdTarget()
     target.answer_check(own=(('x-upstream-instance', 'i-2'),))
@@ -184,6 +185,7 @@
     assert target.is_limited()
     assert target.gate.load_reporter.load_for_route('').limit <= 3
     target.wait(1)
+    assert target.gate.backpressure.published_shares('maps') is None
     target.answer_check(status=503)
     target.end_calls(lambda send: send.answer())
     assert len(target.results) + len(target.open_sends()) == 20
