Calls of targets have the objective of the request for which they are made

Cause: a call of a target was late by the objective of its own route, and fell behind direct requests although its request was on time and had been worked for.

Change: the objective of the parent request, where it is known.

--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -198,8 +198,9 @@
             body=http_request.body,
             key_digest=fingerprint.hex(),
             depth=depth,
-            objective=now
-            + min(route.latency_objective_s or timeout_s, timeout_s),
+            objective=min(
+                now + timeout_s, objective_of(route, parent, now, timeout_s)
+            ),
             moves_left=MOVES_PER_REQUEST,
         )
         return AdmittedRequest(
@@ -213,6 +214,20 @@
         )
 
 
+def objective_of(
+    route: MeshRoute, parent: Call | None, now: float, timeout_s: float
+) -> float:
+    """Return the time until which an answer meets the latency objective.
+
+    A call of a target serves the request for which it is made. That request's
+    objective tells whether the answer is still worth its work, so the one of
+    the call's own route counts only if the request is not known.
+    """
+    if parent is not None:
+        return parent.objective
+    return now + (route.latency_objective_s or timeout_s)
+
+
 def priority_of(
     index: ConfigurationIndex,
     route: MeshRoute,
--- a/tests/cover/test_queue_order.py
+++ b/tests/cover/test_queue_order.py
@@ -14,11 +14,13 @@
 )
 from ebonycleat.internal.process.gate import create_gate
 from ebonycleat.internal.process.gate_decisions import DispatchCall
+from ebonycleat.internal.process.mesh_admission import objective_of
 from ebonycleat.internal.process.mesh_gate import QUEUE_PER_SLOT
 from ebonycleat.internal.process.run_outcome import RunOutcome, RunResult
 from ebonycleat.internal.request.call import Priority
 from ebonycleat.internal.request.refusal import Outcome, Reason
 from tests.cover.call_builders import make_call
+from tests.mesh_fakes import create_route
 
 SERVICE_S = 0.1
 SLOTS = 8
@@ -141,3 +143,15 @@
     gate = make_gate(SLOTS + 60, sheds_by_level=True)
     gate.offer(make_call('x', deadline=0.5), 0)
     assert not gate.early_refusals
+
+
+def test_a_call_of_a_target_has_the_objective_of_its_request():
+    """Guards against calls that fall behind although their request is on time.
+
+    The call's own route has a shorter objective, but only the answer to the
+    request counts, and its work so far would be lost.
+    """
+    route = create_route('lookup', latency_objective_s=0.3)
+    parent = make_call('parent', objective=3, deadline=5)
+    assert objective_of(route, parent, now=2, timeout_s=0.7) == 3
+    assert objective_of(route, None, now=2, timeout_s=0.7) == 2.3
