--- a/bench/mesh_transport.py
+++ b/bench/mesh_transport.py
@@ -14,6 +14,10 @@
 import cbor2
 from websockets.asyncio import client, server
 
+from ebonycleat.internal.connection.mesh_frames import (
+    DroppedMessage,
+    encode_frame,
+)
 from ebonycleat.internal.connection.mesh_link import (
     LinkHandler,
     LinkPool,
@@ -26,7 +30,6 @@
     Hello,
     LoadReport,
     MeshMessage,
-    encode_frame,
 )
 
 HOST = '127.0.0.1'
@@ -89,7 +92,7 @@
     def message_received(
         self,
         link: MeshLink,
-        message: AnyMeshMessage,
+        message: AnyMeshMessage | DroppedMessage,
     ) -> None:
         """Answer a call, or allow one more call after an answer."""
         if isinstance(message, CallRequest):
--- a/src/ebonycleat/commands/mesh_node_process.py
+++ b/src/ebonycleat/commands/mesh_node_process.py
@@ -20,6 +20,9 @@
 from ebonycleat.internal.process.clocks import boottime_s
 from ebonycleat.internal.process.event_log import create_stdout_stream
 from ebonycleat.internal.process.logging_setup import set_up_logging
+from ebonycleat.internal.process.memory_allocator import (
+    give_back_large_blocks,
+)
 from ebonycleat.internal.process.mesh_node import MeshNode, create_mesh_node
 from ebonycleat.internal.process.mesh_runner import run_mesh_node
 from ebonycleat.internal.process.mesh_settings import MeshSettings
@@ -58,6 +61,7 @@
     if metrics_port is not None:
         settings = dataclasses.replace(settings, metrics_port=metrics_port)
     set_up_logging(LOG_LEVEL, settings.node, create_stdout_stream())
+    give_back_large_blocks()
     gc.set_threshold(GC_THRESHOLD)
     gc.freeze()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/src/ebonycleat/internal/connection/acceptor.py
+++ b/src/ebonycleat/internal/connection/acceptor.py
@@ -28,6 +28,11 @@
 logger = logging.getLogger('ebonycleat.acceptor')
 
 
+def has_always_room(opening: int) -> bool:
+    """Allow any number of connections."""
+    return True
+
+
 class ConnectionAcceptor:
     """Opens a protocol for each connection to a listening socket.
 
@@ -40,8 +45,15 @@
         self,
         listening_socket: socket.socket,
         create_protocol: Callable[[], asyncio.BaseProtocol],
+        has_room: Callable[[int], bool] = has_always_room,
     ) -> None:
-        """Accept from a bound, listening, non-blocking socket."""
+        """Accept from a bound, listening, non-blocking socket.
+
+        ``has_room`` is asked with the number of connections being opened. If
+        it says no, they are opened first: its user then closes what is too
+        much, and few descriptors are open at a time.
+        """
+        self.has_room = has_room
         self.listening_socket = listening_socket
         self.create_protocol = create_protocol
         self.loop = asyncio.get_running_loop()
@@ -77,6 +89,9 @@
     def accept_waiting(self) -> None:
         """Accept the connections that are waiting."""
         for _ in range(MAX_ACCEPTS_AT_ONCE):
+            opening = len(self.opening_tasks)
+            if opening and not self.has_room(opening):
+                return
             try:
                 connection, _ = self.listening_socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -131,8 +146,9 @@
     create_protocol: Callable[[], asyncio.BaseProtocol],
     host: str,
     port: int,
+    has_room: Callable[[int], bool] = has_always_room,
 ) -> AsyncIterator[ConnectionAcceptor]:
-    """Listen while the context is open.
+    """Listen while the context is open; see ``ConnectionAcceptor``.
 
     Raises ``OSError`` if the address is in use.
     """
@@ -141,7 +157,7 @@
         (host, port), family=family, backlog=ACCEPT_BACKLOG
     )
     listening_socket.setblocking(False)
-    acceptor = ConnectionAcceptor(listening_socket, create_protocol)
+    acceptor = ConnectionAcceptor(listening_socket, create_protocol, has_room)
     acceptor.start()
     try:
         yield acceptor
--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from ebonycleat.internal.connection.byte_account import SMALL_BYTES
 from ebonycleat.internal.connection.client_requests import (
     AbortableConnection,
     InFlightRequest,
@@ -26,6 +27,10 @@
     drop_hop_by_hop_headers,
     find_header,
 )
+from ebonycleat.internal.connection.response_body import (
+    BodyRoom,
+    ResponseBody,
+)
 from ebonycleat.internal.request.call import HeaderPairs
 
 DEFAULT_IDLE_LIMIT_S = 4.0
@@ -38,12 +43,10 @@
 at the moment when the server closes it.
 """
 
-MAX_RESPONSE_BYTES = 67_108_864
-"""Limit of the body of a response, which is kept in memory as a whole."""
-
 MAX_HELD_BYTES = 67_108_864
-"""Limit of the bodies that all connections of a pool hold at a time. Servers
-in trouble may send bodies without end on many connections at once."""
+"""Limit of the bodies that all connections of a pool hold at a time, where it
+has an account of its own. Servers in trouble may send bodies without end on
+many connections at once."""
 
 MAX_HEAD_BYTES = 65_536
 """Limit of all that is not body: headers, interim responses, sizes of chunks
@@ -56,6 +59,9 @@
 MAX_HEADERS = 1024
 """Limit of the headers of a response. Each takes many times its few bytes."""
 
+MIN_RESERVED_DIGITS = 5
+"""Lengths of bodies with fewer digits are small and need no reservation."""
+
 LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 """Headers that tell where a body ends.
 
@@ -65,7 +71,7 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
-class ConnectionOwner(abc.ABC):
+class ConnectionOwner(BodyRoom):
     """The pool that a connection belongs to."""
 
     @abc.abstractmethod
@@ -86,25 +92,16 @@
     def count_unmatched_response(self) -> None:
         """Count a response that belongs to no request in flight."""
 
-    @abc.abstractmethod
-    def hold_bytes(self, count: int) -> bool:
-        """Account for ``count`` more bytes of bodies; False if over the limit.
-
-        A negative count frees bytes.
-        """
-
 
 @dataclasses.dataclass(slots=True)
 class ResponseSizes:
     """Bytes since a request was sent.
 
-    ``body`` counts the bodies of all responses among those ``received``, and
-    ``held`` the part of the current body that is in memory.
+    ``body`` counts the bodies of all responses among those ``received``.
     """
 
     received: int = 0
     body: int = 0
-    held: int = 0
 
     def is_endless(self) -> bool:
         """Tell whether far more was received than the bodies account for."""
@@ -129,6 +126,7 @@
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.writes_paused = False
         self.must_close = False
+        self.body = ResponseBody(pool, self.fail_without_room)
         self.parser = httptools.HttpResponseParser(self)
         self.reset_response()
 
@@ -138,7 +136,6 @@
         The parser is kept: it continues with the next response.
         """
         self.headers: list[tuple[str, str]] = []
-        self.body = bytearray()
         self.sizes = ResponseSizes()
         self.has_headers = False
         self.is_delimited = False
@@ -148,6 +145,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport (asyncio callback)."""
         self.transport = transport  # type: ignore[assignment]
+        self.body.transport = self.transport
 
     def pause_writing(self) -> None:
         """Record that the send buffer is full (asyncio callback)."""
@@ -166,7 +164,10 @@
         if self.transport is not None:
             self.transport.write(in_flight.request.encoded)
             if in_flight.request.body:
-                self.transport.write(in_flight.request.body)
+                # What cannot be sent at once is copied, except of a view.
+                body = in_flight.request.body
+                is_large = len(body) > SMALL_BYTES
+                self.transport.write(memoryview(body) if is_large else body)
 
     def data_received(self, received: bytes) -> None:
         """Parse received data (asyncio callback).
@@ -188,12 +189,6 @@
         elif self.is_complete:
             self.complete()
 
-    def free_body(self) -> None:
-        """Drop the body that was received so far."""
-        self.pool.hold_bytes(-self.sizes.held)
-        self.sizes.held = 0
-        self.body = bytearray()
-
     def on_message_begin(self) -> None:
         """Start a response (parser callback).
 
@@ -203,7 +198,8 @@
             self.failure_kind = SendFailureKind.MALFORMED
             return
         self.headers = []
-        self.free_body()
+        if self.body.size or self.body.held:
+            self.body.drop()
         self.has_headers = False
         self.is_delimited = False
 
@@ -218,6 +214,8 @@
         self.headers.append((decoded_name, text.decode('latin-1')))
         if decoded_name in LENGTH_HEADERS:
             self.is_delimited = True
+            if len(text) >= MIN_RESERVED_DIGITS and text.isdigit():
+                self.body.announced_size = int(text)
 
     def on_headers_complete(self) -> None:
         """Store the status; complete a response to HEAD (parser callback).
@@ -231,6 +229,8 @@
         self.status = self.parser.get_status_code()
         is_head = self.in_flight and self.in_flight.request.is_head
         if not is_head or self.status < FIRST_FINAL_STATUS:
+            if self.body.announced_size:
+                self.body.reserve()
             return
         if self.is_own_response():
             self.is_complete = self.failure_kind is None
@@ -242,17 +242,14 @@
         """Add a part of the body (parser callback)."""
         if self.is_complete:
             return
-        sizes = self.sizes
-        sizes.body += len(part)
-        if self.failure_kind is not None:
-            return
-        sizes.held += len(part)
-        is_held = self.pool.hold_bytes(len(part))
-        if not is_held or sizes.held > MAX_RESPONSE_BYTES:
+        self.sizes.body += len(part)
+        if self.failure_kind is None and not self.body.add(part):
             self.failure_kind = SendFailureKind.TOO_LARGE
-            self.free_body()
-            return
-        self.body += part
+            self.body.drop()
+
+    def fail_without_room(self) -> None:
+        """Fail because the process has no room for the body."""
+        self.fail(SendFailureKind.TOO_LARGE, 'no room for the body')
 
     def on_message_complete(self) -> None:
         """Accept the response if it belongs to the request (parser callback).
@@ -293,13 +290,12 @@
         """Report the complete response and reuse the connection if possible."""
         in_flight = self.in_flight
         headers = tuple(self.headers)
+        # The room goes over to whoever takes the response.
+        body, held_bytes = self.body.take()
         response = HttpResponse(
-            self.status,
-            drop_hop_by_hop_headers(headers),
-            bytes(self.body),
+            self.status, drop_hop_by_hop_headers(headers), body
         )
         self.in_flight = None
-        self.free_body()
         if in_flight is not None and self.status in REFUSAL_STATUSES:
             self.pool.record_refusal(self, in_flight.request.request_id)
         if self.is_reusable(headers, in_flight):
@@ -309,6 +305,8 @@
             self.close()
         if in_flight is not None:
             in_flight.finish(response)
+        if held_bytes:
+            self.pool.free_bytes(held_bytes)
 
     def is_reusable(
         self, headers: HeaderPairs, in_flight: InFlightRequest | None
@@ -343,7 +341,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request in flight (asyncio callback)."""
         self.transport = None
-        self.free_body()
+        self.body.transport = None
+        self.body.drop()
         self.pool.remove(self)
         kind = SendFailureKind.CLOSED
         if self.has_headers:
@@ -354,6 +353,7 @@
         """Close the connection and report the failure of the request."""
         in_flight = self.in_flight
         self.in_flight = None
+        self.body.drop()
         self.close()
         if in_flight is not None:
             in_flight.finish(SendFailure(kind, was_sent=True, detail=detail))
--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -13,43 +13,40 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 from collections.abc import AsyncIterator, Callable
 
-import httptools
-
 from ebonycleat.internal.connection.acceptor import (
     ConnectionAcceptor,
     open_acceptor,
 )
-from ebonycleat.internal.connection.byte_account import ByteAccount
+from ebonycleat.internal.connection.byte_account import (
+    HeldKind,
+    MemoryAccount,
+)
 from ebonycleat.internal.connection.http_messages import (
     HttpRequest,
     HttpResponse,
-    decode_header_name,
     encode_response,
+    encode_response_parts,
 )
-from ebonycleat.internal.connection.unsent_data import has_unsent
-
-MAX_PIPELINED_REQUESTS = 16
-"""Number of queued requests of one connection at which reading pauses.
-
-This limits the memory that one connection can use.
-"""
+from ebonycleat.internal.connection.listener_limits import ListenerLimits
+from ebonycleat.internal.connection.request_receiver import (
+    UNAVAILABLE,
+    ReceiverOwner,
+    RequestReceiver,
+)
+from ebonycleat.internal.connection.slow_clients import SlowClients
+from ebonycleat.internal.connection.unsent_data import UnreadData, has_unsent
 
 MAX_CONCURRENT_REQUESTS = 8
 """Requests of one connection that may run side by side."""
 
-HELD_SLACK_BYTES = 16_777_216
-"""Bodies of other requests that fit beside the largest one allowed."""
-
 REFUSED_BODY_RETRY_AFTER_S = 1
 """A body that found no room comes back when the others have been passed on."""
 
-FRAMING_SLACK_BYTES = 16_384
-FRAMING_BYTES_PER_BODY_BYTE = 8
-"""Sizes of chunks and trailers may take ``FRAMING_SLACK_BYTES``, and this many
-bytes more for each byte of the body; a chunk with one byte needs five."""
+UNREAD_LIMIT_BYTES = 16_384
+"""Bytes that a caller leaves unread from which they are counted, and none of
+its further requests start."""
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 """Interval between checks of time-outs; short compared with the time-outs."""
@@ -66,43 +63,20 @@
 """Connections beyond the allowed ones, as a share of these, whose request is
 still read and refused. Those beyond are closed at once."""
 
-BAD_REQUEST = 400
+MIN_CLOSING = 8
+"""Connections beyond the allowed ones may be this many or the share above while
+others are closing: they count until their last answer has been sent."""
+
 REQUEST_TIMEOUT = 408
-BODY_TOO_LARGE = 413
-UNAVAILABLE = 503
-HEADERS_TOO_LARGE = 431
 CONTINUE_LINE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListenerLimits:
-    """Limits on the size of requests and on the time of connections.
-
-    ``header_timeout_s`` limits the time in which the headers of a request
-    arrive, ``idle_timeout_s`` the time without received data while its body
-    arrives and between requests. There is no limit while a request is being
-    handled. ``connections`` limits the open connections: for a new one beyond
-    it the longest idle one is closed, or the new one is refused.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 67_108_864
-    header_timeout_s: float = 3
-    idle_timeout_s: float = 15
-    connections: int = 10_000
-
-    @property
-    def held_bytes(self) -> int:
-        """Limit of the bodies of all requests that are received or open."""
-        return self.body_bytes + HELD_SLACK_BYTES
-
-
 class Exchange:
     """One request and its response.
 
     ``on_abandoned`` is called if the connection closes before the response.
     ``response`` is kept until the responses to all earlier requests of the
-    connection have been written.
+    connection have been written; ``waiting_bytes`` is its size meanwhile.
     """
 
     __slots__ = (
@@ -111,6 +85,7 @@
         'on_abandoned',
         'request',
         'response',
+        'waiting_bytes',
     )
 
     def __init__(
@@ -123,6 +98,7 @@
         self.request = request
         self.is_finished = False
         self.response: HttpResponse | None = None
+        self.waiting_bytes = 0
         self.on_abandoned: Callable[[], None] | None = None
 
     def respond(self, response: HttpResponse) -> None:
@@ -131,20 +107,37 @@
             return
         self.is_finished = True
         self.on_abandoned = None
-        self.connection.listener.bodies.release(len(self.request.body))
+        connection = self.connection
+        account = connection.listener.account
+        if self.request.held_bytes:
+            account.release(HeldKind.REQUESTS, self.request.held_bytes)
         self.response = response
-        self.connection.write_responses()
+        if connection.exchanges and connection.exchanges[0] is not self:
+            self.waiting_bytes = len(response.body)
+            account.hold_anyway(HeldKind.RESPONSES, self.waiting_bytes)
+            return
+        connection.write_responses()
 
     def abandon(self) -> None:
         """Finish the exchange because its connection closed first."""
+        self.release_response()
         if self.is_finished:
             return
         self.is_finished = True
-        self.connection.listener.bodies.release(len(self.request.body))
+        self.connection.listener.account.release(
+            HeldKind.REQUESTS, self.request.held_bytes
+        )
         if self.on_abandoned is not None:
             self.on_abandoned()
             self.on_abandoned = None
 
+    def release_response(self) -> None:
+        """Note that the response does not wait for its turn any longer."""
+        self.connection.listener.account.release(
+            HeldKind.RESPONSES, self.waiting_bytes
+        )
+        self.waiting_bytes = 0
+
 
 class ExchangeHandler(abc.ABC):
     """Handles the requests of a listener."""
@@ -175,8 +168,13 @@
         handler: ExchangeHandler,
         limits: ListenerLimits,
         clock: Callable[[], float],
+        account: MemoryAccount | None = None,
     ) -> None:
-        """Pass requests to ``handler``; ``clock`` returns seconds."""
+        """Pass requests to ``handler``; ``clock`` returns seconds.
+
+        Bytes are counted in ``account``, which others may share; without one,
+        the listener has an account of its own.
+        """
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -189,7 +187,12 @@
         self.acceptor: ConnectionAcceptor | None = None
         self.evicted_connections = 0
         self.dropped_connections = 0
-        self.bodies = ByteAccount()
+        self.account = account or MemoryAccount(limits.held_bytes)
+        self.slow_clients = SlowClients(self.account, self.read_clock)
+
+    def read_clock(self) -> float:
+        """Return the time in seconds."""
+        return self.clock()
 
     def create_connection(self) -> 'ServerConnection':
         """Create the protocol object of an accepted connection."""
@@ -205,7 +208,7 @@
         self.last_accepted_at = self.clock()
         self.connections.add(connection)
         excess = len(self.connections) - self.limits.connections
-        if excess > 0 and not self.evict_idle():
+        if excess > 0 and not self.make_room(excess):
             connection.is_surplus = True
             if excess > self.limits.connections * SURPLUS_SHARE:
                 self.dropped_connections += 1
@@ -231,6 +234,24 @@
         connection.close()
         return True
 
+    def make_room(self, excess: int) -> bool:
+        """Close another connection for a new one; False if none can be.
+
+        A body or reader must have stalled for as long as a head may take.
+        """
+        if excess <= self.max_excess() and self.evict_idle():
+            return True
+        return self.slow_clients.drop_stalled(self.limits.header_timeout_s)
+
+    def max_excess(self) -> float:
+        """Return how many connections beyond the allowed ones may be open."""
+        return max(MIN_CLOSING, self.limits.connections * SURPLUS_SHARE)
+
+    def has_room(self, opening: int) -> bool:
+        """Tell whether connections besides those being opened may follow."""
+        count = len(self.connections) + opening
+        return count < self.limits.connections + self.max_excess()
+
     def is_full(self) -> bool:
         """Tell whether there are more connections than allowed."""
         return len(self.connections) > self.limits.connections
@@ -278,66 +299,46 @@
     def close_timed_out(self) -> None:
         """Close connections that exceeded one of their time-outs."""
         now = self.clock()
+        self.slow_clients.check()
         for connection in tuple(self.connections):
             connection.close_if_timed_out(now)
+        self.account.serve_waiters()
 
 
-class ReceivedRequest:
-    """The request of which a connection receives the parts."""
-
-    def __init__(self) -> None:
-        """Start without any part."""
-        self.request_target = b''
-        self.method = ''
-        self.headers: list[tuple[str, str]] = []
-        self.header_size = 0
-        self.body = bytearray()
-        self.body_size = 0
-        self.is_body_dropped = False
-        self.framing_size = 0
-        self.has_headers = False
+class ServerConnection(ReceiverOwner, asyncio.Protocol):
+    """Answers the requests of one connection.
 
-    def drop_body(self, account: ByteAccount) -> None:
-        """Free the part of the body that was received so far."""
-        account.release(len(self.body))
-        self.body = bytearray()
-
-
-class ServerConnection(asyncio.Protocol):
-    """Parses the requests of one connection and writes the responses.
-
-    ``refusal_status`` is zero, or the status of the response to a request
-    that is malformed, too large or too late; the connection then closes. A
-    connection that ``is_surplus`` came beyond the limit and closes with its
-    first answer.
+    ``receiver`` parses what is read and decides about refusals of what is
+    malformed, too large or too late; the connection then closes. A connection
+    that ``is_surplus`` came beyond the limit and closes with its first answer.
+    ``unread`` is what its client has not read of the responses.
     """
 
     def __init__(self, listener: HttpListener) -> None:
         """Create the state of a connection of ``listener``."""
         self.listener = listener
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
-        self.queued_requests: collections.deque[HttpRequest] = (
-            collections.deque()
-        )
+        self.receiver = RequestReceiver(self, listener.slow_clients)
         self.exchanges: collections.deque[Exchange] = collections.deque()
         self.last_activity_at = listener.clock()
-        self.receiving_since: float | None = None
         self.is_paused = False
         self.is_surplus = False
-        self.refusal_status = 0
-        self.received = ReceivedRequest()
+        self.is_start_due = False
+        self.unread = UnreadData(listener.slow_clients)
+        self.writing_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport (asyncio callback)."""
         self.transport = transport  # type: ignore[assignment]
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits(UNREAD_LIMIT_BYTES, 0)
         self.listener.add_connection(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Abandon the exchanges in progress (asyncio callback)."""
         self.listener.remove_connection(self)
         self.transport = None
-        self.received.drop_body(self.listener.bodies)
+        self.unread.end_after_close()
         self.drop_unread_requests()
         while self.exchanges:
             self.exchanges.popleft().abandon()
@@ -351,133 +352,78 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse data and start complete requests (asyncio callback)."""
-        if self.refusal_status:
+        if self.receiver.refusal_status:
             return
-        self.last_activity_at = self.listener.clock()
-        self.listener.idle_connections.pop(self, None)
-        request = self.received
-        body_size_before = request.body_size
-        was_receiving = self.receiving_since is not None
-        try:
-            self.parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self.refusal_status = BAD_REQUEST
-        except httptools.HttpParserError:
-            self.refusal_status = self.refusal_status or BAD_REQUEST
-        # Bytes that end one request and begin the next are not counted.
-        if was_receiving and self.received is request:
-            self.count_framing(
-                len(received) - request.body_size + body_size_before
-            )
+        if self.receiver.feed(received):
+            self.last_activity_at = self.listener.clock()
+            self.listener.idle_connections.pop(self, None)
         self.start_exchanges()
 
-    def count_framing(self, count: int) -> None:
-        """Refuse a request with a head or with framing that does not end.
+    def find_limits(self) -> ListenerLimits:
+        """Return the limits that are in force."""
+        return self.listener.limits
 
-        The parser reports a header or a chunk only when it is complete.
-        """
-        self.received.framing_size += count
-        limits = self.listener.limits
-        if not self.received.has_headers:
-            if self.received.framing_size > limits.header_bytes:
-                self.refusal_status = HEADERS_TOO_LARGE
-            return
-        allowed = self.received.body_size * FRAMING_BYTES_PER_BODY_BYTE
-        allowed += limits.header_bytes + FRAMING_SLACK_BYTES
-        if self.received.framing_size > allowed:
-            self.refusal_status = BAD_REQUEST
-
-    def on_message_begin(self) -> None:
-        """Start a new request (parser callback)."""
-        self.receiving_since = self.listener.clock()
-        self.received = ReceivedRequest()
-
-    def on_url(self, part: bytes) -> None:
-        """Add a part of the request target (parser callback)."""
-        self.received.request_target += part
-        self.count_header_bytes(len(part))
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Add a header (parser callback)."""
-        self.received.headers.append((
-            decode_header_name(name),
-            text.decode('latin-1'),
-        ))
-        self.count_header_bytes(len(name) + len(text))
-
-    def on_headers_complete(self) -> None:
-        """Store the method and answer ``Expect`` (parser callback)."""
-        self.received.has_headers = True
-        # Read now: the parser may continue with the next request in the same
-        # data, and then returns the method of that one.
-        self.received.method = self.parser.get_method().decode('latin-1')
-        if (
-            self.transport
-            and ('expect', '100-continue') in self.received.headers
-        ):
+    def expect_continue(self) -> None:
+        """Tell a client that waits for it that its body may come."""
+        if self.transport:
             self.transport.write(CONTINUE_LINE)
 
-    def on_body(self, part: bytes) -> None:
-        """Add a part of the body (parser callback)."""
-        self.received.body_size += len(part)
-        if self.received.body_size > self.listener.limits.body_bytes:
-            self.refusal_status = BODY_TOO_LARGE
-            self.received.drop_body(self.listener.bodies)
-        elif self.received.is_body_dropped:
-            return
-        elif self.listener.bodies.hold(
-            len(part), self.listener.limits.held_bytes
-        ):
-            self.received.body += part
-        else:
-            self.received.is_body_dropped = True
-            self.received.drop_body(self.listener.bodies)
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request (parser callback)."""
-        self.receiving_since = None
-        if self.refusal_status:
-            self.received.drop_body(self.listener.bodies)
-            return
-        self.queued_requests.append(
-            HttpRequest(
-                self.received.method,
-                self.received.request_target.decode('latin-1'),
-                tuple(self.received.headers),
-                bytes(self.received.body),
-                self.parser.should_keep_alive(),
-                self.received.is_body_dropped,
-            ),
-        )
-        self.received = ReceivedRequest()
+    def is_answering(self) -> bool:
+        """Tell whether an earlier request has no response yet."""
+        return bool(self.exchanges)
+
+    def pause_writing(self) -> None:
+        """Count what the client leaves unread (asyncio callback)."""
+        if self.transport is not None:
+            self.unread.begin(self.transport, self.writing_bytes)
 
-    def count_header_bytes(self, count: int) -> None:
-        """Refuse a request whose target and headers exceed the limit."""
-        self.received.header_size += count
-        if self.received.header_size > self.listener.limits.header_bytes:
-            self.refusal_status = HEADERS_TOO_LARGE
+    def resume_writing(self) -> None:
+        """Go on after the client has read everything (asyncio callback)."""
+        self.unread.end()
+        self.start_soon()
 
     def start_exchanges(self) -> None:
         """Start the queued requests that may run now.
 
         A pending refusal is sent when all requests before it are answered.
         """
-        while self.queued_requests and self.may_start(self.queued_requests[0]):
-            exchange = Exchange(self, self.queued_requests.popleft())
+        receiver = self.receiver
+        self.is_start_due = False
+        queued_requests = receiver.queued_requests
+        while queued_requests and self.may_start(queued_requests[0]):
+            exchange = Exchange(self, queued_requests.popleft())
             self.exchanges.append(exchange)
             if exchange.request.is_body_dropped:
                 self.listener.handler.refuse_dropped_body(exchange)
             else:
                 self.listener.handler.handle_exchange(exchange)
+        if receiver.unparsed and not receiver.must_queue_shrink():
+            # One client's many requests must not hold up those of others.
+            receiver.parse_in_parts(receiver.unparsed)
+            self.start_soon()
         self.update_reading()
         if self.transport is None or self.transport.is_closing():
             return
-        if self.refusal_status and not self.is_busy():
-            response = HttpResponse(self.refusal_status)
+        if receiver.refusal_status and not self.is_busy():
+            self.write_refusal(receiver.refusal_status)
+            self.transport.close()
+
+    def start_soon(self) -> None:
+        """Start requests in the next iteration of the event loop, once."""
+        if not self.is_start_due:
+            self.is_start_due = True
+            asyncio.get_running_loop().call_soon(self.start_exchanges)
+
+    def write_refusal(self, status: int) -> None:
+        """Write the response to a request that was not read to its end."""
+        headers: tuple[tuple[str, str], ...] = ()
+        if status == UNAVAILABLE:
+            headers = (('retry-after', str(REFUSED_BODY_RETRY_AFTER_S)),)
+        if self.transport is not None:
+            response = HttpResponse(status, headers)
             self.transport.write(
                 encode_response(response, close=True, is_head=False),
             )
-            self.transport.close()
 
     def may_start(self, request: HttpRequest) -> bool:
         """Tell whether the first queued request may run now.
@@ -487,6 +433,8 @@
         """
         if self.transport is None or self.transport.is_closing():
             return False
+        if self.unread.held_bytes:
+            return False
         if not self.exchanges:
             return True
         if len(self.exchanges) >= MAX_CONCURRENT_REQUESTS:
@@ -499,7 +447,7 @@
         """Pause or resume reading by the number of queued requests."""
         if self.transport is None or self.transport.is_closing():
             return
-        must_pause = len(self.queued_requests) >= MAX_PIPELINED_REQUESTS
+        must_pause = self.receiver.must_wait()
         if must_pause == self.is_paused:
             return
         self.is_paused = must_pause
@@ -514,9 +462,14 @@
             exchange = self.exchanges.popleft()
             if exchange.response is not None:
                 self.write_response(exchange.request, exchange.response)
-        if self.queued_requests or self.refusal_status:
+                # Whoever still knows the exchange must not keep the body.
+                exchange.response = None
+                if exchange.waiting_bytes:
+                    exchange.release_response()
+        receiver = self.receiver
+        if receiver.queued_requests or receiver.refusal_status:
             # Deferred, because a handler that responds at once would recurse.
-            asyncio.get_running_loop().call_soon(self.start_exchanges)
+            self.start_soon()
 
     def write_response(
         self, request: HttpRequest, response: HttpResponse
@@ -531,13 +484,15 @@
         must_close = not request.keep_alive
         if not self.is_busy():
             must_close = must_close or self.listener.is_unwanted(self)
-        self.transport.write(
-            encode_response(
-                response,
-                close=must_close,
-                is_head=request.method == 'HEAD',
-            ),
+        parts = encode_response_parts(
+            response, close=must_close, is_head=request.method == 'HEAD'
         )
+        if len(parts) > 1 or self.unread.held_bytes:
+            self.writing_bytes = len(parts[-1])
+            if self.unread.held_bytes:
+                self.unread.add(self.writing_bytes)
+        for part in parts:
+            self.transport.write(part)
         self.last_activity_at = self.listener.clock()
         if must_close:
             self.transport.close()
@@ -552,19 +507,18 @@
 
     def drop_unread_requests(self) -> None:
         """Drop requests that were received but will not be answered."""
-        self.listener.unread_requests += len(self.queued_requests)
-        for request in self.queued_requests:
-            self.listener.bodies.release(len(request.body))
-        self.queued_requests.clear()
+        self.listener.unread_requests += self.receiver.close()
 
     def is_busy(self) -> bool:
         """Return whether a complete request has no response yet."""
-        return bool(self.exchanges or self.queued_requests)
+        return bool(self.exchanges or self.receiver.queued_requests)
 
     def count_open_exchanges(self) -> int:
         """Return how many requests are being received or are unanswered."""
-        is_receiving = self.receiving_since is not None
-        return len(self.exchanges) + len(self.queued_requests) + is_receiving
+        receiver = self.receiver
+        is_receiving = receiver.receiving_since is not None
+        queued = len(receiver.queued_requests)
+        return len(self.exchanges) + queued + is_receiving
 
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or partly received."""
@@ -576,10 +530,10 @@
         if self.transport is None or self.is_busy():
             return
         limits = self.listener.limits
-        since = self.receiving_since
-        if since is not None and not self.received.has_headers:
+        since = self.receiver.receiving_since
+        if since is not None and not self.receiver.received.has_headers:
             if now - since > limits.header_timeout_s:
-                self.refusal_status = REQUEST_TIMEOUT
+                self.receiver.give_up(REQUEST_TIMEOUT)
                 self.start_exchanges()
         elif now - self.last_activity_at > limits.idle_timeout_s:
             self.transport.close()
@@ -599,7 +553,9 @@
     async with contextlib.AsyncExitStack() as stack:
         stack.callback(listener.close_all)
         acceptor = await stack.enter_async_context(
-            open_acceptor(listener.create_connection, host, port),
+            open_acceptor(
+                listener.create_connection, host, port, listener.has_room
+            ),
         )
         listener.acceptor = acceptor
         timeout_task = asyncio.get_running_loop().create_task(
--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -26,6 +26,9 @@
 MAX_CACHED_NAMES = 1024
 """Limit of the cache of decoded header names; about 100 are in common use."""
 
+MAX_JOINED_BYTES = 65_536
+"""Larger bodies are not copied behind their head."""
+
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 FIRST_FINAL_STATUS = 200
 
@@ -47,6 +50,7 @@
 
     ``request_target`` is the path with the query string. A request whose
     ``is_body_dropped`` had no room for its body and must be refused.
+    ``held_bytes`` is what it counts for in the account of held bytes.
     """
 
     method: str
@@ -55,6 +59,7 @@
     body: bytes
     keep_alive: bool = True
     is_body_dropped: bool = False
+    held_bytes: int = 0
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -146,7 +151,16 @@
 def encode_response(
     response: HttpResponse, *, close: bool, is_head: bool
 ) -> bytes:
-    """Encode one response with a declared length.
+    """Encode one response; see ``encode_response_parts``."""
+    return b''.join(
+        encode_response_parts(response, close=close, is_head=is_head)
+    )
+
+
+def encode_response_parts(
+    response: HttpResponse, *, close: bool, is_head: bool
+) -> tuple[bytes | memoryview, ...]:
+    """Encode one response with a declared length; a large body is not copied.
 
     ``close`` announces that the connection closes; ``is_head`` leaves out the
     body and its length, for the response to a HEAD request. They are left out
@@ -163,4 +177,9 @@
         lines.append('connection: close')
     lines.append('\r\n')
     head = '\r\n'.join(lines).encode('latin-1')
-    return head + response.body if has_body else head
+    if not has_body:
+        return (head,)
+    if len(response.body) > MAX_JOINED_BYTES:
+        # A transport copies what it cannot send at once, except of a view.
+        return head, memoryview(response.body)
+    return (head + response.body,)
--- a/src/ebonycleat/internal/connection/http_pool.py
+++ b/src/ebonycleat/internal/connection/http_pool.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 from typing import Self
 
+from ebonycleat.internal.connection.byte_account import (
+    HeldKind,
+    MemoryAccount,
+)
 from ebonycleat.internal.connection.client_requests import (
     InFlightRequest,
     OutgoingRequest,
@@ -38,8 +42,15 @@
     connection: it may repeat a refusal there.
     """
 
-    def __init__(self, host: str, port: int) -> None:
-        """Create an empty pool; connections are opened when needed."""
+    def __init__(
+        self, host: str, port: int, account: MemoryAccount | None = None
+    ) -> None:
+        """Create an empty pool; connections are opened when needed.
+
+        Bytes are counted in ``account``, which others may share; without one,
+        the pool has an account of its own.
+        """
+        self.account = account or MemoryAccount(MAX_HELD_BYTES, reserve=0)
         self.host = host
         self.port = port
         self.idle: list[ClientConnection] = []
@@ -168,10 +179,26 @@
         if request_id:
             self.refused_ids.setdefault(connection, set()).add(request_id)
 
-    def hold_bytes(self, count: int) -> bool:
-        """Account for bytes of bodies that the connections hold."""
+    def hold_bytes(self, count: int, is_small: bool) -> bool:
+        """Account for ``count`` more bytes of bodies; False without room."""
+        if not self.account.hold(HeldKind.RESPONSES, count, is_small=is_small):
+            return False
         self.held_bytes += count
-        return self.held_bytes <= MAX_HELD_BYTES
+        return True
+
+    def hold_anyway(self, count: int) -> None:
+        """Account for bytes that have been received already."""
+        self.held_bytes += count
+        self.account.hold_anyway(HeldKind.RESPONSES, count)
+
+    def free_bytes(self, count: int) -> None:
+        """Account for bytes of bodies that are held no longer."""
+        self.held_bytes -= count
+        self.account.release(HeldKind.RESPONSES, count)
+
+    def await_room(self, resume: Callable[[], bool]) -> None:
+        """Call ``resume`` whenever there may be room, until it is True."""
+        self.account.waiters.append(resume)
 
     def count_unmatched_response(self) -> None:
         """Count a response that belongs to no request in flight."""
--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -16,14 +16,26 @@
 from typing import TypeAlias
 
 from ebonycleat.internal.connection.addresses import split_host_port
+from ebonycleat.internal.connection.byte_account import (
+    MemoryAccount,
+    held_bytes_limit,
+)
 from ebonycleat.internal.connection.errors import MalformedMessage
+from ebonycleat.internal.connection.link_memory import LinkMemory
+from ebonycleat.internal.connection.mesh_frames import (
+    MAX_JOINED_BYTES,
+    DroppedMessage,
+    FrameDecoder,
+    encode_frame_parts,
+)
 from ebonycleat.internal.connection.mesh_messages import (
     AnyMeshMessage,
-    FrameDecoder,
+    CallRefusal,
+    CallResponse,
     Hello,
+    LoadReport,
     Ping,
     Pong,
-    encode_frame_parts,
 )
 from ebonycleat.internal.connection.unsent_data import has_unsent
 
@@ -68,6 +80,12 @@
 every 0.1 s.
 """
 
+NO_ROOM_REASON = 'node-saturated'
+"""Reason in the refusal of a call whose response found no room."""
+
+UNKNOWN_LOAD = LoadReport(0, 0, 0, 0, 0, is_draining=False)
+"""In the place of a load that was dropped with its message."""
+
 RECONNECT_BACKOFF_S = 0.25
 """Time after a failed connect in which no new attempt is made.
 
@@ -84,9 +102,12 @@
     def message_received(
         self,
         link: 'MeshLink',
-        message: AnyMeshMessage,
+        message: AnyMeshMessage | DroppedMessage,
     ) -> None:
-        """Handle a message; ``MeshLink`` itself handles pings and hellos."""
+        """Handle a message; ``MeshLink`` itself handles pings and hellos.
+
+        A ``DroppedMessage`` is a request that must be refused.
+        """
 
     @abc.abstractmethod
     def link_closed(self, link: 'MeshLink') -> None:
@@ -119,15 +140,24 @@
     """
 
     def __init__(
-        self, handler: LinkHandler, clock: Callable[[], float]
+        self,
+        handler: LinkHandler,
+        clock: Callable[[], float],
+        account: MemoryAccount | None = None,
     ) -> None:
-        """Pass messages to ``handler``; ``clock`` returns seconds."""
+        """Pass messages to ``handler``; ``clock`` returns seconds.
+
+        Large frames are counted in ``account``, which others may share.
+        """
         self.handler = handler
         self.clock = clock
         self.node = ''
         self.service = ''
         self.transport: asyncio.Transport | None = None
-        self.decoder = FrameDecoder()
+        self.memory = LinkMemory(
+            account or MemoryAccount(held_bytes_limit(None)), clock
+        )
+        self.decoder = FrameDecoder(self.memory.receive)
         self.reply_handlers: dict[int, ReplyHandler] = {}
         self.patient_numbers: set[int] = set()
         self.is_set_aside = False
@@ -143,6 +173,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Resolve all awaited replies as lost (asyncio callback)."""
         self.transport = None
+        self.memory.close()
         reply_handlers = self.reply_handlers
         self.reply_handlers = {}
         for on_reply in reply_handlers.values():
@@ -163,10 +194,34 @@
             return
         for message in messages:
             self.deliver(message)
+        if self.memory.receiving_bytes:
+            # The room has gone over to whoever has taken the message.
+            self.memory.release_received(self.decoder.large_length)
+
+    def resume_writing(self) -> None:
+        """Release the frames that have been sent (asyncio callback)."""
+        self.check_unsent()
+
+    def check_unsent(self) -> None:
+        """Release the large responses that have been sent."""
+        if self.transport is not None:
+            self.memory.release_sent(self.transport.get_write_buffer_size())
+
+    def deliver(self, message: AnyMeshMessage | DroppedMessage) -> None:
+        """Answer a ping, record a hello, and pass on other messages.
 
-    def deliver(self, message: AnyMeshMessage) -> None:
-        """Answer a ping, record a hello, and pass on other messages."""
-        if isinstance(message, Ping):
+        A call whose response was dropped may have run.
+        """
+        if isinstance(message, DroppedMessage) and not message.is_request:
+            refusal = CallRefusal(
+                message.number,
+                NO_ROOM_REASON,
+                has_not_run=False,
+                retry_after_ms=0,
+                load=UNKNOWN_LOAD,
+            )
+            self.resolve_reply(message.number, refusal)
+        elif isinstance(message, Ping):
             self.send(Pong())
         elif isinstance(message, Hello):
             self.node = message.node
@@ -188,8 +243,14 @@
             logger.exception('message cannot be encoded')
             return False
         self.last_sent_at = self.clock()
+        size = 0
         for part in parts:
             self.transport.write(part)
+            size += len(part)
+        self.memory.written_bytes += size
+        if size > MAX_JOINED_BYTES and isinstance(message, CallResponse):
+            self.memory.hold_unsent(size)
+            self.check_unsent()
         return True
 
     def expect_reply(
@@ -254,6 +315,8 @@
         An unused link is closed after ``IDLE_CLOSE_S``.
         """
         now = self.clock()
+        if self.memory.unsent_frames:
+            self.check_unsent()
         silence_s = self.measure_silence(now)
         if silence_s > SET_ASIDE_AFTER_S:
             self.set_aside()
@@ -312,11 +375,15 @@
         handler: LinkHandler,
         hello: Hello,
         clock: Callable[[], float],
+        account: MemoryAccount | None = None,
     ) -> None:
         """Create a pool without links.
 
         ``hello`` is the first message on each link that this node opens.
+        Large frames are counted in ``account``, which others may share.
         """
+        self.account = account or MemoryAccount(held_bytes_limit(None))
+        self.account.reclaimers.append(self.drop_stalled)
         self.handler = handler
         self.hello = hello
         self.clock = clock
@@ -331,7 +398,7 @@
 
     def accept(self) -> MeshLink:
         """Create the protocol object of a link that another node opens."""
-        link = MeshLink(self.handler, self.clock)
+        link = MeshLink(self.handler, self.clock, self.account)
         self.accepted.add(link)
         return link
 
@@ -407,7 +474,7 @@
             host, port = split_host_port(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
-                    lambda: MeshLink(self.handler, self.clock),
+                    lambda: MeshLink(self.handler, self.clock, self.account),
                     host,
                     port,
                 )
@@ -436,6 +503,15 @@
             for other in tuple(self.links.values()):
                 other.verify()
 
+    def drop_stalled(self, is_any: bool) -> bool:
+        """Close a link whose other side does not read a large response."""
+        for link in self.list_links():
+            if link.memory.is_stalled():
+                link.memory.close()
+                link.close()
+                return True
+        return False
+
     def list_links(self) -> list[MeshLink]:
         """Return all links that are not closed."""
         return [*self.links.values(), *self.accepted, *self.silent_links]
--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -9,16 +9,8 @@
 
 import msgspec
 
-from ebonycleat.internal.connection.errors import MalformedMessage
 from ebonycleat.internal.request.call import HeaderPairs
 
-LENGTH_BYTES = 4
-MAX_FRAME_BYTES = 134_217_728
-"""Enough for the largest body that callers may send, and its headers."""
-
-MAX_JOINED_BYTES = 65_536
-"""Larger messages are not copied behind their length."""
-
 
 class MeshMessage(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Base of all messages."""
@@ -233,65 +225,3 @@
     | TokenExchangeRequest
     | TokenExchangeReply
 )
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(AnyMeshMessage)
-
-
-def encode_frame(message: AnyMeshMessage) -> bytes:
-    """Encode a message with its length in front."""
-    return b''.join(encode_frame_parts(message))
-
-
-def encode_frame_parts(message: AnyMeshMessage) -> tuple[bytes, ...]:
-    """Encode a frame, a large one in two parts that need not be joined."""
-    encoded = _encoder.encode(message)
-    prefix = len(encoded).to_bytes(LENGTH_BYTES, 'big')
-    if len(encoded) > MAX_JOINED_BYTES:
-        return prefix, encoded
-    return (prefix + encoded,)
-
-
-class FrameDecoder:
-    """Splits a byte stream into messages."""
-
-    def __init__(self) -> None:
-        """Create a decoder with an empty buffer."""
-        self.buffer = bytearray()
-
-    def feed(self, received: bytes) -> list[AnyMeshMessage]:
-        """Add received bytes and return the messages that are now complete.
-
-        Raises ``MalformedMessage`` for a frame that is too long or cannot be
-        decoded.
-        """
-        self.buffer += received
-        messages: list[AnyMeshMessage] = []
-        start = 0
-        while len(self.buffer) - start >= LENGTH_BYTES:
-            body_start = start + LENGTH_BYTES
-            length = int.from_bytes(self.buffer[start:body_start], 'big')
-            if length > MAX_FRAME_BYTES:
-                raise MalformedMessage(
-                    f'a frame of {length} bytes is longer than MAX_FRAME_BYTES',
-                )
-            end = body_start + length
-            if len(self.buffer) < end:
-                break
-            # A copy of the frame would double the memory of a large body.
-            with memoryview(self.buffer)[body_start:end] as frame:
-                messages.append(_decode(frame))
-            start = end
-        if start:
-            self.buffer = self.buffer[start:]
-        return messages
-
-
-def _decode(encoded: memoryview) -> AnyMeshMessage:
-    try:
-        message: AnyMeshMessage = _decoder.decode(encoded)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise MalformedMessage(
-            f'the frame is not a valid message: {error}'
-        ) from error
-    return message
--- a/src/ebonycleat/internal/process/mesh_components.py
+++ b/src/ebonycleat/internal/process/mesh_components.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from ebonycleat.internal.connection.byte_account import MemoryAccount
 from ebonycleat.internal.connection.http_pool import ConnectionPool
 from ebonycleat.internal.connection.mesh_link import LinkPool
 from ebonycleat.internal.connection.platform_interfaces import (
@@ -49,13 +50,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeDependencies:
-    """Dependencies that the components share; ``clock`` returns seconds."""
+    """Dependencies that the components share; ``clock`` returns seconds.
+
+    ``account`` counts the bytes that all connections hold.
+    """
 
     platform: PlatformInterfaces
     rng: random.Random
     clock: Callable[[], float]
     log: EventLog
     metrics: MeshMetrics
+    account: MemoryAccount
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,7 +162,7 @@
         limit,
         TargetChannel(
             LocalTarget(settings.service),
-            ConnectionPool(target.host, target.port),
+            ConnectionPool(target.host, target.port, dependencies.account),
             dependencies.platform.target,
         ),
         fleet.configuration,
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -135,8 +135,8 @@
         self.components.log.write_limited(
             'request refused: no room for its body',
             request=caller_request.request_id,
-            held_bytes=exchange.connection.listener.bodies.held_bytes,
-            limit=exchange.connection.listener.limits.held_bytes,
+            held_bytes=exchange.connection.listener.account.held_bytes,
+            limit=exchange.connection.listener.account.limit,
             retry_after_s=refusal.retry_after_s,
         )
         self.refuse(exchange, caller_request.request_id, refusal)
--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ebonycleat.internal.connection.byte_account import HeldKind
 from ebonycleat.internal.connection.mesh_link import (
     LinkPool,
     MeshLink,
@@ -27,6 +28,8 @@
 from ebonycleat.internal.process.target_stats_table import Member
 from ebonycleat.internal.request.call import (
     Answer,
+    Call,
+    CallResult,
     RefusedCall,
 )
 from ebonycleat.internal.request.mesh_request_run import (
@@ -107,22 +110,50 @@
         on_result: AttemptHandler,
     ) -> Callable[[], None]:
         """Offer a request to the local gate."""
-        call = admitted.call
+        attempt = LocalAttempt(admitted.call, self.gate, on_result)
         self.gate.offer(
             GateCall(
-                call,
+                admitted.call,
                 admitted.request_id,
                 admitted.host,
                 self.local_node.service,
                 admitted.key_fingerprint,
             ),
-            lambda result: on_result(
-                AttemptResult(
-                    result, self.gate.load_reporter.load_for_route(call.route)
-                ),
-            ),
+            attempt.handle_result,
         )
-        return lambda: self.gate.cancel(call.call_id)
+        return attempt.cancel
+
+
+class LocalAttempt:
+    """One attempt to run a request through the gate of this node.
+
+    A call that cannot be cancelled keeps its body after the connection of its
+    caller has released it: ``kept_bytes`` are counted until the call ends.
+    """
+
+    def __init__(
+        self, call: Call, gate: MeshGate, on_result: AttemptHandler
+    ) -> None:
+        """Prepare the attempt; ``on_result`` gets its one result."""
+        self.call = call
+        self.gate = gate
+        self.on_result = on_result
+        self.kept_bytes = 0
+
+    def handle_result(self, result: CallResult) -> None:
+        """Report the result with the load of the gate."""
+        self.gate.pool.account.release(HeldKind.REQUESTS, self.kept_bytes)
+        load = self.gate.load_reporter.load_for_route(self.call.route)
+        self.on_result(AttemptResult(result, load))
+
+    def cancel(self) -> None:
+        """Cancel the call, unless it must not be cancelled."""
+        self.gate.cancel(self.call.call_id)
+        if self.call.call_id in self.gate.pending_calls:
+            self.kept_bytes = len(self.call.body)
+            self.gate.pool.account.hold_anyway(
+                HeldKind.REQUESTS, self.kept_bytes
+            )
 
 
 class RemoteAttempt:
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -5,10 +5,12 @@
 import random
 from collections.abc import Callable
 
-from ebonycleat.internal.connection.http_listener import (
-    HttpListener,
-    ListenerLimits,
+from ebonycleat.internal.connection.byte_account import (
+    MemoryAccount,
+    held_bytes_limit,
 )
+from ebonycleat.internal.connection.http_listener import HttpListener
+from ebonycleat.internal.connection.listener_limits import ListenerLimits
 from ebonycleat.internal.connection.mesh_link import LinkPool, MeshLink
 from ebonycleat.internal.connection.mesh_messages import (
     AnyMeshMessage,
@@ -90,6 +92,7 @@
             self.message_router,
             Hello(self.address, settings.service),
             dependencies.clock,
+            self.dependencies.account,
         )
         self.background = build_background_components(
             settings, dependencies, self.fleet, self.links
@@ -109,8 +112,9 @@
         )
         self.listener = HttpListener(
             self.entry,
-            ListenerLimits(connections=self.watch.caller_connection_limit),
+            ListenerLimits(connections=self.watch.caller_connection_limit(0)),
             dependencies.clock,
+            self.dependencies.account,
         )
         self.connect_components()
 
@@ -124,7 +128,9 @@
             )
         )
         self.gate.on_record_changed = self.update_own_record
-        self.message_router.peer_calls = PeerCallServer(self.gate)
+        self.message_router.peer_calls = PeerCallServer(
+            self.gate, self.dependencies.account
+        )
         self.message_router.links = self.links
         self.message_router.handle_other = self.handle_message
         self.fleet.configuration.listeners.append(self.apply_configuration)
@@ -159,7 +165,7 @@
             limits.max_body_bytes,
             limits.header_timeout_s,
             limits.idle_timeout_s,
-            self.watch.caller_connection_limit,
+            self.find_connection_limit(),
         )
         self.fleet.quotas.set_teams(
             configuration.teams,
@@ -185,10 +191,9 @@
             propagation_s = settings.mesh_limits.propagation_s
             self.background.follower.propagation_s = propagation_s
             self.watch.change_limit(settings.mesh_limits.max_descriptors)
-            self.listener.limits = dataclasses.replace(
-                self.listener.limits,
-                connections=self.watch.caller_connection_limit,
-            )
+            memory_mb = settings.mesh_limits.memory_mb
+            self.dependencies.account.limit = held_bytes_limit(memory_mb)
+            self.update_connection_limit()
             self.update_node_count()
         self.dependencies.log.write_always('settings reloaded', changed=changed)
 
@@ -373,8 +378,31 @@
         }
 
     def check_descriptors(self) -> None:
-        """Log whether descriptors are scarce, if that has changed."""
+        """Leave callers what others do not need; log if it is scarce."""
+        self.update_connection_limit()
         self.watch.record_sockets(self.count_sockets())
+        self.watch.record_dropped(
+            self.listener.slow_clients, self.dependencies.account
+        )
+
+    def find_connection_limit(self) -> int:
+        """Return how many connections callers may have open now."""
+        counts = self.count_sockets()
+        # Idle slots of the target may be used at any time.
+        target_sockets = max(
+            counts['target_connections'], self.gate.target.slots
+        )
+        return self.watch.caller_connection_limit(
+            counts['links'] + target_sockets
+        )
+
+    def update_connection_limit(self) -> None:
+        """Apply the present limit of connections."""
+        connections = self.find_connection_limit()
+        if connections != self.listener.limits.connections:
+            self.listener.limits = dataclasses.replace(
+                self.listener.limits, connections=connections
+            )
 
     def render_metrics(self) -> str:
         """Return all counters, gauges and latencies as lines of text.
@@ -413,7 +441,14 @@
             'callers.evicted': self.listener.evicted_connections,
             'callers.dropped': self.listener.dropped_connections,
             'callers.connection_limit': self.listener.limits.connections,
-            'callers.held_bytes': self.listener.bodies.held_bytes,
+            'callers.dropped_bodies': self.listener.slow_clients.dropped_bodies,
+            'callers.dropped_readers': self.listener.slow_clients.dropped_readers,
+            'memory.held_bytes': self.dependencies.account.held_bytes,
+            'memory.limit': self.dependencies.account.limit,
+            **{
+                f'memory.held.{kind}': count
+                for kind, count in self.dependencies.account.describe().items()
+            },
             'callers.accept_age_s': self.listener.accept_age_s(),
             'sockets.open': sum(self.count_sockets().values()),
             'sockets.limit': self.watch.max_descriptors,
@@ -446,5 +481,6 @@
         clock,
         create_event_log(clock),
         MeshMetrics(),
+        MemoryAccount(held_bytes_limit(settings.mesh_limits.memory_mb)),
     )
     return MeshNode(settings, dependencies)
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -10,9 +10,9 @@
 from ebonycleat.internal.connection.http_listener import (
     ExchangeHandler,
     HttpListener,
-    ListenerLimits,
     open_listener,
 )
+from ebonycleat.internal.connection.listener_limits import ListenerLimits
 from ebonycleat.internal.process.mesh_http_services import (
     ControlService,
     MetricsService,
@@ -103,7 +103,12 @@
     handler: ExchangeHandler,
     address: Address,
 ) -> None:
-    listener = HttpListener(handler, ListenerLimits(), node.dependencies.clock)
+    listener = HttpListener(
+        handler,
+        ListenerLimits(),
+        node.dependencies.clock,
+        node.dependencies.account,
+    )
     await stack.enter_async_context(
         open_listener(listener, address.host, address.port),
     )
--- a/src/ebonycleat/internal/process/mesh_settings.py
+++ b/src/ebonycleat/internal/process/mesh_settings.py
@@ -28,6 +28,8 @@
     plus ``retry_slack``. A change of the configuration must be in force
     everywhere within ``propagation_s``. ``max_descriptors`` limits the open
     files and sockets of the process; None leaves it to the operating system.
+    ``memory_mb`` is the memory of the machine in 1,000,000 bytes, None if it
+    is not known.
     """
 
     key_withdrawal_s: float | None
@@ -37,6 +39,7 @@
     retry_window_s: float
     propagation_s: float = 2
     max_descriptors: int | None = None
+    memory_mb: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ebonycleat/internal/process/node_watch.py
+++ b/src/ebonycleat/internal/process/node_watch.py
@@ -2,6 +2,12 @@
 
 import resource
 
+from ebonycleat.internal.connection.byte_account import MemoryAccount
+from ebonycleat.internal.connection.http_listener import (
+    MIN_CLOSING,
+    SURPLUS_SHARE,
+)
+from ebonycleat.internal.connection.slow_clients import SlowClients
 from ebonycleat.internal.process.event_log import EventLog
 
 SCARCE_SHARE = 0.9
@@ -11,10 +17,17 @@
 """They are no longer scarce below this share; the gap keeps a load near the
 threshold from writing a line every second."""
 
-CALLER_SHARE = 0.5
-"""Share of the descriptors that connections of callers may take. The others
-are for links, the target, the store, probes and files: without one of these a
-connection of a caller is of no use."""
+USED_SHARE = 0.5
+"""Share of the descriptors that may be in use, whatever callers do. Links, the
+target, the store, probes and files come first: without one of these a connection
+of a caller is of no use."""
+
+OTHER_DESCRIPTORS = 24
+"""Descriptors for listening sockets, the event loop, the store, probes and
+files; a node without load has 20."""
+
+MIN_CALLER_SHARE = 0.125
+"""Share of the descriptors that callers may have in any case."""
 
 READY = 'ready'
 
@@ -32,11 +45,23 @@
         self.max_descriptors = effective_descriptor_limit(max_descriptors)
         self.is_scarce = False
         self.readiness = ''
+        self.dropped_bodies = 0
+        self.dropped_readers = 0
 
-    @property
-    def caller_connection_limit(self) -> int:
-        """Number of connections that callers may have open."""
-        return max(1, round(self.max_descriptors * CALLER_SHARE))
+    def caller_connection_limit(self, other_sockets: int) -> int:
+        """Return how many connections callers may have open.
+
+        ``other_sockets`` are those of links and to the target. Somewhat more
+        connections than allowed may be open until they are refused or closed.
+        """
+        allowed = self.max_descriptors * USED_SHARE
+        allowed -= other_sockets + OTHER_DESCRIPTORS
+        least = self.max_descriptors * MIN_CALLER_SHARE
+        return max(
+            1,
+            int(least),
+            int(min(allowed - MIN_CLOSING, allowed / (1 + SURPLUS_SHARE))),
+        )
 
     def change_limit(self, max_descriptors: int | None) -> None:
         """Apply the limit of reloaded settings."""
@@ -54,6 +79,25 @@
         )
         self.readiness = readiness
 
+    def record_dropped(
+        self, slow_clients: SlowClients, account: MemoryAccount
+    ) -> None:
+        """Log how many slow clients have given way since the last time."""
+        bodies = slow_clients.dropped_bodies - self.dropped_bodies
+        readers = slow_clients.dropped_readers - self.dropped_readers
+        if not bodies and not readers:
+            return
+        self.dropped_bodies += bodies
+        self.dropped_readers += readers
+        self.log.write_limited(
+            'slow clients gave way to others',
+            bodies_refused=bodies,
+            readers_closed=readers,
+            held_bytes=account.held_bytes,
+            limit=account.limit,
+            **account.describe(),
+        )
+
     def record_sockets(self, counts: dict[str, int]) -> None:
         """Log when descriptors become scarce and when they are free again.
 
--- a/src/ebonycleat/internal/process/peer_calls.py
+++ b/src/ebonycleat/internal/process/peer_calls.py
@@ -3,6 +3,15 @@
 import itertools
 from collections.abc import Callable
 
+from ebonycleat.internal.connection.byte_account import (
+    HeldKind,
+    MemoryAccount,
+    held_bytes_limit,
+)
+from ebonycleat.internal.connection.mesh_frames import (
+    MAX_JOINED_BYTES,
+    DroppedMessage,
+)
 from ebonycleat.internal.connection.mesh_link import (
     LinkHandler,
     LinkPool,
@@ -25,7 +34,11 @@
     CallResult,
     Priority,
 )
-from ebonycleat.internal.request.refusal import Outcome
+from ebonycleat.internal.request.refusal import Outcome, Reason
+
+NO_ROOM_RETRY_AFTER_MS = 1000
+"""Retry-After of a call for whose body there is no room; bodies take as long as
+the requests that they belong to."""
 
 
 class PeerCallServer:
@@ -34,23 +47,64 @@
     ``calls_by_link`` has the ids of open calls by link and message number.
     """
 
-    def __init__(self, gate: MeshGate) -> None:
-        """Offer calls to ``gate``."""
+    def __init__(
+        self, gate: MeshGate, account: MemoryAccount | None = None
+    ) -> None:
+        """Offer calls to ``gate``; their bodies are counted in ``account``."""
         self.gate = gate
+        self.account = account or MemoryAccount(held_bytes_limit(None))
         self.call_numbers = itertools.count(1)
         self.calls_by_link: dict[MeshLink, dict[int, str]] = {}
 
     def message_received(
         self,
         link: MeshLink,
-        message: CallRequest | CancelCall,
+        message: CallRequest | CancelCall | DroppedMessage,
     ) -> None:
-        """Offer a call to the gate, or cancel one."""
-        if isinstance(message, CallRequest):
-            self.offer(link, message)
+        """Offer a call to the gate, or cancel one.
+
+        A call for whose body there is no room is refused as not run.
+        """
+        if isinstance(message, DroppedMessage):
+            self.refuse_for_memory(link, message.number)
+        elif isinstance(message, CallRequest):
+            if self.hold_body(len(message.body)):
+                self.offer(link, message)
+            else:
+                self.refuse_for_memory(link, message.number)
         else:
             self.cancel(link, message.number)
 
+    def hold_body(self, size: int) -> bool:
+        """Count a body; return False if there is no room for it.
+
+        The link has found room for that of a large frame.
+        """
+        if size > MAX_JOINED_BYTES:
+            self.account.hold_anyway(HeldKind.REQUESTS, size)
+            return True
+        return not size or self.account.hold(
+            HeldKind.REQUESTS, size, is_small=True
+        )
+
+    def refuse_for_memory(self, link: MeshLink, number: int) -> None:
+        """Refuse a call for whose body there is no room."""
+        self.gate.log.write_limited(
+            'call of another node refused: no room for its body',
+            peer=link.node,
+            held_bytes=self.account.held_bytes,
+            limit=self.account.limit,
+        )
+        link.send(
+            CallRefusal(
+                number,
+                Reason.NODE_SATURATED.value,
+                has_not_run=True,
+                retry_after_ms=NO_ROOM_RETRY_AFTER_MS,
+                load=self.gate.load_reporter.report_for_route(''),
+            ),
+        )
+
     def offer(self, link: MeshLink, message: CallRequest) -> None:
         """Offer one call to the gate; its result goes back over the link."""
         now = self.gate.clock()
@@ -97,6 +151,7 @@
         """Send back the result of a call, with the gate's present load."""
         number = message.number
         self.calls_by_link.get(link, {}).pop(number, None)
+        self.account.release(HeldKind.REQUESTS, len(message.body))
         load = self.gate.load_reporter.report_for_route(message.route)
         if isinstance(result, Answer):
             link.send(
@@ -146,12 +201,12 @@
     def message_received(
         self,
         link: MeshLink,
-        message: AnyMeshMessage,
+        message: AnyMeshMessage | DroppedMessage,
     ) -> None:
         """Hand a message to the waiting call, the call server or others."""
         if isinstance(message, (CallResponse, CallRefusal)):
             link.resolve_reply(message.number, message)
-        elif isinstance(message, (CallRequest, CancelCall)):
+        elif isinstance(message, (CallRequest, CancelCall, DroppedMessage)):
             if self.peer_calls is not None:
                 self.peer_calls.message_received(link, message)
         elif self.handle_other is not None:
--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -191,13 +191,15 @@
         self.router.record_sent(chosen, now)
         attempt = Attempt(chosen, now)
         self.attempt = attempt
-        attempt.cancel = self.gate_client.start_attempt(
+        cancel = self.gate_client.start_attempt(
             chosen,
             self.admitted,
             lambda attempt_result: self.handle_attempt_result(
                 attempt, attempt_result
             ),
         )
+        if not attempt.is_over:
+            attempt.cancel = cancel
 
     def handle_attempt_result(
         self, attempt: Attempt, attempt_result: AttemptResult
@@ -206,6 +208,8 @@
         if attempt.is_over:
             return
         attempt.is_over = True
+        # The attempt at the gate refers to this one, and to the body.
+        attempt.cancel = None
         self.attempt = None
         self.update_router(attempt, attempt_result)
         result = attempt_result.result
@@ -296,8 +300,10 @@
             return
         attempt.is_over = True
         self.router.record_abandoned(attempt.member)
-        if attempt.cancel is not None:
-            attempt.cancel()
+        cancel = attempt.cancel
+        attempt.cancel = None
+        if cancel is not None:
+            cancel()
 
     def stop_timer(self) -> None:
         """Cancel the timer of the deadline."""
--- a/src/ebonycleat/platform/settings.py
+++ b/src/ebonycleat/platform/settings.py
@@ -84,6 +84,9 @@
     max_descriptors: _PositiveInt | None = _field_with_key(
         'maxFds', default=None
     )
+    memory_mb: _PositiveNumber | None = _field_with_key(
+        'memoryMb', default=None
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -128,6 +131,7 @@
         mesh_limits=dataclasses.replace(
             _convert_bounds(file_settings.bounds),
             max_descriptors=file_settings.limits.max_descriptors,
+            memory_mb=file_settings.limits.memory_mb,
         ),
     )
 
--- a/src/ebonycleat_tools/platform/soak_environment.py
+++ b/src/ebonycleat_tools/platform/soak_environment.py
@@ -9,11 +9,13 @@
 from ebonycleat.internal.connection.http_listener import (
     Exchange,
     HttpListener,
-    ListenerLimits,
     open_listener,
 )
 from ebonycleat.internal.connection.http_messages import find_header
 from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.listener_limits import (
+    ListenerLimits,
+)
 from ebonycleat_tools.platform.fleet import (
     NodeAddresses,
     NodeProcess,
--- a/tests/cover/test_acceptor.py
+++ b/tests/cover/test_acceptor.py
@@ -11,9 +11,11 @@
 from ebonycleat.internal.connection.acceptor import ConnectionAcceptor
 from ebonycleat.internal.connection.http_listener import (
     HttpListener,
-    ListenerLimits,
     open_listener,
 )
+from ebonycleat.internal.connection.listener_limits import (
+    ListenerLimits,
+)
 from tests.loopback_http import COMPLETE_RESPONSE, HOST, RecordingHandler
 from tests.mesh_environment import run_mesh
 
--- a/tests/cover/test_connection_limit.py
+++ b/tests/cover/test_connection_limit.py
@@ -127,6 +127,12 @@
 
 
 def test_the_limit_leaves_descriptors_for_links_and_the_target():
+    """Guards against callers that leave none of half of the descriptors.
+
+    Of 100 descriptors 24 are for files and listening, 4 for the slots of the
+    target, and 8 for connections that are closing.
+    """
+
     async def find_limits():
         async with run_mesh() as mesh:
             node = mesh.nodes[0]
@@ -140,7 +146,7 @@
             node.apply_configuration(node.fleet.configuration.index)
             return changed, node.listener.limits.connections
 
-    assert run_with_timeout(find_limits()) == (50, 50)
+    assert run_with_timeout(find_limits()) == (14, 14)
 
 
 def test_connections_that_cannot_be_closed_yet_still_count(monkeypatch):
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ebonycleat.internal.connection import http_client
+from ebonycleat.internal.connection import response_body
 from ebonycleat.internal.connection.client_requests import (
     OutgoingRequest,
     SendFailure,
@@ -133,7 +133,7 @@
 
 def test_one_endless_body_does_not_fail_the_answers_of_others(monkeypatch):
     """Guards against a limit that honest answers meet after a failure."""
-    monkeypatch.setattr(http_client, 'MAX_RESPONSE_BYTES', 100_000)
+    monkeypatch.setattr(response_body, 'MAX_RESPONSE_BYTES', 100_000)
 
     async def run_exchange():
         server = EndlessServer(*BODIES['chunks'])
--- a/tests/cover/test_held_bodies.py
+++ b/tests/cover/test_held_bodies.py
@@ -2,13 +2,16 @@
 
 import pytest
 
+from ebonycleat.internal.connection.byte_account import HeldKind
 from ebonycleat.internal.connection.http_listener import (
-    HELD_SLACK_BYTES,
     HttpListener,
-    ListenerLimits,
     ServerConnection,
 )
 from ebonycleat.internal.connection.http_messages import HttpResponse
+from ebonycleat.internal.connection.listener_limits import (
+    HELD_SLACK_BYTES,
+    ListenerLimits,
+)
 from tests.loopback_http import RecordingHandler, run_with_timeout
 from tests.mesh_environment import run_mesh
 from tests.mesh_fakes import ManualClock, RecordingTransport
@@ -44,7 +47,7 @@
     assert [one.connection for one in handler.exchanges] == [first]
     assert second.transport.written[0].startswith(b'HTTP/1.1 503 ')
     assert b'retry-after: ' in second.transport.written[0]
-    assert listener.bodies.held_bytes == BODY_BYTES
+    assert listener.account.held_bytes == BODY_BYTES
 
 
 @pytest.mark.parametrize('end', ['answer', 'disconnect', 'half', 'too large'])
@@ -63,7 +66,7 @@
         listener.handler.exchanges[-1].respond(HttpResponse(200))
     else:
         first.connection_lost(None)
-    assert not listener.bodies.held_bytes
+    assert not listener.account.held_bytes
     send_body(second)
     assert listener.handler.exchanges[-1].connection is second
 
@@ -83,10 +86,11 @@
 
     async def send_request():
         async with run_mesh() as mesh:
-            account = mesh.nodes[0].listener.bodies
-            account.hold(HELD_SLACK_BYTES + 100_000, HELD_SLACK_BYTES * 2)
+            account = mesh.nodes[0].dependencies.account
+            count = account.limit + account.reserve
+            account.hold_anyway(HeldKind.REQUESTS, count)
             refused = await mesh.send_and_wait(0, '/renew/1', body=b'x' * 9)
-            account.release(account.held_bytes)
+            account.release(HeldKind.REQUESTS, count)
             answered = await mesh.send_and_wait(0, '/renew/1', body=b'x' * 9)
             received = mesh.targets[0].received_requests
             return refused, answered.status, len(received)
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -9,7 +9,6 @@
     SendFailure,
     SendFailureKind,
 )
-from ebonycleat.internal.connection.http_listener import MAX_PIPELINED_REQUESTS
 from ebonycleat.internal.connection.http_messages import (
     HttpResponse,
     drop_hop_by_hop_headers,
@@ -17,6 +16,9 @@
     encode_response,
     find_header,
 )
+from ebonycleat.internal.connection.request_receiver import (
+    MAX_PIPELINED_REQUESTS,
+)
 from tests.loopback_http import (
     COMPLETE_RESPONSE,
     HOST,
--- a/tests/cover/test_mutated_frames.py
+++ b/tests/cover/test_mutated_frames.py
@@ -6,15 +6,17 @@
 from hypothesis import strategies as st
 
 from ebonycleat.internal.connection.errors import MalformedMessage
+from ebonycleat.internal.connection.mesh_frames import (
+    FrameDecoder,
+    encode_frame,
+)
 from ebonycleat.internal.connection.mesh_messages import (
     ConfigurationUpdate,
-    FrameDecoder,
     FreshnessReply,
     FreshnessRequest,
     Hello,
     MembersUpdate,
     Ping,
-    encode_frame,
 )
 
 MESSAGES = (
--- a/tests/cover/test_mutated_requests.py
+++ b/tests/cover/test_mutated_requests.py
@@ -7,9 +7,11 @@
 
 from ebonycleat.internal.connection.http_listener import (
     HttpListener,
-    ListenerLimits,
 )
 from ebonycleat.internal.connection.http_messages import HttpResponse
+from ebonycleat.internal.connection.listener_limits import (
+    ListenerLimits,
+)
 from tests.loopback_http import RecordingHandler
 
 MAX_HEADER_BYTES = 400
@@ -23,6 +25,12 @@
         self.written = b''
         self.closed = False
 
+    def set_write_buffer_limits(self, high, low):
+        """Everything is sent at once."""
+
+    def get_write_buffer_size(self):
+        return 0
+
     def write(self, written):
         assert not self.closed
         self.written += written
--- a/tests/cover/test_mutated_responses.py
+++ b/tests/cover/test_mutated_responses.py
@@ -43,10 +43,19 @@
     def count_unmatched_response(self):
         """Copies are expected here."""
 
-    def hold_bytes(self, count):
+    def hold_bytes(self, count, is_small):
         self.held += count
         return True
 
+    def hold_anyway(self, count):
+        self.held += count
+
+    def free_bytes(self, count):
+        self.held -= count
+
+    def await_room(self, resume):
+        """There is always room."""
+
 
 class FakeTransport:
     """Notes that the connection was closed."""
--- a/tests/cover/test_silent_mesh_links.py
+++ b/tests/cover/test_silent_mesh_links.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from ebonycleat.internal.connection.mesh_frames import (
+    encode_frame,
+)
 from ebonycleat.internal.connection.mesh_link import (
     SET_ASIDE_AFTER_S,
     SILENCE_TIMEOUT_S,
@@ -15,7 +18,6 @@
     LoadReport,
     Ping,
     Pong,
-    encode_frame,
 )
 from tests.mesh_fakes import ManualClock, RecordingTransport
 
--- a/tests/loopback_http.py
+++ b/tests/loopback_http.py
@@ -11,11 +11,13 @@
 from ebonycleat.internal.connection.http_listener import (
     ExchangeHandler,
     HttpListener,
-    ListenerLimits,
     open_listener,
 )
 from ebonycleat.internal.connection.http_messages import HttpResponse
 from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.listener_limits import (
+    ListenerLimits,
+)
 
 HOST = '127.0.0.1'
 TEST_TIMEOUT_S = 20
--- a/tests/mesh_environment.py
+++ b/tests/mesh_environment.py
@@ -12,11 +12,13 @@
 )
 from ebonycleat.internal.connection.http_listener import (
     HttpListener,
-    ListenerLimits,
     open_listener,
 )
 from ebonycleat.internal.connection.http_messages import encode_request
 from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.listener_limits import (
+    ListenerLimits,
+)
 from ebonycleat.internal.process.clocks import boottime_s
 from ebonycleat.internal.process.mesh_node import create_mesh_node
 from ebonycleat.internal.process.mesh_runner import run_mesh_node
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -58,6 +58,12 @@
     def write(self, encoded):
         self.written.append(encoded)
 
+    def set_write_buffer_limits(self, high, low):
+        """Everything is sent at once."""
+
+    def get_write_buffer_size(self):
+        return 0
+
     def is_closing(self):
         return self.is_aborted
 
--- a/tests/nocover/test_memory_of_small_chunks.py
+++ b/tests/nocover/test_memory_of_small_chunks.py
@@ -16,10 +16,12 @@
 )
 from ebonycleat.internal.connection.http_listener import (
     HttpListener,
-    ListenerLimits,
     ServerConnection,
 )
 from ebonycleat.internal.connection.http_pool import ConnectionPool
+from ebonycleat.internal.connection.listener_limits import (
+    ListenerLimits,
+)
 from tests.loopback_http import RecordingHandler
 from tests.mesh_fakes import ManualClock, RecordingTransport
 
