Statuses that the protocol lacks are malformed responses

Cause: the parser accepts any three digits as a status. The node passed 600 and above on to callers, and skipped 000 to 099 as interim responses, so that the next response on the connection was taken for the answer.

Change: a status below 100, of 101 or above 599 makes a response malformed for the node's client. The connection is closed, also if a response to another request seems to follow; the request may have run, so it ends with 502 or is retried as its route and the budget allow. The product's own node refused all but those above 599 and now refuses them too.

--- a/src/ebonycleat/internal/connection/http_client.py
+++ b/src/ebonycleat/internal/connection/http_client.py
@@ -26,6 +26,7 @@
     decode_header_name,
     drop_hop_by_hop_headers,
     find_header,
+    is_valid_status,
 )
 from ebonycleat.internal.connection.response_body import (
     BodyRoom,
@@ -220,13 +221,17 @@
     def on_headers_complete(self) -> None:
         """Store the status; complete a response to HEAD (parser callback).
 
-        The parser would take what follows a foreign response for its body, so
+        A status that no response may have makes it malformed: it is neither
+        an answer nor skipped as interim. The parser would take what follows a foreign response for its body, so
         such a response ends the connection.
         """
         if self.is_complete:
             return
         self.has_headers = True
         self.status = self.parser.get_status_code()
+        if not is_valid_status(self.status):
+            self.failure_kind = SendFailureKind.MALFORMED
+            return
         is_head = self.in_flight and self.in_flight.request.is_head
         if not is_head or self.status < FIRST_FINAL_STATUS:
             if self.body.announced_size:
@@ -259,6 +264,9 @@
         """
         if self.is_complete or self.in_flight is None:
             return
+        if self.failure_kind is SendFailureKind.MALFORMED:
+            # The connection closes, whatever follows.
+            return
         if self.status < FIRST_FINAL_STATUS:
             self.has_headers = False
             return
--- a/src/ebonycleat/internal/connection/http_messages.py
+++ b/src/ebonycleat/internal/connection/http_messages.py
@@ -30,7 +30,10 @@
 """Larger bodies are not copied behind their head."""
 
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+FIRST_STATUS = 100
+SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 
 # A server that answers with one of these may not have run the request.
 REFUSAL_STATUSES = frozenset((
@@ -70,6 +73,15 @@
     body: bytes = b''
 
 
+def is_valid_status(status: int) -> bool:
+    """Tell whether a response may have a status; parsers accept any digits.
+
+    No request asks for another protocol, so 101 answers none.
+    """
+    in_range = FIRST_STATUS <= status <= LAST_STATUS
+    return in_range and status != SWITCHING_PROTOCOLS
+
+
 _cached_names: dict[bytes, str] = {}
 
 
--- a/src/ebonycleat/internal/connection/target_client.py
+++ b/src/ebonycleat/internal/connection/target_client.py
@@ -17,6 +17,7 @@
 
 import urllib3
 
+from ebonycleat.internal.connection.http_messages import is_valid_status
 from ebonycleat.internal.connection.target_connections import (
     CALL_ID_HEADER,
     TargetConnectionPool,
@@ -370,6 +371,11 @@
     response: urllib3.BaseHTTPResponse,
     method: str,
 ) -> TargetFailure | None:
+    if not is_valid_status(response.status):
+        return _failure_outcome_unknown(
+            TargetFailureKind.BROKEN,
+            f'the target sent status {response.status}, which no response has',
+        )
     if response.status < http.HTTPStatus.OK:
         # The final response follows on the same connection and would be taken
         # for the response to the next request.
--- a/tests/cover/test_http_on_the_loop.py
+++ b/tests/cover/test_http_on_the_loop.py
@@ -393,6 +393,29 @@
     assert send_requests(target)[0].body == b'ok'
 
 
+@pytest.mark.parametrize('is_head', [False, True])
+@pytest.mark.parametrize('names_request', [False, True])
+@pytest.mark.parametrize(
+    'status', [b'000', b'0', b'7', b'42', b'099', b'101', b'600', b'999']
+)
+def test_a_status_that_the_protocol_lacks_is_no_answer(
+    status, names_request, is_head
+):
+    """Guards against such a status at a caller, or skipped as interim.
+
+    A complete answer follows, which may be that to another request.
+    """
+    own_id = b'id: own\r\n' if names_request else b''
+    answer = b'HTTP/1.1 %s Odd\r\n%scontent-length: 0\r\n\r\n' % (
+        status,
+        own_id,
+    )
+    target = ScriptedTarget(answer + OK_RESPONSE)
+    result = send_requests(target, own=names_own_id, is_head=is_head)[0]
+    assert isinstance(result, SendFailure)
+    assert (result.kind, result.was_sent) == (SendFailureKind.MALFORMED, True)
+
+
 def test_a_request_on_a_refused_connection_counts_as_not_sent():
     """Guards against an unknown outcome for a request that was not sent.
 
--- a/tests/cover/test_target_client.py
+++ b/tests/cover/test_target_client.py
@@ -54,6 +54,11 @@
         (b'HTTP/1.1 200', TargetFailureKind.UNDECLARED_LENGTH),
         (b'nonsense\r\n\r\n', TargetFailureKind.BROKEN),
         (b'HTTP/1.1 103 Early\r\n\r\n%s' % COMPLETE, TargetFailureKind.BROKEN),
+        (b'HTTP/1.1 101 Odd\r\n\r\n%s' % COMPLETE, TargetFailureKind.BROKEN),
+        (COMPLETE.replace(b'200', b'000'), TargetFailureKind.BROKEN),
+        (COMPLETE.replace(b'200', b'7'), TargetFailureKind.BROKEN),
+        (COMPLETE.replace(b'200', b'600'), TargetFailureKind.BROKEN),
+        (COMPLETE.replace(b'200', b'999'), TargetFailureKind.BROKEN),
         (
             b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n'
             b'Content-Length: 6\r\n\r\nhello',
