A local attempt touches the account only for a kept body

Cause: the result of each local attempt released zero bytes from the account of the gate's pool, which the fake pool of test_mesh_gate does not have.

Change: bytes are released only if some are kept.

--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -142,7 +142,8 @@
 
     def handle_result(self, result: CallResult) -> None:
         """Report the result with the load of the gate."""
-        self.gate.pool.account.release(HeldKind.REQUESTS, self.kept_bytes)
+        if self.kept_bytes:
+            self.gate.pool.account.release(HeldKind.REQUESTS, self.kept_bytes)
         load = self.gate.load_reporter.load_for_route(self.call.route)
         self.on_result(AttemptResult(result, load))
 
