--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -5,10 +5,12 @@
 import random
 from collections.abc import Callable
 
-from ebonycleat.internal.connection.http_listener import (
-    HttpListener,
-    ListenerLimits,
+from ebonycleat.internal.connection.byte_account import (
+    MemoryAccount,
+    held_bytes_limit,
 )
+from ebonycleat.internal.connection.http_listener import HttpListener
+from ebonycleat.internal.connection.listener_limits import ListenerLimits
 from ebonycleat.internal.connection.mesh_link import LinkPool, MeshLink
 from ebonycleat.internal.connection.mesh_messages import (
     AnyMeshMessage,
@@ -47,15 +49,13 @@
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
 from ebonycleat.internal.process.mesh_settings import MeshSettings
 from ebonycleat.internal.process.node_quotas import NodeQuotas
+from ebonycleat.internal.process.node_gauges import collect_gauges
 from ebonycleat.internal.process.node_watch import READY, NodeWatch
 from ebonycleat.internal.process.peer_calls import (
     MeshMessageRouter,
     PeerCallServer,
 )
 from ebonycleat.internal.process.placement.evacuated_zones import ZonesChange
-from ebonycleat.internal.process.placement.spillover_log import (
-    describe_spillover,
-)
 from ebonycleat.internal.process.retry_budget import (
     RetryBudget,
     divide_retry_limits,
@@ -94,6 +94,7 @@
             self.message_router,
             Hello(self.address, settings.service),
             dependencies.clock,
+            self.dependencies.account,
         )
         self.background = build_background_components(
             settings, dependencies, self.fleet, self.links
@@ -113,8 +114,9 @@
         )
         self.listener = HttpListener(
             self.entry,
-            ListenerLimits(connections=self.watch.caller_connection_limit),
+            ListenerLimits(connections=self.watch.caller_connection_limit(0)),
             dependencies.clock,
+            self.dependencies.account,
         )
         self.connect_components()
 
@@ -128,7 +130,9 @@
             )
         )
         self.gate.on_record_changed = self.update_own_record
-        self.message_router.peer_calls = PeerCallServer(self.gate)
+        self.message_router.peer_calls = PeerCallServer(
+            self.gate, self.dependencies.account
+        )
         self.message_router.links = self.links
         self.message_router.handle_other = self.handle_message
         self.fleet.configuration.listeners.append(self.apply_configuration)
@@ -166,7 +170,7 @@
             limits.max_body_bytes,
             limits.header_timeout_s,
             limits.idle_timeout_s,
-            self.watch.caller_connection_limit,
+            self.listener.limits.connections,
         )
         self.fleet.quotas.set_teams(
             configuration.teams,
@@ -209,10 +213,9 @@
             propagation_s = settings.mesh_limits.propagation_s
             self.background.follower.propagation_s = propagation_s
             self.watch.change_limit(settings.mesh_limits.max_descriptors)
-            self.listener.limits = dataclasses.replace(
-                self.listener.limits,
-                connections=self.watch.caller_connection_limit,
-            )
+            memory_mb = settings.mesh_limits.memory_mb
+            self.dependencies.account.limit = held_bytes_limit(memory_mb)
+            self.update_connection_limit()
             self.update_node_count()
         self.dependencies.log.write_always('settings reloaded', changed=changed)
 
@@ -397,76 +400,31 @@
         }
 
     def check_descriptors(self) -> None:
-        """Log whether descriptors are scarce, if that has changed."""
+        """Leave callers what others do not need; log if it is scarce."""
+        self.update_connection_limit()
         self.watch.record_sockets(self.count_sockets())
+        self.watch.record_dropped(
+            self.listener.slow_clients, self.dependencies.account
+        )
 
-    def render_metrics(self) -> str:
-        """Return all counters, gauges and latencies as lines of text.
+    def update_connection_limit(self) -> None:
+        """Let callers have the descriptors that nothing else needs now."""
+        counts = self.count_sockets()
+        # Idle slots of the target may be used at any time.
+        target_sockets = max(
+            counts['target_connections'], self.gate.target.slots
+        )
+        connections = self.watch.caller_connection_limit(
+            counts['links'] + target_sockets
+        )
+        if connections != self.listener.limits.connections:
+            self.listener.limits = dataclasses.replace(
+                self.listener.limits, connections=connections
+            )
 
-        A ``configuration.proof_age_s`` of -1 means that the version was
-        never confirmed as the newest.
-        """
-        holder = self.fleet.configuration
-        age_s = holder.proof_age_s(self.dependencies.clock())
-        load = self.gate.load_reporter.load_for_route('')
-        pool = self.gate.pool
-        background = self.background
-        return self.dependencies.metrics.render({
-            'configuration.version': holder.version,
-            'configuration.proof_age_s': -1 if age_s is None else age_s,
-            'configuration.rejected': background.follower.rejected_configurations,
-            'gate.queued': load.queued,
-            'gate.running': load.running,
-            'gate.limit': load.limit,
-            'gate.queued_late': len(self.gate.gate.queue.late_ids),
-            'gate.refused_early': self.gate.gate.early_refusals,
-            'gate.target_accepts': self.gate.backpressure.accepted,
-            'gate.fitting_share': self.gate.backpressure.fitting.share,
-            'gate.handed_back': self.gate.gate.handed_back,
-            **self.target_gauges(),
-            'gate.connections': len(pool.connections),
-            'gate.connections_opened': pool.connections_opened,
-            'gate.foreign_answers': pool.unmatched_responses,
-            'gate.held_bytes': pool.held_bytes,
-            **self.gate.cold_watch.gauges(),
-            'zones.evacuated': len(holder.evacuated.zones),
-            'gate.evacuated': int(self.gate.gate.is_evacuated),
-            **{
-                f'gate.failed.{kind}': count
-                for kind, count in pool.failure_counts.items()
-            },
-            **describe_spillover(
-                self.entry.components.router, self.dependencies.clock()
-            ),
-            'links.open': len(self.links.links) + len(self.links.accepted),
-            'members.nodes': self.fleet.members.count_serving_nodes(),
-            'members.lost': len(self.fleet.members.lost_changes),
-            'store.era': background.follower.era.number or 0,
-            'store.calls': background.follower.store_calls
-            + background.record_writer.store_calls,
-            'callers.connections': len(self.listener.connections),
-            'callers.accepted': self.listener.accepted_connections,
-            'callers.evicted': self.listener.evicted_connections,
-            'callers.dropped': self.listener.dropped_connections,
-            'callers.connection_limit': self.listener.limits.connections,
-            'callers.held_bytes': self.listener.bodies.held_bytes,
-            'callers.accept_age_s': self.listener.accept_age_s(),
-            'sockets.open': sum(self.count_sockets().values()),
-            'sockets.limit': self.watch.max_descriptors,
-            'callers.unread_requests': self.listener.unread_requests,
-        })
-
-    def target_gauges(self) -> dict[str, float]:
-        """Return what is known of the speed of targets."""
-        now = self.dependencies.clock()
-        target_load = self.gate.load_reporter.target_load
-        ratios = self.entry.components.router.uneven_ratios(now)
-        return {
-            'target.pace': target_load.pace_at(now),
-            'target.service_s': target_load.service_s(''),
-            'target.other_calls': target_load.other_calls_at(now),
-            **{f'entry.ratio.{node}': ratio for node, ratio in ratios.items()},
-        }
+    def render_metrics(self) -> str:
+        """Return all counters, gauges and latencies as lines of text."""
+        return self.dependencies.metrics.render(collect_gauges(self))
 
     def has_unfinished_work(self) -> bool:
         """Tell whether a request is open or an answer is not yet sent."""
@@ -494,5 +452,6 @@
         clock,
         create_event_log(clock),
         MeshMetrics(),
+        MemoryAccount(held_bytes_limit(settings.mesh_limits.memory_mb)),
     )
     return MeshNode(settings, dependencies)
