Gates that report no shares count as able to take all

Cause: entries averaged only the gates that publish shares, so one overloaded target among many stood for its service, and requests were refused that others had room for.

Change: an answer of a gate of a service without shares counts as a share of 1.

Measured: tests of backpressure, fair shares and refusals pass.

--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -23,6 +23,7 @@
 )
 from ebonycleat.internal.process.backpressure import (
     MIN_SHARE,
+    NEARLY_ALL_ACCEPTED,
     UNLIMITED_SHARE,
     AdmissibleShares,
 )
@@ -89,21 +90,45 @@
         self.add_refusals(reported.accepted, reported.fitting)
         self.received_at = now
 
+    def add_unlimited_sample(self) -> None:
+        """Add the answer of a gate that can take all, and so reports nothing.
+
+        Without these, one overloaded gate among many would stand for all.
+        """
+        self.direct += (1 - self.direct) * SHARE_SMOOTHING_FACTOR
+        self.called += (1 - self.called) * SHARE_SMOOTHING_FACTOR
+        self.add_refusals(1, 1)
+
     def add_refusals(self, accepted: float, fitting: float) -> None:
         """Add what one target of the service accepts, and what share fits."""
         self.accepted += (accepted - self.accepted) * SHARE_SMOOTHING_FACTOR
         self.fitting += (fitting - self.fitting) * SHARE_SMOOTHING_FACTOR
 
-    def current(self, service: str, now: float) -> AdmissibleShares:
-        """Return the shares of ``service``, raised while unconfirmed."""
-        stale_s = max(0, now - self.received_at - REPORTED_SHARE_VALID_S)
+    def current(
+        self, service: str, calls: float, now: float
+    ) -> AdmissibleShares:
+        """Return the shares of ``service``, raised while unconfirmed.
+
+        ``calls`` is how many calls there one request on a route causes.
+        """
+        stale_s = now - self.received_at - REPORTED_SHARE_VALID_S
+        if stale_s <= 0:
+            return AdmissibleShares(
+                service,
+                self.direct,
+                self.called,
+                calls,
+                self.accepted,
+                self.fitting,
+            )
         rise = STALE_SHARE_RISE_PER_S**stale_s
         return AdmissibleShares(
             service,
             min(1, self.direct * rise),
             min(1, self.called * rise),
-            accepted=min(1, self.accepted * rise),
-            fitting=min(1, self.fitting * rise),
+            calls,
+            min(1, self.accepted * rise),
+            min(1, self.fitting * rise),
         )
 
 
@@ -242,7 +267,7 @@
         if service in self.reported and all(
             reported.service != service for reported in shares
         ):
-            self.reported[service].add_refusals(1, 1)
+            self.reported[service].add_unlimited_sample()
         for reported in shares:
             averaged = self.reported.setdefault(
                 reported.service,
@@ -273,9 +298,8 @@
             self.services_behind_target.get(''), REPORTED_SHARE_VALID_S, now
         )
         return [
-            dataclasses.replace(
-                self.reported[name].current(name, now),
-                calls=self.calls_per_request(route, name),
+            self.reported[name].current(
+                name, self.calls_per_request(route, name), now
             )
             for name in sorted(names)
         ]
@@ -311,9 +335,8 @@
             self.services_on_route.get(route), ROUTE_SERVICE_VALID_S, now
         )
         return [
-            dataclasses.replace(
-                self.reported[name].current(name, now),
-                calls=self.reported[name].calls_by_route.get(route, 1),
+            self.reported[name].current(
+                name, self.reported[name].calls_by_route.get(route, 1), now
             )
             for name in sorted(names)
         ]
@@ -336,8 +359,8 @@
                 ClassDemand(now, self.weights),
             )
             demand.count(call.priority, overloaded.calls, now)
-            demand.count_team(call, overloaded.calls, now)
             if share < UNLIMITED_SHARE:
+                demand.count_team(call, overloaded.calls, now)
                 fraction = min(fraction, demand.team_fraction(call, share, now))
         return fraction
 
@@ -386,6 +409,8 @@
     """
     if is_direct:
         return min(overloaded.direct, overloaded.fitting)
+    if overloaded.accepted >= NEARLY_ALL_ACCEPTED:
+        return min(overloaded.called, overloaded.fitting)
     to_finish = share_to_finish(overloaded.accepted, overloaded.calls)
     return min(overloaded.called, overloaded.fitting, max(MIN_SHARE, to_finish))
 
