Responses without room blame no target; more descriptors left for files

Change: such a response ends as no-room and is not recorded against its target. 32 instead of 24 descriptors are left for files, listening and probes.

--- a/src/ebonycleat/internal/connection/client_requests.py
+++ b/src/ebonycleat/internal/connection/client_requests.py
@@ -26,6 +26,7 @@
     TRUNCATED = 'truncated'
     MALFORMED = 'malformed'
     TOO_LARGE = 'too-large'
+    NO_ROOM = 'no-room'
     ENDLESS = 'endless'
     SILENT = 'silent'
     EXPIRED = 'expired'
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -85,6 +85,9 @@
 """Retry-After of a request that crashes targets, so that it does not return
 soon."""
 
+OWN_FAILURES = frozenset((SendFailureKind.CANCELLED, SendFailureKind.NO_ROOM))
+"""Failures that this node has caused, which tell nothing of the target."""
+
 OVERLOAD_REASONS = frozenset((
     Reason.QUEUE_FULL,
     Reason.DEADLINE,
@@ -503,7 +506,7 @@
             self.record_target_crash()
         elif failure.kind is SendFailureKind.SILENT:
             self.limit.record_silence(pending_call.running_when_sent, now)
-        elif failure.kind is SendFailureKind.CANCELLED:
+        elif failure.kind in OWN_FAILURES:
             return
         elif failure.was_sent:
             self.crashes.record_closed_connection(
--- a/src/ebonycleat/internal/process/node_watch.py
+++ b/src/ebonycleat/internal/process/node_watch.py
@@ -22,9 +22,9 @@
 target, the store, probes and files come first: without one of these a connection
 of a caller is of no use."""
 
-OTHER_DESCRIPTORS = 24
+OTHER_DESCRIPTORS = 32
 """Descriptors for listening sockets, the event loop, the store, probes and
-files; a node without load has 20."""
+files; a node without load has about 20, and probes open some more."""
 
 MIN_CALLER_SHARE = 0.125
 """Share of the descriptors that callers may have in any case."""
--- a/tests/cover/test_shared_memory.py
+++ b/tests/cover/test_shared_memory.py
@@ -150,6 +150,28 @@
     assert run_with_timeout(wait_for_room()) == ([False, False, True], 0, 0)
 
 
+def test_a_response_without_room_fails_in_time_and_the_target_is_not_blamed(
+    monkeypatch,
+):
+    """Guards against slots that responses without room occupy."""
+    monkeypatch.setattr(
+        'ebonycleat.internal.connection.response_body.ROOM_TIMEOUT_S', 0.1
+    )
+
+    async def send_while_full():
+        async with run_mesh(answer_body=b'x' * 1_000_000) as mesh:
+            node = mesh.nodes[0]
+            account = node.dependencies.account
+            account.hold_anyway(HeldKind.UNREAD, account.limit)
+            answer = await mesh.send_and_wait(0, '/renew/1')
+            account.release(HeldKind.UNREAD, account.limit)
+            again = await mesh.send_and_wait(0, '/renew/1')
+            suspects = node.gate.crashes.own_count_pairs()
+            return answer.status, again.status, suspects, account.held_bytes
+
+    assert run_with_timeout(send_while_full()) == (502, 200, (), 0)
+
+
 @pytest.mark.parametrize(
     ('full', 'expected'), [('gate', (503, 0)), ('entry', (502, 1))]
 )
