--- a/src/ebonycleat/internal/connection/byte_account.py
+++ b/src/ebonycleat/internal/connection/byte_account.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import enum
 from collections.abc import Callable
 
@@ -131,9 +132,14 @@
         """
         if self.is_serving:
             return
-        self.is_serving = True
-        while self.waiters and self.waiters[0]():
-            self.waiters.popleft()
+        with contextlib.ExitStack() as stack:
+            self.is_serving = True
+            stack.callback(self.stop_serving)
+            while self.waiters and self.waiters[0]():
+                self.waiters.popleft()
+
+    def stop_serving(self) -> None:
+        """Let waiters be served again, also after one has failed."""
         self.is_serving = False
 
 
--- a/tests/cover/test_moved_calls.py
+++ b/tests/cover/test_moved_calls.py
@@ -7,10 +7,12 @@
 
 from ebonycleat import Answer, Reason
 from ebonycleat.internal.connection.mesh_link import MeshLink
+from ebonycleat.internal.connection.mesh_frames import (
+    FrameDecoder,
+)
 from ebonycleat.internal.connection.mesh_messages import (
     CallRefusal,
     CancelCall,
-    FrameDecoder,
 )
 from ebonycleat.internal.process.gate_calls import GateCall
 from ebonycleat.internal.process.mesh_admission import AdmittedRequest
--- a/tests/cover/test_pressure.py
+++ b/tests/cover/test_pressure.py
@@ -289,3 +289,17 @@
     )
     overloaded = entry.overloaded_on_route('fetch', clock.now)
     assert overloaded[0].calls == 8
+
+
+def test_one_overloaded_gate_does_not_stand_for_its_service():
+    """Guards against refusing requests that other targets have room for."""
+    clock = ManualClock()
+    entry = EntryBackpressure(RouteCallCounts())
+    admitted = make_admitted(clock, 'fetch', Priority.NORMAL)
+    service = admitted.call.service
+    overloaded = (AdmissibleShares(service, 0.4, 1),)
+    for number in range(40):
+        clock.now += 0.01
+        shares = () if number % 2 else overloaded
+        entry.record_shares(admitted, shares, clock())
+    assert 0.55 < entry.reported[service].direct < 0.85
