--- a/bench/zone_spillover.py
+++ b/bench/zone_spillover.py
@@ -18,6 +18,8 @@
 from functools import partial
 
 from bench.policy_clock import SimulatedClock
+from ebonycleat.internal.process.backpressure import GateBackpressure
+from ebonycleat.internal.process.entry_backpressure import ReportedShares
 from ebonycleat.internal.process.gate_decisions import GateLoad
 from ebonycleat.internal.process.router import (
     PlacementRequest,
@@ -57,13 +59,15 @@
     """A simulated site.
 
     ``swing`` is the amplitude of the zones' demand, and ``skew`` by how much
-    the mean demand of the first zone exceeds that of all zones.
+    the mean demand of the first zone exceeds that of all zones. ``refuses``
+    tells whether entries refuse calls as gates ask them to.
     """
 
     zones: int
     targets_per_zone: int
     swing: float
     skew: float = 0
+    refuses: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +75,8 @@
     """A target with slots and a queue in order of arrival."""
 
     run_s: float
+    backpressure: GateBackpressure
+    refuses: bool
     running: int = 0
     queue: collections.deque['SimulatedCall'] = dataclasses.field(
         default_factory=collections.deque
@@ -78,6 +84,9 @@
 
     def measure_load(self) -> GateLoad:
         """Return the load that answers carry."""
+        shares = None
+        if self.refuses:
+            shares = self.backpressure.published_shares(SERVICE)
         return GateLoad(
             len(self.queue),
             self.running,
@@ -85,9 +94,19 @@
             self.run_s,
             1280,
             draining=False,
+            shares=tuple(filter(None, [shares])),
             service_s=self.run_s,
         )
 
+    def change_running(self, change: int, now: float) -> None:
+        """Count a call that starts (1) or ends (-1)."""
+        self.running += change
+        self.backpressure.direct.change_running(change, now)
+        if change < 0:
+            self.backpressure.direct.record_served(self.run_s)
+        if self.backpressure.is_update_due(now):
+            self.backpressure.update(len(self.queue), 0, SLOTS, now)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SimulatedCall:
@@ -120,13 +139,19 @@
             zone = 'abcdef'[number % shape.zones]
             node = f'{zone}{number}'
             slowness = 1 + (SLOWEST - 1) * number / (count - 1)
-            self.targets[node] = QueuedTarget(SERVICE_S * slowness)
+            self.targets[node] = QueuedTarget(
+                SERVICE_S * slowness, GateBackpressure(0), shape.refuses
+            )
             self.members.append(Member(node, zone, service=SERVICE))
             self.routers[node] = create_router(
                 zone, node, random.Random(seed + number)
             )
         self.waits: list[float] = []
         self.late_calls = 0
+        self.arrived = 0
+        self.refused = 0
+        self.shares: dict[str, ReportedShares] = {}
+        self.credits: dict[str, float] = collections.defaultdict(float)
         self.flows: collections.Counter[tuple[int, str, str]] = (
             collections.Counter()
         )
@@ -157,6 +182,10 @@
         now = self.clock.now
         next_s = self.rng.expovariate(self.rate_of(entry))
         self.clock.after(next_s, partial(self.arrive, entry))
+        self.arrived += 1
+        if self.is_refused(entry.node):
+            self.refused += 1
+            return
         router = self.routers[entry.node]
         members = self.members
         if self.choice is Choice.STAY:
@@ -172,6 +201,15 @@
         sent = SimulatedCall(entry.node, chosen, now)
         self.clock.after(delay_s, partial(self.queue_call, sent))
 
+    def is_refused(self, entry: str) -> bool:
+        """Tell whether the entry refuses a call, by the shares of gates."""
+        shares = self.shares.get(entry)
+        if shares is None:
+            return False
+        credit = self.credits[entry] + shares.current('', self.clock.now).direct
+        self.credits[entry] = credit - (credit >= 1)
+        return credit < 1
+
     def queue_call(self, sent: SimulatedCall) -> None:
         """Queue a call at its target."""
         target = self.targets[sent.member.node]
@@ -182,7 +220,7 @@
         """Start calls while slots are free."""
         while target.queue and target.running < SLOTS:
             sent = target.queue.popleft()
-            target.running += 1
+            target.change_running(1, self.clock.now)
             self.waits.append(self.clock.now - sent.sent_at)
             run_s = target.run_s * self.rng.uniform(0.5, 1.5)
             self.clock.after(run_s, partial(self.end_call, sent))
@@ -190,7 +228,7 @@
     def end_call(self, sent: SimulatedCall) -> None:
         """Free the slot, and send the answer with the load."""
         target = self.targets[sent.member.node]
-        target.running -= 1
+        target.change_running(-1, self.clock.now)
         self.late_calls += self.clock.now - sent.sent_at > OBJECTIVE_S
         self.start_calls(target)
         load = target.measure_load()
@@ -203,6 +241,12 @@
         self.routers[sent.entry].record_answer(
             sent.member, load, latency_s, now
         )
+        for reported in load.shares:
+            shares = self.shares.setdefault(
+                sent.entry,
+                ReportedShares(reported.direct, reported.called, now),
+            )
+            shares.add_sample(reported, '', now)
 
     def sample(self) -> None:
         """Record the mean fraction of each zone's entries."""
@@ -294,28 +338,40 @@
     """Simulate a site with several seeds; return one line of figures."""
     sites = [run_site(shape, choice, seed, DURATION_S) for seed in seeds]
     waits = sorted(itertools.chain.from_iterable(site.waits for site in sites))
-    late = sum(site.late_calls for site in sites) / len(waits)
+    arrived = sum(site.arrived for site in sites)
+    late = sum(site.late_calls for site in sites) / arrived
+    refused = sum(site.refused for site in sites) / arrived
     leaving = statistics.fmean(site.share_leaving() for site in sites)
     exchanged = statistics.fmean(
         site.share_exchanged(SWING_S) for site in sites
     )
     return (
         f'{shape.zones} zones x {shape.targets_per_zone}, swing {shape.swing}, '
-        f'skew {shape.skew}, {choice.value}: late {late:.3f}, '
+        f'skew {shape.skew}, '
+        f'{"with" if shape.refuses else "no"} refusals, {choice.value}: late {late:.3f}, '
+        f'refused {refused:.3f}, '
         f'wait mean {statistics.fmean(waits) * 1000:.0f} ms, '
         f'p95 {waits[len(waits) * 95 // 100] * 1000:.0f} ms, '
         f'leaving {leaving:.3f}, both ways {exchanged:.4f}'
     )
 
 
+def list_shapes() -> list[SiteShape]:
+    """Return the sites to simulate."""
+    demands = ((0, 0), (0.5, 0), (0, 0.5))
+    return [
+        SiteShape(zones, targets, *demand, refuses)
+        for refuses, zones, targets, demand in itertools.product(
+            (False, True), (2, 3), (1, 5), demands
+        )
+    ]
+
+
 def main(seeds: Sequence[int]) -> None:
     """Print the figures."""
     out = sys.stdout
-    demands = ((0, 0), (0.5, 0), (0, 0.5))
-    for zones, targets, demand in itertools.product((2, 3), (1, 5), demands):
-        shape = SiteShape(zones, targets, *demand)
-        for choice in Choice:
-            out.write(f'{describe_runs(shape, choice, seeds)}\n')
+    for shape, choice in itertools.product(list_shapes(), Choice):
+        out.write(f'{describe_runs(shape, choice, seeds)}\n')
     for candidates in CANDIDATE_COUNTS:
         decision_us = time_decision(candidates)
         out.write(f'{candidates} candidates: {decision_us:.0f} us\n')
--- a/src/ebonycleat/internal/process/placement/service_spillover.py
+++ b/src/ebonycleat/internal/process/placement/service_spillover.py
@@ -31,6 +31,10 @@
 this, the zone gets a single call this often. A last report that told a zone
 short would otherwise keep calls from it as long as it is valid."""
 
+CALLS_PER_TRIAL = 25
+"""At most one in so many calls is a trial, so that entries with few calls do
+not send a large part of them away."""
+
 MAX_REPORTS_PER_ZONE = 16
 """Reports of a zone that a decision sums, the most recent ones. They bound its
 cost; the load of the zone is extrapolated from them."""
@@ -79,8 +83,9 @@
     answered last, in the order of their answers.
     """
 
-    def __init__(self, objective_s: float, credit: float) -> None:
+    def __init__(self, service: str, objective_s: float, credit: float) -> None:
         """Start without a decision; ``credit`` differs between entries."""
+        self.service = service
         self.objective_s = objective_s
         self.credit = credit
         self.objective_seen_at: float = 0
@@ -90,6 +95,7 @@
         self.stats_by_zone: dict[str, dict[str, TargetStats]] = {}
         self.trial_zones: list[str] = []
         self.trial_times: dict[str, float] = {}
+        self.calls_since_trial = CALLS_PER_TRIAL
         self.decision = Spillover()
         self.own: ZoneLoad | None = None
         self.has_no_reports = True
@@ -149,6 +155,7 @@
         recent = self.stats_by_zone.get(zone, {})
         return sum_zone_load(
             zone,
+            self.service,
             self.targets_by_zone.get(zone, 0),
             [stats.reported for stats in recent.values() if stats.reported],
             now,
@@ -173,8 +180,15 @@
             if is_due and now - self.reported_at(other.zone) >= TRIAL_S:
                 self.trial_zones.append(other.zone)
 
-    def take_trial(self, now: float) -> str:
-        """Return a zone of ``trial_zones`` that gets this call as a trial."""
+    def take_trial(self, now: float) -> str | None:
+        """Return a zone of ``trial_zones`` that gets this call as a trial.
+
+        Returns None while trials would be too large a part of all calls.
+        """
+        self.calls_since_trial += 1
+        if self.calls_since_trial < CALLS_PER_TRIAL:
+            return None
+        self.calls_since_trial = 0
         zone = self.trial_zones.pop()
         if len(self.trial_times) >= MAX_ZONES:
             self.trial_times.clear()
@@ -239,7 +253,7 @@
         if len(self.by_service) >= MAX_SERVICES:
             self.by_service.pop(next(iter(self.by_service)))
         spillover = ServiceSpillover(
-            max(0, call.objective - now), self.rng.random()
+            call.service, max(0, call.objective - now), self.rng.random()
         )
         self.by_service[call.service] = spillover
         return spillover
@@ -252,7 +266,6 @@
 
     def update(
         self,
-        service: str,
         spillover: ServiceSpillover,
         members: Sequence[Member],
         now: float,
@@ -266,7 +279,7 @@
         spillover.reported_fraction = decision.fraction
         self.on_change(
             SpilloverChange(
-                service,
+                spillover.service,
                 decision.fraction,
                 before,
                 spillover.own,
--- a/src/ebonycleat/internal/process/placement/zone_spillover.py
+++ b/src/ebonycleat/internal/process/placement/zone_spillover.py
@@ -9,6 +9,12 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
+from ebonycleat.internal.process.backpressure import (
+    BACKLOG_DRAIN_S,
+    DESIRED_UTILISATION,
+    MIN_SHARE,
+    UNLIMITED_SHARE,
+)
 from ebonycleat.internal.process.gate_decisions import GateLoad
 from ebonycleat.internal.process.placement.expected_delay import (
     REPORTED_LOAD_VALID_S,
@@ -23,10 +29,10 @@
 """A backlog beyond the one to keep is sent away within about this time. With
 3 s, 1 to 5% more of all calls missed their objective in the simulation."""
 
-ROOM_SMOOTHING_S = 0.5
-"""Time constant of the free capacity of other zones. Single reports vary by
-several calls; the fraction follows the smaller of two figures, which such
-noise would lower on average."""
+LOAD_SMOOTHING_S = 0.5
+"""Time constant of the loads of zones. Single reports vary by several calls;
+the fraction follows the smaller of two figures, which such noise would lower
+on average."""
 
 MAX_STEP_S = 0.5
 """Longest step of the loop. After a longer pause the last wait is outdated."""
@@ -57,6 +63,10 @@
 """The own zone counts as full from this part of its slots on. Holding all slots
 in use would need a long queue, as arrivals vary."""
 
+EASE_PER_S = 0.03
+"""Fall of the fraction while the zone is full and calls wait less than they
+may. Gates ask entries to refuse calls only a little above this load."""
+
 MIN_USED_SHARE = 0.05
 """Bound of the used part of the own zone's slots in divisions."""
 
@@ -72,6 +82,7 @@
     and ``rate_per_s`` how many calls they finish a second when all slots are
     used; the three are extrapolated to the targets without a report. They are
     0 without any report. ``age_s`` is the age of the oldest report.
+    ``admitted`` is the share of calls that the gates ask entries to admit.
     """
 
     zone: str
@@ -81,6 +92,7 @@
     capacity: float = 0
     rate_per_s: float = 0
     age_s: float = 0
+    admitted: float = 1
 
     @property
     def is_known(self) -> bool:
@@ -102,11 +114,22 @@
         """Part of the slots that calls occupy, at most 1."""
         return min(1, self.demand / self.capacity)
 
+    @property
+    def offered_share(self) -> float:
+        """Slots that all calls need, also refused ones, as a share of all.
+
+        It is measured as gates do (``GateBackpressure``).
+        """
+        backlog_share = self.wait_s / BACKLOG_DRAIN_S
+        return (self.used_share + backlog_share) / self.admitted
+
     @property
     def free_per_s(self) -> float:
         """Calls a second beyond the present ones; negative with a backlog."""
-        free = 1 - RESERVED_SHARE - self.used_share
-        return (free - self.wait_s / DRAIN_S) * self.rate_per_s
+        # What a zone refuses to its own callers is no room for others.
+        used = self.used_share / self.admitted
+        free = 1 - RESERVED_SHARE - used - self.wait_s / DRAIN_S
+        return free * self.rate_per_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,16 +148,44 @@
     free: Mapping[str, float] = dataclasses.field(default_factory=dict)
     wait_s: float = 0
     begin_s: float = 0
+    offered_share: float = 0
+    is_refusing: bool = False
+
+    @property
+    def excess_share(self) -> float:
+        """Part of the calls that gates ask entries to refuse.
+
+        Gates do so from ``DESIRED_UTILISATION`` on. A refused call misses its
+        objective, so calls leave instead where others have free slots.
+        """
+        if not self.is_refusing:
+            return 0
+        return 1 - DESIRED_UTILISATION / max(
+            DESIRED_UTILISATION, self.offered_share
+        )
+
+    @property
+    def is_full(self) -> bool:
+        """Whether calls leave for free slots elsewhere, with hysteresis."""
+        if self.fraction and self.is_refusing:
+            return self.offered_share > FULL_SHARE
+        return self.excess_share > 0
+
+    @property
+    def is_short(self) -> bool:
+        """Whether calls in the own zone wait or are refused too much."""
+        is_waiting = 0 < self.begin_s < self.wait_s
+        return is_waiting or self.excess_share > 0
 
     @property
     def needs_other_zones(self) -> bool:
-        """Whether the loads of other zones matter now or soon."""
-        is_near = self.begin_s > 0 and self.wait_s > self.begin_s / 2
-        return self.fraction > 0 or is_near
+        """Whether the loads of other zones matter now."""
+        return self.fraction > 0 or self.is_short
 
 
 def sum_zone_load(
     zone: str,
+    service: str,
     targets: int,
     reports: Iterable[ReportedLoad],
     now: float,
@@ -162,9 +213,18 @@
         sum(report.load.limit for report in serving) * scale,
         rate_per_s * scale,
         now - min(report.received_at for report in recent),
+        sum(admitted_share(report.load, service) for report in serving)
+        / len(serving),
     )
 
 
+def admitted_share(load: GateLoad, service: str) -> float:
+    """Return the share of calls that a gate asks entries to admit."""
+    if not load.shares or load.shares[0].service != service:
+        return 1
+    return max(MIN_SHARE, min(load.shares[0].direct, load.shares[0].called))
+
+
 def sum_rates(serving: Sequence[ReportedLoad], now: float) -> float:
     """Return how many calls these targets finish a second with all slots.
 
@@ -219,58 +279,75 @@
         # Without a report of the own zone nothing says that calls must leave.
         fraction = previous.fraction * (1 - step)
         return Spillover(fraction, previous.shares, free)
-    begin_s = wait_to_begin(own, known, objective_s)
-    room = find_room(own, known, free, objective_s)
+    present = Spillover(
+        previous.fraction,
+        previous.shares,
+        free,
+        own.wait_s,
+        wait_to_begin(own, known, objective_s),
+        smooth(previous.offered_share, own.offered_share, elapsed_s),
+        own.admitted < UNLIMITED_SHARE
+        or (previous.is_refusing and previous.fraction > 0),
+    )
+    room = find_room(present, own, known, objective_s)
     fraction = previous.fraction
     if not known:
         fraction *= 1 - step
-    elif fraction or (room and own.wait_s > begin_s):
+    elif fraction or (room and present.is_short):
         change = min(
-            own_change(previous, own, begin_s * HOLD_SHARE, elapsed_s),
-            room_change(previous, own, known, room) * step,
+            own_change(present, own, previous.wait_s, elapsed_s),
+            room_change(present, own, known, room) * step,
         )
         fraction = min(1, max(0, fraction + change))
-    return Spillover(
-        fraction,
-        move_shares(previous, known, room, step),
-        free,
-        own.wait_s,
-        begin_s,
-    )
+    shares = move_shares(previous, known, room, step)
+    return dataclasses.replace(present, fraction=fraction, shares=shares)
 
 
 def smooth_free(
     previous: Spillover, known: Sequence[ZoneLoad], elapsed_s: float
 ) -> Mapping[str, float]:
     """Move the free capacity of each zone towards the reported one."""
-    step = min(1, elapsed_s / ROOM_SMOOTHING_S)
-    smoothed: dict[str, float] = {}
-    for other in known:
-        before = previous.free.get(other.zone, other.free_per_s)
-        smoothed[other.zone] = before + (other.free_per_s - before) * step
-    return smoothed
+    return {
+        other.zone: smooth(
+            previous.free.get(other.zone, other.free_per_s),
+            other.free_per_s,
+            elapsed_s,
+        )
+        for other in known
+    }
+
+
+def smooth(before: float, reported: float, elapsed_s: float) -> float:
+    """Move a moving mean towards a reported figure."""
+    return before + (reported - before) * min(1, elapsed_s / LOAD_SMOOTHING_S)
 
 
 def find_room(
+    present: Spillover,
     own: ZoneLoad,
     known: Sequence[ZoneLoad],
-    free: Mapping[str, float],
     objective_s: float,
 ) -> Mapping[str, float]:
     """Return the calls a second that each zone may get for which that pays.
 
     A zone whose calls wait less than the ones here has room for the
     difference even if its slots are in use, as long as its calls keep their
-    objective. Two zones never have room for each other, as only one of them
-    can wait less.
+    objective. Calls that would be refused here get free slots only. Two zones
+    never have room for each other: neither while both are full, nor for
+    waits, as only one of them can wait less.
     """
     room: dict[str, float] = {}
+    # The nearer the own zone is to having free slots itself, the more must
+    # others have, lest zones that are equally full send to each other.
+    spare = max(0, 1 - present.offered_share) if present.is_refusing else 0
     for other in known:
         saved_s = own.wait_s - leaving_cost_s(own, other)
-        if saved_s > 0:
-            slack_s = max(0, objective_s - other.service_s)
-            shifted = other.rate_per_s * min(saved_s, slack_s) / DRAIN_S
-            room[other.zone] = max(0, free[other.zone] + shifted)
+        slack_s = max(0, objective_s - other.service_s)
+        if saved_s > 0 or (slack_s and present.is_full):
+            shifted = max(0, min(saved_s, slack_s)) / DRAIN_S
+            room[other.zone] = (
+                present.free[other.zone] + (shifted - spare) * other.rate_per_s
+            )
     return {zone: part for zone, part in room.items() if part > 0}
 
 
@@ -298,24 +375,27 @@
 
 
 def own_change(
-    previous: Spillover, own: ZoneLoad, hold_s: float, elapsed_s: float
+    present: Spillover, own: ZoneLoad, wait_before_s: float, elapsed_s: float
 ) -> float:
     """Return the change of the fraction that the own zone asks for.
 
     The growth of the wait tells by how much arrivals exceed the capacity,
     and free slots by how much they fall short of it.
     """
-    grown_s = own.wait_s - previous.wait_s if elapsed_s <= MAX_STEP_S else 0
+    grown_s = own.wait_s - wait_before_s if elapsed_s <= MAX_STEP_S else 0
     elapsed_s = min(elapsed_s, MAX_STEP_S)
     used = own.used_share
-    kept = max(MIN_USED_SHARE, 1 - previous.fraction)
+    kept = max(MIN_USED_SHARE, 1 - present.fraction)
     free = max(0, FULL_SHARE - used) / max(MIN_USED_SHARE, used)
-    excess = (own.wait_s - hold_s) / DRAIN_S - free
-    return kept * (grown_s + elapsed_s * excess) / SMOOTHING_S
+    hold_s = present.begin_s * HOLD_SHARE
+    excess = (own.wait_s - hold_s) / DRAIN_S
+    if present.is_refusing:
+        excess = max(excess, present.excess_share or -EASE_PER_S)
+    return kept * (grown_s + elapsed_s * (excess - free)) / SMOOTHING_S
 
 
 def room_change(
-    previous: Spillover,
+    present: Spillover,
     own: ZoneLoad,
     known: Sequence[ZoneLoad],
     room: Mapping[str, float],
@@ -329,7 +409,7 @@
     if room:
         return min(1, sum(room.values()) / own.rate_per_s)
     least_s = min(other.wait_s + leaving_cost_s(own, other) for other in known)
-    return -previous.fraction * min(1, least_s / max(least_s, own.wait_s))
+    return -present.fraction * min(1, least_s / max(least_s, own.wait_s))
 
 
 def move_shares(
--- a/src/ebonycleat/internal/process/router.py
+++ b/src/ebonycleat/internal/process/router.py
@@ -201,7 +201,7 @@
         if spillover is None:
             return self.choose_by_marks(call, own, members, now)
         if usable and spillover.is_due(now):
-            self.spillover.update(call.service, spillover, usable, now)
+            self.spillover.update(spillover, usable, now)
         if spillover.has_no_reports:
             return self.choose_by_marks(call, own, members, now)
         far = self.choose_leaving(spillover, members, now, has_own=bool(own))
--- a/tests/cover/test_zone_spillover.py
+++ b/tests/cover/test_zone_spillover.py
@@ -46,7 +46,7 @@
 @pytest.mark.parametrize(('zones', 'targets'), SHAPES)
 def test_calls_wait_less_while_demand_swings_between_zones(zones, targets):
     """Guards against a loop too slow or too hesitant to help a short zone."""
-    shape = SiteShape(zones, targets, swing=0.5)
+    shape = SiteShape(zones, targets, swing=0.5, refuses=False)
     stay = run_site(shape, Choice.STAY, 1, 51)
     spilling = run_site(shape, Choice.SPILLOVER, 1, 51)
     waits = [statistics.fmean(site.waits) for site in (stay, spilling)]
@@ -78,7 +78,8 @@
     Single calls cross to learn a load, or while answers are overdue.
     """
     skew = 0.5 if targets > 1 else 0
-    site = run_site(SiteShape(zones, targets, 0, skew), Choice.SPILLOVER, 1, 51)
+    shape = SiteShape(zones, targets, 0, skew, refuses=False)
+    site = run_site(shape, Choice.SPILLOVER, 1, 51)
     samples = peak_fractions(site)
     largest = [sample[0] for sample in samples]
     assert statistics.fmean(largest) > 0.05
@@ -92,6 +93,20 @@
     assert site.share_exchanged(17) < max_exchanged
 
 
+def test_calls_leave_before_entries_refuse_them():
+    """Guards against refusals in a short zone while others have free slots.
+
+    Entries refuse before calls wait, so the wait alone does not show a lack.
+    """
+    shape = SiteShape(2, 5, 0, skew=0.5)
+    stay, marks, spilling = (run_site(shape, how, 1, 34) for how in Choice)
+    assert spilling.refused < stay.refused * 0.7
+    assert spilling.refused + spilling.late_calls < (
+        marks.refused + marks.late_calls
+    )
+    assert spilling.share_exchanged(17) < 0.01
+
+
 def zone_load(zone, demand, targets=1, rate_per_s=80.0):
     return ZoneLoad(zone, targets, targets, demand, 8, rate_per_s)
 
@@ -151,7 +166,7 @@
         ReportedLoad(FREE, 9.9),
         ReportedLoad(FULL, 8),
     ]
-    load = sum_zone_load('a', 10, reports, 10)
+    load = sum_zone_load('a', SERVICE, 10, reports, 10)
     assert (load.reported, load.demand, load.capacity) == (2, 23 * 5, 16 * 5)
     assert load.rate_per_s == pytest.approx(800)
     assert load.age_s == pytest.approx(0.5)
