--- a/src/ebonycleat/internal/process/admission/fair_shares.py
+++ b/src/ebonycleat/internal/process/admission/fair_shares.py
@@ -53,17 +53,24 @@
 
 
 class TeamWeights:
-    """Weights of the teams; a team without a rate weighs like the smallest."""
+    """Weights of the teams; a team without a rate weighs like the smallest.
+
+    ``has_unlimited`` tells whether some team has no rate. Only such a team can
+    take most of a service from others: the rates bound all others, over the
+    whole fleet and not only at one entry.
+    """
 
     def __init__(self) -> None:
         """Start with equal weights."""
         self.by_team: Mapping[str, float] = {}
         self.smallest: float = 1
+        self.has_unlimited = False
 
     def set_rates(self, rates: Mapping[str, float]) -> None:
         """Use the configured rates of the teams as their weights."""
         self.by_team = {team: rate for team, rate in rates.items() if rate > 0}
         self.smallest = min(self.by_team.values(), default=1)
+        self.has_unlimited = len(self.by_team) < len(rates)
 
     def weight(self, team: str) -> float:
         """Return the weight of a team, always positive."""
--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -179,21 +179,30 @@
         return min(1, guaranteed + max(0, available / own))
 
     def count_team(self, call: Call, calls: float, now: float) -> None:
-        """Count one request for its team, if it has one."""
-        if not call.team:
+        """Count one request for its team, if teams share the class."""
+        if not self.is_shared_by_teams(call):
             return
         if call.priority not in self.teams:
             self.teams[call.priority] = TeamShares(self.weights)
         self.teams[call.priority].count(call.team, calls, now)
 
+    def is_shared_by_teams(self, call: Call) -> bool:
+        """Tell whether the class of a call is divided among teams.
+
+        Where all teams have a rate, each entry sees too few requests of a
+        team for a better division than by class.
+        """
+        return bool(call.team) and self.weights.has_unlimited
+
     def team_fraction(self, call: Call, share: float, now: float) -> float:
         """Return the fraction of a team's requests that fits into the share.
 
-        What the class of the call may use is divided among its teams.
+        What the class of the call may use is divided among its teams if one
+        of them has no rate.
         Requests of open routes have no team and get the fraction of the class.
         """
         class_fraction = self.admitted_fraction(call.priority, share)
-        if class_fraction >= 1 or not call.team:
+        if class_fraction >= 1 or not self.is_shared_by_teams(call):
             return class_fraction
         shares = self.teams[call.priority]
         return shares.fraction(call.team, class_fraction, now)
@@ -211,9 +220,12 @@
         self.credits: dict[tuple[str, Priority, str], float] = {}
         self.first_credit: float = 0
 
-    def admit(self, call: Call, fraction: float) -> bool:
-        """Tell whether to admit one request, given the fraction to admit."""
-        key = (call.route, call.priority, call.team)
+    def admit(self, call: Call, team: str, fraction: float) -> bool:
+        """Tell whether to admit one request, given the fraction to admit.
+
+        ``team`` is empty where teams do not share the class.
+        """
+        key = (call.route, call.priority, team)
         credit = self.credits.get(key)
         if credit is None:
             credit = self.choose_first_credit()
@@ -368,7 +380,8 @@
         """Tell whether to admit this request, given the fraction to admit."""
         if fraction >= 1:
             return True
-        return self.credits.admit(call, fraction)
+        team = call.team if self.weights.has_unlimited else ''
+        return self.credits.admit(call, team, fraction)
 
     def find_limiting_share(self, call: Call, now: float) -> TeamShare | None:
         """Return the share that limits the team of a call more than others.
