--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -32,9 +32,6 @@
     ``pace_percent`` is how long work takes at the target at this moment, 100
     as usual. ``service_ms`` is the mean time that calls on the route of the
     reply spend at the target, at its usual pace; 0 if it is not known.
-    ``refusals`` lists, in the order of ``shares``, the part of calls that the
-    targets of the service do not refuse by themselves, and the share of the load
-    of which they refuse little, both in thousandths; older versions send none.
     """
 
     queued: int
@@ -47,7 +44,6 @@
     calls_per_request: tuple[int, ...] = ()
     pace_percent: int = 100
     service_ms: int = 0
-    refusals: tuple[tuple[int, int], ...] = ()
 
 
 class Hello(MeshMessage, frozen=True, tag=1):
--- a/src/ebonycleat/internal/process/backpressure.py
+++ b/src/ebonycleat/internal/process/backpressure.py
@@ -10,11 +10,6 @@
 
 import dataclasses
 
-from ebonycleat.internal.process.admission.target_refusals import (
-    FittingShare,
-    TargetRefusals,
-)
-
 DESIRED_UTILISATION = 0.92
 """Share of the slots that should be in use. The rest absorbs bursts that are
 shorter than the time in which a share gets back to the entries."""
@@ -42,10 +37,6 @@
 UNLIMITED_SHARE = 0.995
 """Larger shares are not published: the service can take all requests."""
 
-NEARLY_ALL_ACCEPTED = 0.95
-"""If a target accepts this part of its calls or more, the rest is left to
-retries, and nothing is published."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissibleShares:
@@ -53,17 +44,13 @@
 
     ``direct`` is for direct requests and ``called`` for calls that other
     targets make. ``calls`` is how many calls at the service's gates one
-    request on the route of the answer causes. ``accepted`` is the part of
-    calls that its targets do not refuse by themselves.
-    ``fitting`` is the share of the offered load of which they refuse little.
+    request on the route of the answer causes.
     """
 
     service: str
     direct: float
     called: float
     calls: float = 1
-    accepted: float = 1
-    fitting: float = 1
 
 
 class RequestKindLoad:
@@ -146,18 +133,8 @@
         """Start with shares of 1."""
         self.direct = RequestKindLoad(now)
         self.called = RequestKindLoad(now)
-        self.target_refusals = TargetRefusals()
-        self.accepted: float = 1
-        self.fitting = FittingShare(self.target_refusals)
         self.updated_at = now
 
-    @property
-    def is_target_refusing(self) -> bool:
-        """Whether the target refuses more calls than retries make up for."""
-        if self.fitting.share < UNLIMITED_SHARE:
-            return True
-        return self.accepted < NEARLY_ALL_ACCEPTED
-
     def load_of_depth(self, depth: int) -> RequestKindLoad:
         """Return the load of direct requests (depth 0) or of calls."""
         return self.called if depth else self.direct
@@ -181,9 +158,6 @@
         if elapsed_s <= 0 or limit <= 0:
             return
         self.updated_at = now
-        self.target_refusals.decay(elapsed_s)
-        self.accepted = 1 - self.target_refusals.refused_part
-        self.fitting.update(elapsed_s, now)
         step = min(1, elapsed_s / SHARE_RESPONSE_S)
         direct = self.direct.close_interval(queued_direct, elapsed_s, now)
         called = self.called.close_interval(queued_called, elapsed_s, now)
@@ -198,12 +172,6 @@
 
     def published_shares(self, service: str) -> AdmissibleShares | None:
         """Return the shares to publish, None if the gate can take all."""
-        shares = AdmissibleShares(
-            service,
-            self.direct.share,
-            self.called.share,
-            accepted=self.accepted,
-            fitting=self.fitting.share,
-        )
-        is_short = min(shares.direct, shares.called) < UNLIMITED_SHARE
-        return shares if is_short or self.is_target_refusing else None
+        if min(self.direct.share, self.called.share) >= UNLIMITED_SHARE:
+            return None
+        return AdmissibleShares(service, self.direct.share, self.called.share)
--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -18,12 +18,7 @@
     TeamShares,
     TeamWeights,
 )
-from ebonycleat.internal.process.admission.target_refusals import (
-    share_to_finish,
-)
 from ebonycleat.internal.process.backpressure import (
-    MIN_SHARE,
-    NEARLY_ALL_ACCEPTED,
     UNLIMITED_SHARE,
     AdmissibleShares,
 )
@@ -72,8 +67,6 @@
     called: float
     received_at: float
     calls_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
-    accepted: float = 1
-    fitting: float = 1
 
     def add_sample(
         self,
@@ -87,7 +80,6 @@
         self.calls_by_route[route] = calls
         self.direct += (reported.direct - self.direct) * SHARE_SMOOTHING_FACTOR
         self.called += (reported.called - self.called) * SHARE_SMOOTHING_FACTOR
-        self.add_refusals(reported.accepted, reported.fitting)
         self.received_at = now
 
     def add_unlimited_sample(self) -> None:
@@ -97,12 +89,6 @@
         """
         self.direct += (1 - self.direct) * SHARE_SMOOTHING_FACTOR
         self.called += (1 - self.called) * SHARE_SMOOTHING_FACTOR
-        self.add_refusals(1, 1)
-
-    def add_refusals(self, accepted: float, fitting: float) -> None:
-        """Add what one target of the service accepts, and what share fits."""
-        self.accepted += (accepted - self.accepted) * SHARE_SMOOTHING_FACTOR
-        self.fitting += (fitting - self.fitting) * SHARE_SMOOTHING_FACTOR
 
     def current(
         self, service: str, calls: float, now: float
@@ -118,8 +104,6 @@
                 self.direct,
                 self.called,
                 calls,
-                self.accepted,
-                self.fitting,
             )
         rise = STALE_SHARE_RISE_PER_S**stale_s
         return AdmissibleShares(
@@ -127,8 +111,6 @@
             min(1, self.direct * rise),
             min(1, self.called * rise),
             calls,
-            min(1, self.accepted * rise),
-            min(1, self.fitting * rise),
         )
 
 
@@ -365,7 +347,7 @@
         fraction: float = 1
         for overloaded in self.overloaded_on_route(call.route, now):
             is_direct = overloaded.service == call.service
-            share = share_for(overloaded, is_direct)
+            share = overloaded.direct if is_direct else overloaded.called
             demand = self.demand.setdefault(
                 (overloaded.service, is_direct),
                 ClassDemand(now, self.weights),
@@ -407,27 +389,13 @@
         if demand is None or call.priority not in demand.teams:
             return None
         class_fraction = demand.admitted_fraction(
-            call.priority, share_for(overloaded, is_direct)
+            call.priority, overloaded.direct if is_direct else overloaded.called
         )
         return demand.teams[call.priority].describe(
             overloaded.service, call.team, class_fraction, now
         )
 
 
-def share_for(overloaded: AdmissibleShares, is_direct: bool) -> float:
-    """Return the share of the requests on a route to be admitted.
-
-    A direct request that its target refuses costs no other service anything,
-    so refusing it earlier saves nothing unless the target then refuses less.
-    """
-    if is_direct:
-        return min(overloaded.direct, overloaded.fitting)
-    if overloaded.accepted >= NEARLY_ALL_ACCEPTED:
-        return min(overloaded.called, overloaded.fitting)
-    to_finish = share_to_finish(overloaded.accepted, overloaded.calls)
-    return min(overloaded.called, overloaded.fitting, max(MIN_SHARE, to_finish))
-
-
 def _reported_within(
     reported_at: dict[str, float] | None,
     valid_s: float,
--- a/src/ebonycleat/internal/process/gate_log.py
+++ b/src/ebonycleat/internal/process/gate_log.py
@@ -1,7 +1,6 @@
 """Log lines about the decisions of a gate and the results of its calls."""
 
 from ebonycleat.internal.connection.client_requests import SendFailure
-from ebonycleat.internal.process.backpressure import GateBackpressure
 from ebonycleat.internal.process.event_log import EventLog
 from ebonycleat.internal.process.gate import Gate
 from ebonycleat.internal.process.gate_calls import PendingCall
@@ -50,28 +49,6 @@
     )
 
 
-def log_refusing_target(
-    log: EventLog,
-    gate: Gate,
-    instance: str,
-    backpressure: GateBackpressure,
-    now: float,
-) -> None:
-    """Log that the target begins or ends to refuse calls by itself."""
-    log.write_limited(
-        'target refuses calls by itself'
-        if backpressure.is_target_refusing
-        else 'target accepts calls again',
-        instance=instance,
-        refused=round(backpressure.target_refusals.refused, 2),
-        answered=round(backpressure.target_refusals.answered, 2),
-        part_accepted=round(backpressure.accepted, 3),
-        share_that_fits=round(backpressure.fitting.share, 3),
-        running=len(gate.running),
-        limit=gate.limit.allowed_calls(now),
-    )
-
-
 def log_failed_run(
     log: EventLog,
     gate: Gate,
--- a/src/ebonycleat/internal/process/load_codec.py
+++ b/src/ebonycleat/internal/process/load_codec.py
@@ -37,13 +37,6 @@
         ),
         round(load.pace * PACE_SCALE),
         round(load.service_s * MILLISECONDS_PER_S),
-        tuple(
-            (
-                int(overloaded.accepted * SHARE_SCALE),
-                int(overloaded.fitting * SHARE_SCALE),
-            )
-            for overloaded in load.shares
-        ),
     )
 
 
@@ -62,14 +55,11 @@
                 direct / SHARE_SCALE,
                 called / SHARE_SCALE,
                 calls / SHARE_SCALE,
-                accepted / SHARE_SCALE,
-                fitting / SHARE_SCALE,
             )
-            for (name, direct, called), calls, (accepted, fitting) in zip(
+            for (name, direct, called), calls in zip(
                 report.shares,
-                # Nodes of older versions do not send these.
+                # Nodes of an older version do not send the calls per request.
                 report.calls_per_request or itertools.repeat(SHARE_SCALE),
-                report.refusals or itertools.repeat((SHARE_SCALE, SHARE_SCALE)),
                 strict=False,
             )
         ),
--- a/src/ebonycleat/internal/process/mesh_components.py
+++ b/src/ebonycleat/internal/process/mesh_components.py
@@ -187,6 +187,7 @@
         dependencies.rng,
         fleet.configuration.evacuated,
     )
+    router.spillover.is_enabled = settings.has_zone_spillover
     router.spillover.on_change = SpilloverLog(dependencies.log).write
     return MeshEntry(
         EntryComponents(
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -61,7 +61,6 @@
     log_failed_run,
     log_handed_back,
     log_long_queue,
-    log_refusing_target,
 )
 from ebonycleat.internal.process.load_reporter import LoadReporter
 from ebonycleat.internal.process.local_target import LocalTarget
@@ -287,7 +286,6 @@
         backpressure = self.backpressure
         if not backpressure.is_update_due(now):
             return
-        was_refusing = backpressure.is_target_refusing
         called = sum(1 for queued in self.gate.queue if queued.call.depth)
         backpressure.update(
             len(self.gate.queue) - called,
@@ -295,10 +293,6 @@
             self.gate.signals.warm_slots(self.limit.allowed_calls(now)),
             now,
         )
-        if backpressure.is_target_refusing is not was_refusing:
-            log_refusing_target(
-                self.log, self.gate, self.target.instance, backpressure, now
-            )
 
     def apply_decision(self, decision: GateDecision) -> None:
         """Send or refuse the call of one decision."""
@@ -491,10 +485,6 @@
             self.update_target_from(report, pending_call)
         if self.crashes.own_counts and not report.has_not_run:
             self.crashes.record_answer(fingerprint_call(call))
-        if not (report.is_wrong_instance or report.is_leaving):
-            self.backpressure.target_refusals.record(
-                is_refused=report.has_not_run
-            )
         if report.has_not_run:
             self.end_run(call, RunOutcome(RunResult.TARGET_SHED, service_s))
             self.resolve(
--- a/src/ebonycleat/internal/process/mesh_settings.py
+++ b/src/ebonycleat/internal/process/mesh_settings.py
@@ -48,7 +48,9 @@
 
     ``callers``, ``peers``, ``ready`` and ``control`` are listened on;
     ``target`` and ``store`` are connected to. Metrics are served on the host
-    of ``peers`` at ``metrics_port``.
+    of ``peers`` at ``metrics_port``. With ``has_zone_spillover`` the node
+    decides which fraction of its calls leaves the zone; otherwise it compares
+    single targets by fixed marks of occupancy.
     """
 
     node: str
@@ -62,3 +64,4 @@
     store: Address
     metrics_port: int
     mesh_limits: MeshLimits
+    has_zone_spillover: bool = False
--- a/src/ebonycleat/internal/process/node_gauges.py
+++ b/src/ebonycleat/internal/process/node_gauges.py
@@ -53,8 +53,6 @@
         'gate.limit': load.limit,
         'gate.queued_late': len(gate.queue.late_ids),
         'gate.refused_early': gate.early_refusals,
-        'gate.target_accepts': mesh_gate.backpressure.accepted,
-        'gate.fitting_share': mesh_gate.backpressure.fitting.share,
         'gate.handed_back': gate.handed_back,
         'gate.connections': len(pool.connections),
         'gate.connections_opened': pool.connections_opened,
--- a/src/ebonycleat/internal/process/placement/service_spillover.py
+++ b/src/ebonycleat/internal/process/placement/service_spillover.py
@@ -221,11 +221,13 @@
 class SpilloverTable:
     """Spillover of all services whose calls have a latency objective.
 
-    ``on_change`` gets each notable change.
+    ``on_change`` gets each notable change. Unless it ``is_enabled``, all
+    services are placed as by earlier versions.
     """
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         """Start without services, for an entry in ``zone``."""
+        self.is_enabled = True
         self.zone = zone
         self.rng = rng
         self.by_service: dict[str, ServiceSpillover] = {}
@@ -237,6 +239,8 @@
         Only services with a latency objective have one; others are placed as
         by earlier versions.
         """
+        if not self.is_enabled:
+            return None
         spillover = self.by_service.get(call.service)
         if call.objective < call.deadline:
             if spillover is None:
--- a/src/ebonycleat/platform/settings.py
+++ b/src/ebonycleat/platform/settings.py
@@ -109,6 +109,7 @@
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
     platform: _Store
+    has_zone_spillover: bool = _field_with_key('zoneSpillover', default=False)
 
     def __post_init__(self) -> None:
         """Require a port for the links between nodes."""
@@ -131,6 +132,7 @@
         target=_parse_address(file_settings.target_address),
         store=_parse_address(file_settings.platform.address),
         metrics_port=METRICS_PORT,
+        has_zone_spillover=file_settings.has_zone_spillover,
         mesh_limits=dataclasses.replace(
             _convert_bounds(file_settings.bounds),
             max_descriptors=file_settings.limits.max_descriptors,
