Check of a configuration before it is submitted

Cause: entries that never match and limits that contradict each other were found only when callers met them.

Change: ebonycleat-mesh-node check-configuration FILE [--against FILE] [--json], offline.

--- a/src/ebonycleat/commands/mesh_node_options.py
+++ b/src/ebonycleat/commands/mesh_node_options.py
@@ -11,6 +11,7 @@
 
 import cappa
 
+from ebonycleat.commands.configuration_check import SUBCOMMAND, run_check
 from ebonycleat.internal.process.command_line import (
     EXIT_INTERRUPTED,
     EXIT_OK,
@@ -60,8 +61,11 @@
     ``run`` runs a node with a settings file and a port for metrics, which is
     None for that of the platform, and returns the exit code.
     ``environment_path`` is the settings file that the environment names; the
-    option ``--settings`` replaces it.
+    option ``--settings`` replaces it. The subcommand that checks a
+    configuration needs no settings.
     """
+    if arguments and arguments[0] == SUBCOMMAND:
+        return run_check(arguments[1:], PROGRAM_NAME)
     try:
         options = parse_options(
             MeshNodeOptions,
--- a/src/ebonycleat/internal/version/mesh_configuration.py
+++ b/src/ebonycleat/internal/version/mesh_configuration.py
@@ -142,7 +142,8 @@
 
     ``encoded_record`` is the record of the store that it was decoded from;
     nodes send it on to other nodes. ``unknown_kinds`` has pairs of a route and
-    the word for its kind that this version does not know.
+    the word for its kind that this version does not know. ``unused_weights``
+    has pairs of a route and a service that has no weight there.
     """
 
     version: int
@@ -152,6 +153,7 @@
     limits: CallerLimits
     encoded_record: bytes = b''
     unknown_kinds: tuple[tuple[str, str], ...] = ()
+    unused_weights: tuple[tuple[str, str], ...] = ()
 
 
 class ConfigurationIndex:
--- a/src/ebonycleat/platform/configuration_format.py
+++ b/src/ebonycleat/platform/configuration_format.py
@@ -163,9 +163,23 @@
                 for name, route in decoded.routes.items()
                 if route.route_type not in KIND_BY_WORD
             ),
+            unused_weights=tuple(
+                (name, part.service)
+                for name, route in decoded.routes.items()
+                for part in route.weighted_clusters
+                if not part.weight
+            ),
         )
 
 
+def name_place(place: str) -> str:
+    """Return a place of ``configuration_lint`` in the words of the format."""
+    table, dot, entry = place.partition('.')
+    if table != 'teams':
+        return place
+    return f'tenants{dot}{entry.replace(".keys[", ".apiKeys[")}'
+
+
 def _replace_lone_surrogates(record: bytes) -> bytes:
     """Replace escapes of half a surrogate pair, which cannot be decoded.
 
