--- a/src/ebonycleat/internal/process/placement/zone_spillover.py
+++ b/src/ebonycleat/internal/process/placement/zone_spillover.py
@@ -19,6 +19,7 @@
 from ebonycleat.internal.process.placement.expected_delay import (
     REPORTED_LOAD_VALID_S,
 )
+from ebonycleat.internal.process.placement.target_pace import decay_pace
 from ebonycleat.internal.process.target_stats import ReportedLoad
 
 SMOOTHING_S = 1.0
@@ -81,8 +82,6 @@
 MIN_USED_SHARE = 0.05
 """Bound of the used part of the own zone's slots in divisions."""
 
-PACE_HALF_LIFE_S = 0.2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ZoneLoad:
@@ -269,10 +268,7 @@
     service_s = load.service_s
     if not service_s:
         service_s = load.latency_s / (1 + load.queued / load.limit)
-    if load.pace != 1:
-        decay = 2 ** (-age_s / PACE_HALF_LIFE_S)
-        service_s *= 1 + (load.pace - 1) * decay
-    return service_s
+    return service_s * decay_pace(load.pace, age_s)
 
 
 def decide_spillover(
