--- a/review/parts.py
+++ b/review/parts.py
@@ -425,6 +425,7 @@
         self.sent = []
         self.count = 0
         self.is_troubled = os.environ.get('TROUBLE', '1') != '0'
+        self.upstream_class = Upstream
 
     async def begin(self, places, configuration, work_s=None, slots=13):
         """Start the store, and for each (service, zone) an upstream and its node."""
@@ -436,7 +437,8 @@
         for number, (service, zone) in enumerate(places):
             node = Node(self, number, service, zone)
             self.nodes.append(node)
-            self.upstreams.append(Upstream(self.record, service, node.app, node.control, zone, slots, work_s))
+            self.upstreams.append(
+                self.upstream_class(self.record, service, node.app, node.control, zone, slots, work_s))
         await asyncio.gather(*(node.start() for node in self.nodes))
         for number, upstream in enumerate(self.upstreams):
             await upstream.start(f'i-{number}-a')
