--- a/review/parts.py
+++ b/review/parts.py
@@ -98,6 +98,7 @@
         self.host = host
         self.topics = {}
         self.changed = asyncio.Event()
+        self.is_down = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, 0)
@@ -139,6 +140,9 @@
             close_quietly(writer)
 
     async def answer(self, method, path, fields, body):
+        if self.is_down:
+            # "A 503 response means that nothing was done."
+            return 503, b'{}'
         records = self.topic(fields.get('topic', ''))
         if path == '/log-newest':
             newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
@@ -329,7 +333,6 @@
         self.app = (self.host, PORTS + 4)
         self.process = None
         self.ended_at = None
-        self.restarts = False
 
     def settings(self):
         text = '{}:{}'.format
@@ -372,10 +375,6 @@
     async def watch(self, process):
         code = await process.wait()
         self.ended_at = self.case.record.write('node ends', node=self.number, code=code)
-        if self.restarts and code > 0:
-            # "A process that exits or is killed is restarted after a short delay".
-            await asyncio.sleep(0.5)
-            await self.start()
 
     def signal(self, number):
         if self.process is not None and self.process.returncode is None:
@@ -480,41 +479,6 @@
         close_quietly(writer)
         return sent
 
-    async def kept(self, node, until, pause_s, path, key):
-        """Send requests one after the other on one kept connection, a new one after each failure."""
-        reader = writer = None
-        while self.record.now() < until:
-            self.count += 1
-            sent = Sent(f'r{self.count:06x}', node.number, 'GET', path, 5.0)
-            sent.is_kept = writer is not None
-            self.sent.append(sent)
-            try:
-                if writer is None:
-                    reader, writer = await asyncio.wait_for(asyncio.open_connection(*node.callers), 1)
-                writer.write(message(f'GET {path} HTTP/1.1', {
-                    'host': 'site.example', 'x-request-id': sent.id, 'x-deadline-ms': '5000',
-                    'authorization': f'Bearer {key}'}))
-                sent.sent_at = self.record.write('sent', id=sent.id, node=node.number, request=f'GET {path}', kept=sent.is_kept)
-                first, answer, sent.body = await asyncio.wait_for(read_message(reader), 6)
-                sent.status = int(first.split(' ')[1])
-                sent.signature = answer.get('x-server-signature', '')
-                sent.how = 'answered'
-            except TimeoutError:
-                sent.how = 'no answer'
-            except (OSError, asyncio.IncompleteReadError):
-                sent.how = 'closed without a whole answer' if sent.sent_at is not None else 'no connection'
-            sent.ended_at = self.record.write('ended', id=sent.id, how=sent.how, status=sent.status)
-            must_close = sent.how != 'answered' or answer.get('connection', '').lower() == 'close'
-            if must_close and writer is not None:
-                writer.transport.abort()
-                writer = None
-            wait_s = pause_s
-            if sent.status in (429, 503):
-                wait_s += min(1.0, float(answer.get('retry-after', 0)))
-            await asyncio.sleep(wait_s * self.rng.uniform(0.7, 1.3))
-        if writer is not None:
-            writer.close()
-
     async def load(self, node, until, per_s, paths, key=''):
         """Send requests to a node at a rate, open loop, until a time."""
         tasks = []
@@ -529,8 +493,6 @@
             return [json.loads(line) for line in file]
 
     async def end(self):
-        for node in self.nodes:
-            node.restarts = False
         for upstream in self.upstreams:
             if upstream.beats is not None:
                 upstream.beats.cancel()
@@ -567,9 +529,13 @@
 
     async def main():
         case = Case(folder)
+        # Whoever ends the script early ends its processes too.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(scenario(case), 110)
-        except (CouldNotRun, TimeoutError, OSError) as error:
+        except (CouldNotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
             case.record.write('could not run', why=repr(error))
             print('could not run:', repr(error))
             return COULD_NOT_RUN
