A departure counts for every start of a target, known to its node or not

Cause: LocalTarget kept one incarnation and a flag that "the known one" leaves. The departure of an instance whose first heartbeat was still on its way was acknowledged and dropped; the late heartbeat then looked like a new start. The same happened to a start under the same id, to a `draining` that a later heartbeat overtook, and to a process that was replaced in between.

Change: DepartedInstances remembers by instance the latest start that has left, and LocalTarget asks it whenever the known incarnation changes. The member record carries it (a last field, which earlier versions skip), so that the next process knows it too. `target changed` names the sender.

--- a/src/ebonycleat/internal/process/local_target.py
+++ b/src/ebonycleat/internal/process/local_target.py
@@ -14,6 +14,7 @@
     TargetHeartbeat,
     TargetState,
 )
+from ebonycleat.internal.process.departed_instances import DepartedInstances
 from ebonycleat.internal.process.mesh_members import MemberRecord
 
 MAX_CLOCK_DIFFERENCE_MS = 3_600_000
@@ -42,7 +43,8 @@
 
     ``is_leaving`` is true if this incarnation gets no more requests: it is
     draining or has deregistered, says in an answer that it leaves, or another
-    instance answers at its address.
+    instance answers at its address. ``departures`` has other incarnations that
+    have announced that they leave.
     """
 
     def __init__(self, service: str) -> None:
@@ -52,6 +54,7 @@
         self.sequence = -1
         self.slots = 0
         self.is_leaving = False
+        self.departures = DepartedInstances()
 
     @property
     def is_usable(self) -> bool:
@@ -66,17 +69,26 @@
     def restore(self, record: MemberRecord, now_ms: int) -> None:
         """Restore the state that this node wrote before it was restarted.
 
-        Only a target that is leaving is restored; any other one sends
-        heartbeats. ``now_ms`` is the Unix time in milliseconds.
+        Only departures are restored; a target that stays sends heartbeats.
+        ``now_ms`` is the Unix time in milliseconds.
         """
-        if is_in_future(record.instance_started_ms, now_ms):
-            return
+        self.departures.restore(
+            (instance, started_ms)
+            for instance, started_ms in record.departures
+            if not is_in_future(started_ms, now_ms)
+        )
+        if not is_in_future(record.instance_started_ms, now_ms):
+            self.restore_incarnation(record)
+        self.apply_departures()
+
+    def restore_incarnation(self, record: MemberRecord) -> None:
+        """Restore that the target which the record names leaves."""
         known = Incarnation(record.instance, record.instance_started_ms)
-        if self.incarnation is None and record.instance:
-            if not record.has_target:
-                self.incarnation = known
-                self.is_leaving = True
-        elif self.incarnation == known and not record.has_target:
+        if record.has_target or not record.instance:
+            return
+        if self.incarnation is None:
+            self.incarnation = known
+        if self.incarnation == known:
             self.is_leaving = True
 
     def handle_message(self, message: ControlMessage, now_ms: int) -> bool:
@@ -84,7 +96,7 @@
 
         ``now_ms`` is the Unix time in milliseconds.
         """
-        before = (self.incarnation, self.slots, self.is_leaving)
+        before = self.snapshot()
         if isinstance(message, InvalidControlMessage):
             return False
         if is_in_future(message.started_ms, now_ms):
@@ -93,48 +105,70 @@
             self.handle_heartbeat(message)
         else:
             self.handle_deregistration(message, now_ms)
-        return before != (self.incarnation, self.slots, self.is_leaving)
+        return before != self.snapshot()
+
+    def snapshot(self) -> tuple[object, ...]:
+        """Return what the member record tells about the target."""
+        return (
+            self.incarnation,
+            self.slots,
+            self.is_leaving,
+            self.departures.as_pairs(),
+        )
 
     def handle_heartbeat(self, message: TargetHeartbeat) -> None:
         """Switch to a newer incarnation, or update the known one.
 
         Messages that are older than the known state are ignored, as are
-        those of other services.
+        those of other services. An announcement to leave counts in any order.
         """
         if message.service != self.service:
             return
+        if message.state is TargetState.DRAINING:
+            self.departures.record(message.instance, message.started_ms)
         reported = Incarnation(message.instance, message.started_ms)
         known = self.incarnation
-        if reported == known:
-            if message.sequence <= self.sequence:
-                return
-        elif known is not None and reported.started_ms <= known.started_ms:
-            return
-        else:
+        is_news = (
+            message.sequence > self.sequence
+            if reported == known
+            else known is None or reported.started_ms > known.started_ms
+        )
+        if is_news:
+            self.is_leaving = self.is_leaving and reported == known
             self.incarnation = reported
-            self.is_leaving = False
-        self.sequence = message.sequence
-        self.slots = message.slots
-        if message.state is TargetState.DRAINING:
-            self.is_leaving = True
+            self.sequence = message.sequence
+            self.slots = message.slots
+        self.apply_departures()
 
     def handle_deregistration(
         self, message: TargetDeregistration, now_ms: int
     ) -> None:
-        """Mark the target as leaving.
+        """Record that an instance leaves, whether it is the known one or not.
 
-        A node that has just started does not know which start of the
-        instance deregisters, so it assumes any start before now.
+        A message that does not name a start means any start before now.
+        """
+        started_ms = message.started_ms
+        known = self.incarnation
+        if not started_ms:
+            started_ms = now_ms
+            if known is not None and message.instance == known.instance:
+                started_ms = max(now_ms, known.started_ms)
+        self.departures.record(message.instance, started_ms)
+        self.is_leaving = self.is_leaving or known is None
+        self.apply_departures()
+
+    def apply_departures(self) -> None:
+        """Stop using the known incarnation if it has left.
+
+        Departures of older incarnations than the known one are forgotten:
+        messages of those are ignored anyway.
         """
         known = self.incarnation
         if known is None:
-            started_ms = message.started_ms or now_ms
-            self.incarnation = Incarnation(message.instance, started_ms)
-            self.is_leaving = True
-        elif message.instance == known.instance and (
-            not message.started_ms or message.started_ms >= known.started_ms
-        ):
+            return
+        if self.departures.has_left(known.instance, known.started_ms):
             self.is_leaving = True
+        self.departures.forget_until(known.started_ms)
 
     def record_leaving(self) -> bool:
         """Record that the target leaves; return whether that is news."""
--- a/src/ebonycleat/internal/process/mesh_members.py
+++ b/src/ebonycleat/internal/process/mesh_members.py
@@ -43,6 +43,8 @@
     ``serves_callers`` is false for a node that stops together with its
     target. ``revision`` rises with each write of the record and is at least
     the Unix time in milliseconds; it is 0 in records of earlier versions.
+    ``departures`` has other instances that have left, with the latest start
+    that has, so that no process of the node uses them.
     """
 
     address: str
@@ -55,6 +57,7 @@
     suspects: tuple[tuple[int, int], ...] = ()
     serves_callers: bool = True
     revision: _UnixTimeMs = 0
+    departures: tuple[tuple[str, _UnixTimeMs], ...] = ()
 
 
 MAX_REMOVED_REVISIONS = 1000
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -320,6 +320,7 @@
                 slots=target.slots,
                 leaving=target.is_leaving,
                 word=type(message).__name__,
+                sender=message.instance,
             )
             self.update_own_record()
         if isinstance(message, TargetHeartbeat) and message.service != (
@@ -356,6 +357,7 @@
                 serves_callers=not (
                     self.stop_requested.is_set() and target.is_leaving
                 ),
+                departures=target.departures.as_pairs(),
             ),
         )
 
--- a/tests/cover/test_crash_counts.py
+++ b/tests/cover/test_crash_counts.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from ebonycleat.internal.connection.platform_interfaces import (
+    TargetDeregistration,
+)
 from ebonycleat.internal.process.crash_counts import (
     MAX_FINGERPRINTS,
     CrashCounts,
@@ -94,6 +97,20 @@
     assert not node.gate.target.is_usable
 
 
+def test_a_departure_before_the_first_heartbeat_outlives_the_process():
+    """Guards against a restarted node that uses a target that has left."""
+    departures = (('i-2', 300),)
+    node = create_node()
+    read_members(node, departures=departures)
+    node.handle_target_message(create_heartbeat(started_ms=100))
+    written = node.background.record_writer.desired_record
+    assert written.departures == departures
+    assert written.has_target
+    node.handle_target_message(TargetDeregistration('i-3', 400))
+    written = node.background.record_writer.desired_record
+    assert written.departures == (*departures, ('i-3', 400))
+
+
 def test_counts_of_another_vm_at_the_address_are_not_taken_over():
     """Guards against suspects of a service that the node does not run."""
     node = create_node()
