Teams without a rate weigh the same at the gate as at the entry

Callers saw: with two teams that have no limit, links and connections closed as soon as a target was full or its gate drained.

Cause: a call that has to wait is compared with its team's share of the target's usage. TeamUsage took the configured rates as weights, 0 for such teams, and divided by their sum. The error left MeshLink.data_received and ServerConnection.data_received, so the event loop closed the link with all its calls, or the caller's connection. Beside a team with a rate nothing was divided by 0, but such teams were always over their share of 0 and waited behind all others.

On the same path find_fair_level subtracted weights from their sum, which leaves 0 for rates such as 1e20 and 1; it adds them up from the end now.

--- a/bench/policy_layer.py
+++ b/bench/policy_layer.py
@@ -215,7 +215,7 @@
             self.members.setdefault(placement.service, []).append(member)
             node_rng = random.Random(simulation.rng.getrandbits(64))
             node = LayerNode(self, placement, node_rng)
-            node.gate.set_team_weights(weights)
+            node.gate.set_team_rates(weights)
             self.nodes[placement.node] = node
 
     def send_root(
--- a/src/ebonycleat/internal/process/admission/fair_shares.py
+++ b/src/ebonycleat/internal/process/admission/fair_shares.py
@@ -9,8 +9,11 @@
 """
 
 import dataclasses
+import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+
+from ebonycleat.internal.process.team_weights import TeamWeights
 
 DEMAND_TIME_S = 2.0
 """Time constant with which demand decays. A team without demand for as long is
@@ -52,31 +55,6 @@
         return self.calls * math.exp((self.counted_at - now) / DEMAND_TIME_S)
 
 
-class TeamWeights:
-    """Weights of the teams; a team without a rate weighs like the smallest.
-
-    ``has_unlimited`` tells whether some team has no rate. Only such a team can
-    take most of a service from others: the rates bound all others, over the
-    whole fleet and not only at one entry.
-    """
-
-    def __init__(self) -> None:
-        """Start with equal weights."""
-        self.by_team: Mapping[str, float] = {}
-        self.smallest: float = 1
-        self.has_unlimited = False
-
-    def set_rates(self, rates: Mapping[str, float]) -> None:
-        """Use the configured rates of the teams as their weights."""
-        self.by_team = {team: rate for team, rate in rates.items() if rate > 0}
-        self.smallest = min(self.by_team.values(), default=1)
-        self.has_unlimited = len(self.by_team) < len(rates)
-
-    def weight(self, team: str) -> float:
-        """Return the weight of a team, always positive."""
-        return self.by_team.get(team, self.smallest)
-
-
 def find_fair_level(
     demands: Iterable[tuple[float, float]], capacity: float
 ) -> float:
@@ -88,14 +66,17 @@
     by_need = sorted(
         (demand / weight, demand, weight) for demand, weight in demands
     )
-    open_weight = sum(weight for _, _, weight in by_need)
+    # Sums from the end: what subtraction leaves of very different weights may
+    # be 0 or negative.
+    open_weights = list(
+        itertools.accumulate(weight for _, _, weight in reversed(by_need))
+    )
     left = capacity
-    for need, demand, weight in by_need:
-        level = left / open_weight
+    for need, demand, _ in by_need:
+        level = left / open_weights.pop()
         if need > level:
             return max(0, level)
         left -= demand
-        open_weight -= weight
     return UNLIMITED_LEVEL
 
 
--- a/src/ebonycleat/internal/process/call_coordinator.py
+++ b/src/ebonycleat/internal/process/call_coordinator.py
@@ -158,7 +158,7 @@
         """
         gate = self.gate_service.gate
         weights = {name: team.rate_per_s for name, team in view.teams.items()}
-        gate.set_team_weights(weights)
+        gate.set_team_rates(weights)
         self.tokens.owner.update_zone_shares(self.changed_teams(view), now)
         digests = {entry.call.key_digest for entry in gate.queue}
         effects: list[NodeEffect] = []
--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -16,7 +16,6 @@
 from ebonycleat.internal.process.admission.fair_shares import (
     TeamShare,
     TeamShares,
-    TeamWeights,
 )
 from ebonycleat.internal.process.backpressure import (
     UNLIMITED_SHARE,
@@ -24,6 +23,7 @@
 )
 from ebonycleat.internal.process.mesh_admission import AdmittedRequest
 from ebonycleat.internal.process.route_call_counts import RouteCallCounts
+from ebonycleat.internal.process.team_weights import TeamWeights
 from ebonycleat.internal.request.call import Call, Priority
 
 REPORTED_SHARE_VALID_S = 1.0
--- a/src/ebonycleat/internal/process/fair_queue.py
+++ b/src/ebonycleat/internal/process/fair_queue.py
@@ -237,16 +237,14 @@
         return [queue.count for queue in self.start_order]
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
-        """Set the teams' shares by weights such as their configured rates.
+        """Set the teams' shares by positive weights.
 
-        The smallest positive weight gets the quantum 1.
+        The smallest weight gets the quantum 1.
         """
-        positive = [weight for weight in weights.values() if weight > 0]
-        smallest = min(positive, default=1)
+        smallest = min(weights.values(), default=1)
         self.quanta.clear()
         for team, weight in weights.items():
-            quantum = max(1, weight / smallest)
-            self.quanta[team] = min(quantum, MAX_QUANTUM)
+            self.quanta[team] = min(weight / smallest, MAX_QUANTUM)
 
     def push(self, entry: QueuedCall) -> None:
         """Add one call; its id must not be waiting already."""
--- a/src/ebonycleat/internal/process/gate.py
+++ b/src/ebonycleat/internal/process/gate.py
@@ -77,10 +77,11 @@
         """Admission level to send with answers and heartbeats."""
         return self.signals.reported_level
 
-    def set_team_weights(self, weights: Mapping[str, float]) -> None:
-        """Share the target between teams by weights such as their rates."""
-        self.queue.set_weights(weights)
-        self.signals.team_usage.weights = dict(weights)
+    def set_team_rates(self, rates: Mapping[str, float]) -> None:
+        """Share the target between teams by their rates; 0 means no limit."""
+        weights = self.signals.team_usage.weights
+        weights.set_rates(rates)
+        self.queue.set_weights({team: weights.weight(team) for team in rates})
 
     def offer(self, call: Call, now: float) -> list[GateDecision]:
         """Queue, dispatch or refuse one call; ignore a call already here.
--- a/src/ebonycleat/internal/process/mesh_node.py
+++ b/src/ebonycleat/internal/process/mesh_node.py
@@ -179,7 +179,7 @@
         team_rates = {
             team.name: team.rate_per_s for team in configuration.teams
         }
-        self.gate.gate.set_team_weights(team_rates)
+        self.gate.gate.set_team_rates(team_rates)
         self.entry.backpressure.weights.set_rates(team_rates)
 
     def apply_evacuation(self, change: ZonesChange) -> None:
--- a/src/ebonycleat/internal/process/team_usage.py
+++ b/src/ebonycleat/internal/process/team_usage.py
@@ -1,7 +1,8 @@
 """Recent usage of a target by team, compared with the teams' shares."""
 
 import math
-from collections.abc import Mapping
+
+from ebonycleat.internal.process.team_weights import TeamWeights
 
 DECAY_TIME_S = 2
 """Time constant of the decay of usage. With a shorter one, bursts of a team
@@ -19,7 +20,7 @@
 
     def __init__(self) -> None:
         """Start with equal weights and no usage."""
-        self.weights: Mapping[str, float] = {}
+        self.weights = TeamWeights()
         self.usage: dict[str, float] = {}
         self.decayed_at: float = 0
 
@@ -38,14 +39,10 @@
         used = self.usage.get(team, 0)
         if not used or len(self.usage) == 1:
             return False
-        total_weight = sum(map(self.weight, self.usage))
-        share = self.weight(team) / total_weight
+        total_weight = sum(map(self.weights.weight, self.usage))
+        share = self.weights.weight(team) / total_weight
         return used > SHARE_TOLERANCE * share * sum(self.usage.values())
 
-    def weight(self, team: str) -> float:
-        """Return the weight of a team, 1 if none is set."""
-        return self.weights.get(team, 1)
-
     def decay(self, now: float) -> None:
         """Decay all usage, at most once per tenth of the time constant."""
         elapsed_s = now - self.decayed_at
--- a/tests/cover/test_fair_shares.py
+++ b/tests/cover/test_fair_shares.py
@@ -9,7 +9,6 @@
 from ebonycleat.internal.process.admission.fair_shares import (
     UNLIMITED_LEVEL,
     TeamShares,
-    TeamWeights,
     find_fair_level,
 )
 from ebonycleat.internal.process.backpressure import AdmissibleShares
@@ -17,6 +16,7 @@
 from ebonycleat.internal.process.mesh_entry import MeshEntry
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
 from ebonycleat.internal.process.route_call_counts import RouteCallCounts
+from ebonycleat.internal.process.team_weights import TeamWeights
 from tests.mesh_fakes import ManualClock, create_call
 
 
@@ -27,6 +27,9 @@
         ([(9, 1), (1, 1), (1, 1)], 6, 4),
         ([(9, 1), (9, 3)], 8, 2),
         ([], 0, UNLIMITED_LEVEL),
+        # Guards against a division by zero: subtracting the large weight from
+        # the sum leaves nothing of the small one.
+        ([(1, 1e20), (9, 1)], 5, 4),
     ],
 )
 def test_what_some_teams_do_not_use_goes_to_others(demands, capacity, level):
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -142,7 +142,7 @@
 def test_calls_over_the_share_of_a_team_start_last_unless_critical() -> None:
     """Guards against one team that delays the LOW calls of other teams."""
     gate = make_gate(queue_limit=60)
-    gate.set_team_weights({'a': 1, 'b': 1})
+    gate.set_team_rates({'a': 1, 'b': 1})
     gate.offer(make_call('first', team='b'), 0)
     call_id = 'first'
     for number in range(20):
