Late in a planned stop only deadlines tell which requests end in time

Cause: StopAdmission took a request if 1.5 times the slowest recent run of its route fitted into the time that was left. That is an estimate, and wrong for the slowest requests of a route (0.4 s usually, 2.4 s at most). Only the deadline bounds a run.

Change: estimates count until 2.8 s after the signal, while callers may not have noticed the stop. After that a request is taken only if its deadline, of the caller or of the route, lies before the end of the node. It is refused as not run otherwise, before it waits for a token, and is asked again after that wait.

The fix holds because every request that is taken after 2.8 s has its final answer, the target's or a time-out, by its deadline, and that lies before the end.

--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -112,7 +112,7 @@
             self.refuse(exchange, caller_request.request_id, admitted)
             return
         self.backpressure.record_call(admitted, components.clock())
-        refusal = self.check_backpressure(admitted)
+        refusal = self.check_backpressure(admitted) or self.check_stop(admitted)
         if refusal is not None:
             self.refuse(exchange, caller_request.request_id, refusal)
             return
@@ -252,10 +252,15 @@
             if granted:
                 self.components.tokens.return_token(admitted.call.team, 0)
             return
+        team = admitted.call.team
         if granted:
-            self.run_unless_stopping(exchange, admitted)
+            stop_refusal = self.check_stop(admitted)
+            if stop_refusal is None:
+                self.run(exchange, admitted)
+            else:
+                self.components.tokens.return_token(team, 0)
+                self.refuse(exchange, admitted.request_id, stop_refusal)
             return
-        team = admitted.call.team
         refusal = refuse_not_run(
             Reason.OVER_RATE,
             'the requests of the team exceed its rate; retry later',
@@ -271,28 +276,21 @@
         )
         self.refuse(exchange, admitted.request_id, refusal)
 
-    def run_unless_stopping(
-        self, exchange: Exchange, admitted: AdmittedRequest
-    ) -> None:
-        """Run a request, or refuse it if the node ends before its answer."""
+    def check_stop(self, admitted: AdmittedRequest) -> Refusal | None:
+        """Refuse a request if the node may end before its answer."""
         components = self.components
         call = admitted.call
         now = components.clock()
         refusal = self.stop_admission.check(call, now)
-        if refusal is None:
-            self.run(exchange, admitted)
-            return
-        components.tokens.return_token(call.team, 0)
-        components.log.write_limited(
-            'request refused: the node stops before its answer',
-            request=admitted.request_id,
-            route=call.route,
-            expected_end_s=round(
-                self.stop_admission.expected_end(call, now) - now, 3
-            ),
-            retry_after_s=refusal.retry_after_s,
-        )
-        self.refuse(exchange, admitted.request_id, refusal)
+        if refusal is not None:
+            components.log.write_limited(
+                'request refused: the node stops before its answer',
+                request=admitted.request_id,
+                route=call.route,
+                time_left_s=round(call.deadline - now, 3),
+                retry_after_s=refusal.retry_after_s,
+            )
+        return refusal
 
     def run(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
         """Offer an admitted request to gates until it has an answer."""
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -47,6 +47,11 @@
 """Minimum time for which a stopping node still accepts requests. Load
 balancers probe readiness every second and stop sending after two failures."""
 
+ESTIMATES_UNTIL_S = 2.8
+"""Until then a stopping node accepts requests that are only estimated to end in
+time. Almost all callers have noticed the stop by then. It is a little less than
+the 3 s after which an accepted request must not lose its answer."""
+
 STOP_RESERVE_S = 0.4
 """Part of the stop grace period that is reserved for ending the process."""
 
@@ -183,9 +188,9 @@
     """Drain the gate and wait until requests have their whole answers.
 
     New requests are accepted for at least ``MIN_DRAIN_S``, because callers
-    notice the stop with a delay, and later if their answers are expected
-    before the end. Requests that are still open when the stop
-    grace period ends are counted in the last log line.
+    notice the stop with a delay, and later if they end before the node does.
+    Requests that are still open when the stop grace period ends are counted in
+    the last log line.
     """
     clock = node.dependencies.clock
     log = node.dependencies.log
@@ -195,7 +200,7 @@
     )
     log.write_always('node stopping', open=node.count_open_requests())
     node.entry.stop_admission.times = StopTimes(
-        stopped_at + MIN_DRAIN_S, end_by
+        stopped_at + MIN_DRAIN_S, stopped_at + ESTIMATES_UNTIL_S, end_by
     )
     node.gate.gate.drain()
     node.background.token_exchanger.stop_holding()
--- a/src/ebonycleat/internal/process/stop_admission.py
+++ b/src/ebonycleat/internal/process/stop_admission.py
@@ -3,6 +3,10 @@
 The load it answers: callers go on sending until they notice that the node is
 not ready, some of them to the last moment. A request that is still running at
 the end of the stop loses its answer, so it is refused while it has not run.
+
+An estimate of its run time decides first: those callers may not have noticed
+the stop, and most of their requests end in time. Later only the deadline does,
+because an estimate is wrong for the slowest requests of a route.
 """
 
 import dataclasses
@@ -27,6 +31,13 @@
 RETRY_AFTER_S = 0.3
 """Callers come back on a new connection, which leads to a node that is ready."""
 
+STOPPING_REFUSAL = refuse_not_run(
+    Reason.DRAINING,
+    'the node stops before an answer is expected; send the request '
+    'again on a new connection',
+    retry_after_s=RETRY_AFTER_S,
+)
+
 
 class SlowestRuns:
     """The slowest recent run of each route, in seconds."""
@@ -66,9 +77,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopTimes:
-    """When a stopping node begins to refuse requests, and when it ends."""
+    """When a stopping node begins to refuse requests, and when it ends.
+
+    Estimates of run times count until ``estimates_until``. All are seconds on
+    the clock of the node.
+    """
 
     refuses_from: float
+    estimates_until: float
     ends_at: float
 
 
@@ -87,19 +103,17 @@
         """Return why a call must not start now, None if it may."""
         if self.times is None or now < self.times.refuses_from:
             return None
-        if self.expected_end(call, now) <= self.times.ends_at:
+        if self.latest_end(call, now, self.times) <= self.times.ends_at:
             return None
-        return refuse_not_run(
-            Reason.DRAINING,
-            'the node stops before an answer is expected; send the request '
-            'again on a new connection',
-            retry_after_s=RETRY_AFTER_S,
-        )
-
-    def expected_end(self, call: Call, now: float) -> float:
-        """Return when the answer to a call is expected at the latest."""
+        return STOPPING_REFUSAL
+
+    def latest_end(self, call: Call, now: float, times: StopTimes) -> float:
+        """Return when the answer to a call is expected at the latest.
+
+        The deadline is the only time by which each call ends.
+        """
         end = call.deadline
         slowest_s = self.slowest_runs.find(call.route, now)
-        if slowest_s is not None:
+        if slowest_s is not None and now < times.estimates_until:
             end = min(end, now + slowest_s * RUN_TIME_FACTOR)
         return end + ANSWER_RESERVE_S
--- a/tests/cover/test_stop_admission.py
+++ b/tests/cover/test_stop_admission.py
@@ -13,13 +13,17 @@
 ROUTE_DEADLINE_S = 5
 
 
-def create_admission(clock, *run_times, refuses_in=0, ends_in=1):
+def create_admission(
+    clock, *run_times, refuses_in=0, estimates_in=9, ends_in=1
+):
     admission = StopAdmission()
     route = create_call(clock).route
     for run_s in run_times:
         admission.slowest_runs.record(route, run_s, clock())
     now = clock()
-    admission.times = StopTimes(now + refuses_in, now + ends_in)
+    admission.times = StopTimes(
+        now + refuses_in, now + estimates_in, now + ends_in
+    )
     return admission
 
 
@@ -61,6 +65,23 @@
     assert admission.check(create_call(clock), clock()) is not None
 
 
+@pytest.mark.parametrize('deadline_s', [0.5, 3])
+def test_late_in_a_stop_only_the_deadline_tells_when_a_request_ends(deadline_s):
+    """Guards against a request of a slower kind that the node's end cuts off.
+
+    It was taken since others on its route had been fast.
+    """
+    clock = ManualClock()
+    admission = create_admission(clock, 0.01, estimates_in=0.4, ends_in=2)
+    call = create_call(clock, deadline=clock() + 0.4 + deadline_s)
+    assert admission.check(call, clock()) is None
+    clock.now += 0.4
+    refusal = admission.check(call, clock())
+    assert (refusal is None) is (deadline_s < 1)
+    if refusal is not None:
+        assert refusal.outcome is Outcome.NOT_RUN
+
+
 def test_slow_runs_are_forgotten_after_the_next_window():
     """Guards against a past overload that closes the node early."""
     clock = ManualClock()
