What waits when a node ends is refused as not run

Callers saw: requests that waited for a slot at another node when their own node ended after a SIGTERM had their connections closed without an answer, up to 1.1 s before their deadlines, and ran nowhere.

Cause: the stop returned at the end of the grace period whatever was open. It closed the links first, which resolved the calls as lost, when the callers' connections were closing already.

Change: 0.15 s before its end a node refuses everything that has not run: requests that wait for a token, calls in its own gate (those of other nodes are offered to another target), and its requests in gates of other nodes. CancelCall gets a field spares_running for these: a call that runs goes on, and the reply tells which it was. Earlier versions skip the field and cancel idempotent runs as well.

Evidence: test_what_waits_at_another_node_is_refused_before_a_node_ends fails before (no answers) and passes now: 503 with Retry-After for the two that wait, and the target gets the four that run. The fix holds because the outcome comes from the gate that decides about the call, and a withdrawn request is offered to no other gate.

--- a/src/ebonycleat/internal/connection/mesh_messages.py
+++ b/src/ebonycleat/internal/connection/mesh_messages.py
@@ -114,9 +114,15 @@
 
 
 class CancelCall(MeshMessage, frozen=True, tag=5):
-    """Nobody waits for the result of the call any more."""
+    """Nobody waits for the result of the call any more.
+
+    With ``spares_running`` only a call that waits at the gate is cancelled; its
+    result is awaited, whatever it is. Earlier versions cancel it also if it
+    runs.
+    """
 
     number: int
+    spares_running: bool = False
 
 
 class Ping(MeshMessage, frozen=True, tag=6):
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -29,7 +29,10 @@
 from ebonycleat.internal.process.retry_budget import RetryBudget
 from ebonycleat.internal.process.route_call_counts import RouteCallCounts
 from ebonycleat.internal.process.router import Router
-from ebonycleat.internal.process.stop_admission import StopAdmission
+from ebonycleat.internal.process.stop_admission import (
+    STOPPING_REFUSAL,
+    StopAdmission,
+)
 from ebonycleat.internal.process.token_exchange import TokenExchanger
 from ebonycleat.internal.request.call import Answer
 from ebonycleat.internal.request.mesh_request_run import (
@@ -77,7 +80,10 @@
 
 
 class MeshEntry(ExchangeHandler):
-    """Answers the callers of one node."""
+    """Answers the callers of one node.
+
+    ``runs`` has the admitted requests that have no final answer yet.
+    """
 
     def __init__(self, components: EntryComponents) -> None:
         """Use the given components."""
@@ -85,6 +91,7 @@
         self.backpressure = EntryBackpressure(components.call_counts)
         self.stop_admission = StopAdmission()
         self.team_limits_logged_at: dict[str, float] = {}
+        self.runs: set[MeshRequestRun] = set()
 
     def handle_exchange(self, exchange: Exchange) -> None:
         """Admit a request and send it to a target, or refuse it.
@@ -292,6 +299,14 @@
             )
         return refusal
 
+    def withdraw_waiting(self) -> None:
+        """Withdraw the requests that wait at a gate, because the node ends.
+
+        What has not run is refused, also if it waits at another node.
+        """
+        for run in tuple(self.runs):
+            run.withdraw(STOPPING_REFUSAL)
+
     def run(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
         """Offer an admitted request to gates until it has an answer."""
         components = self.components
@@ -308,6 +323,7 @@
             lambda ended, result: self.finish(exchange, ended, result),
         )
         exchange.on_abandoned = lambda: self.abandon(run)
+        self.runs.add(run)
         run.start()
 
     def finish(
@@ -320,6 +336,7 @@
 
         A token whose request did not run is given back to the team.
         """
+        self.runs.discard(run)
         components = self.components
         admitted = run.admitted
         call = admitted.call
@@ -356,6 +373,7 @@
 
     def abandon(self, run: MeshRequestRun) -> None:
         """Cancel the request of a caller that has disconnected."""
+        self.runs.discard(run)
         run.cancel()
         self.components.metrics.count('abandoned')
         self.components.log.write_limited(
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -247,11 +247,12 @@
         )
         self.decisions.add(self.gate.offer(gate_call.call, self.clock()))
 
-    def cancel(self, call_id: str) -> None:
+    def cancel(self, call_id: str, *, spares_running: bool = False) -> None:
         """Drop a call whose caller has disconnected or got its answer.
 
-        A non-idempotent call that was sent already is not cancelled. Past the
-        deadline the target should have answered, so it counts as silent.
+        A non-idempotent call that was sent already is not cancelled, nor is any
+        such call with ``spares_running``. Past the deadline the target should
+        have answered, so it counts as silent.
         """
         pending_call = self.pending_calls.get(call_id)
         if pending_call is None:
@@ -259,7 +260,7 @@
         if pending_call.in_flight is None:
             pending_call.is_cancelled = True
             self.decisions.add(self.gate.cancel(call_id, self.clock()))
-        elif pending_call.gate_call.call.idempotent:
+        elif pending_call.gate_call.call.idempotent and not spares_running:
             is_late = pending_call.gate_call.call.deadline <= self.clock()
             pending_call.in_flight.cancel(
                 SendFailureKind.SILENT if is_late else SendFailureKind.CANCELLED
--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -1,7 +1,6 @@
 """Offers requests to the gates of mesh nodes, the local one included."""
 
 import dataclasses
-from collections.abc import Callable
 
 import msgspec
 
@@ -37,6 +36,7 @@
     AttemptHandler,
     AttemptResult,
     GateClient,
+    OpenAttempt,
 )
 from ebonycleat.internal.request.refusal import (
     Reason,
@@ -101,22 +101,19 @@
         member: Member,
         admitted: AdmittedRequest,
         on_result: AttemptHandler,
-    ) -> Callable[[], None]:
-        """Offer a request to the gate of a member.
-
-        Returns a function that cancels the attempt.
-        """
+    ) -> OpenAttempt:
+        """Offer a request to the gate of a member."""
         if member.node == self.local_node.node:
             return self.start_local_attempt(admitted, on_result)
         attempt = RemoteAttempt(admitted, self.local_node, on_result)
         self.links.request_link(member.node, attempt.send)
-        return attempt.cancel
+        return attempt
 
     def start_local_attempt(
         self,
         admitted: AdmittedRequest,
         on_result: AttemptHandler,
-    ) -> Callable[[], None]:
+    ) -> OpenAttempt:
         """Offer a request to the local gate."""
         attempt = LocalAttempt(admitted.call, self.gate, on_result)
         self.gate.offer(
@@ -129,10 +126,10 @@
             ),
             attempt.handle_result,
         )
-        return attempt.cancel
+        return attempt
 
 
-class LocalAttempt:
+class LocalAttempt(OpenAttempt):
     """One attempt to run a request through the gate of this node.
 
     A call that cannot be cancelled keeps its body after the connection of its
@@ -164,8 +161,12 @@
                 HeldKind.REQUESTS, self.kept_bytes
             )
 
+    def withdraw(self) -> None:
+        """Take the call out of the queue; a running one goes on."""
+        self.gate.cancel(self.call.call_id, spares_running=True)
 
-class RemoteAttempt:
+
+class RemoteAttempt(OpenAttempt):
     """One attempt to run a request through the gate of another node."""
 
     def __init__(
@@ -263,6 +264,14 @@
             self.link.forget_reply(self.request_number)
             self.link.send(CancelCall(self.request_number))
 
+    def withdraw(self) -> None:
+        """Take the call out of the other node's queue, which replies then."""
+        if self.link is not None:
+            self.link.send(CancelCall(self.request_number, spares_running=True))
+            return
+        self.is_cancelled = True
+        self.report_unsent('the node ends before a link to the other was open')
+
 
 def _read_refusal(message: CallRefusal) -> Refusal:
     try:
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -21,6 +21,7 @@
 from ebonycleat.internal.process.mesh_node import MeshNode
 from ebonycleat.internal.process.mesh_settings import Address
 from ebonycleat.internal.process.stop_admission import StopTimes
+from ebonycleat.internal.request.refusal import Reason
 
 METRICS_PATH = '/metrics'
 
@@ -52,6 +53,10 @@
 time. Almost all callers have noticed the stop by then. It is a little less than
 the 3 s after which an accepted request must not lose its answer."""
 
+WITHDRAWAL_S = 0.15
+"""Time before its end at which a stopping node refuses what still waits. The
+refusal of a call that waits at another node takes a round trip."""
+
 STOP_RESERVE_S = 0.4
 """Part of the stop grace period that is reserved for ending the process."""
 
@@ -189,8 +194,8 @@
 
     New requests are accepted for at least ``MIN_DRAIN_S``, because callers
     notice the stop with a delay, and later if they end before the node does.
-    Requests that are still open when the stop grace period ends are counted in
-    the last log line.
+    What has not run until shortly before the end is refused. Requests that are
+    still open when the stop grace period ends are counted in the last log line.
     """
     clock = node.dependencies.clock
     log = node.dependencies.log
@@ -209,6 +214,8 @@
     node.update_own_record()
     while clock() < end_by:
         await asyncio.sleep(STOP_TICK_S)
+        if clock() >= end_by - WITHDRAWAL_S:
+            _refuse_waiting(node)
         if clock() - stopped_at > MIN_DRAIN_S:
             node.listener.close_idle()
             if not node.has_unfinished_work():
@@ -218,3 +225,21 @@
         open=node.count_open_requests(),
         unsent=node.listener.count_unsent() + node.links.count_unsent(),
     )
+
+
+def _refuse_waiting(node: MeshNode) -> None:
+    """Refuse everything that waits and has not run, before the node ends.
+
+    The requests of its callers come first: the refusal of the gate alone would
+    send them to another one.
+    """
+    node.background.token_exchanger.refuse_waiting()
+    node.entry.withdraw_waiting()
+    gate = node.gate.gate
+    node.gate.decisions.add(
+        gate.refuse_queued(
+            gate.queue,
+            Reason.DRAINING,
+            'the node of the target ends before the request can start',
+        )
+    )
--- a/src/ebonycleat/internal/process/peer_calls.py
+++ b/src/ebonycleat/internal/process/peer_calls.py
@@ -73,7 +73,7 @@
             else:
                 self.refuse_for_memory(link, message.number)
         else:
-            self.cancel(link, message.number)
+            self.cancel(link, message)
 
     def hold_body(self, size: int) -> bool:
         """Count a body; return False if there is no room for it.
@@ -175,11 +175,11 @@
             ),
         )
 
-    def cancel(self, link: MeshLink, number: int) -> None:
+    def cancel(self, link: MeshLink, message: CancelCall) -> None:
         """Cancel a call whose sender no longer needs the result."""
-        call_id = self.calls_by_link.get(link, {}).pop(number, None)
+        call_id = self.calls_by_link.get(link, {}).get(message.number)
         if call_id is not None:
-            self.gate.cancel(call_id)
+            self.gate.cancel(call_id, spares_running=message.spares_running)
 
     def drop_link(self, link: MeshLink) -> None:
         """Cancel all calls of a link that has closed."""
--- a/src/ebonycleat/internal/process/token_exchange.py
+++ b/src/ebonycleat/internal/process/token_exchange.py
@@ -306,6 +306,12 @@
                 expired.on_decision(False)
             self.request_for_waiters(team, queue)
 
+    def refuse_waiting(self) -> None:
+        """Refuse all requests that wait for a token, because the node ends."""
+        for queue in self.wait_queues.values():
+            while queue.waiters:
+                queue.waiters.popleft().on_decision(False)
+
     def message_received(self, link: MeshLink, message: AnyMeshMessage) -> None:
         """Process the messages of the exchange."""
         if isinstance(message, TokenExchangeReply):
--- a/src/ebonycleat/internal/request/mesh_request_run.py
+++ b/src/ebonycleat/internal/request/mesh_request_run.py
@@ -77,6 +77,21 @@
 AttemptHandler: TypeAlias = Callable[[AttemptResult], None]
 
 
+class OpenAttempt(abc.ABC):
+    """An attempt at a gate, until its result is reported."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Give up the attempt; nobody needs its result any more."""
+
+    @abc.abstractmethod
+    def withdraw(self) -> None:
+        """Take the request back if it waits; its result is still reported.
+
+        A request that runs goes on.
+        """
+
+
 class GateClient(abc.ABC):
     """Offers requests to the gates of all nodes.
 
@@ -95,17 +110,16 @@
         member: Member,
         admitted: AdmittedRequest,
         on_result: AttemptHandler,
-    ) -> Callable[[], None]:
+    ) -> OpenAttempt:
         """Offer a request to the gate of a member.
 
-        ``on_result`` gets the one result. Returns a function that cancels
-        the attempt.
+        ``on_result`` gets the one result.
         """
 
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """An attempt at one gate; ``cancel`` is set once it has started.
+    """An attempt at one gate; ``at_gate`` is set while it has no result.
 
     ``has_move`` is true if the gate may hand the request back.
     """
@@ -113,7 +127,7 @@
     member: Member
     started_at: float
     has_move: bool = False
-    cancel: Callable[[], None] | None = None
+    at_gate: OpenAttempt | None = None
     is_over: bool = False
 
 
@@ -134,7 +148,8 @@
     ``target_attempts`` counts the attempts that may have reached a target,
     ``overload_refusals`` those that were refused for overload. ``refusal`` is
     the refusal that the caller would get now. ``hand_back`` is set once a gate
-    has handed the request back. ``evacuated_zones`` are those in which a gate
+    has handed the request back. ``withdrawal`` is set once no further attempt
+    may be made. ``evacuated_zones`` are those in which a gate
     refused the request because its zone is evacuated.
     """
 
@@ -158,7 +173,6 @@
         self.budget = budget
         self.on_load = on_load
         self.on_end = on_end
-        self.clock = gate_client.clock
         self.started_at = self.clock()
         self.timer: asyncio.TimerHandle | None = None
         self.attempt: Attempt | None = None
@@ -168,6 +182,12 @@
         self.target_attempts = 0
         self.refusal: Refusal | None = None
         self.hand_back: HandBack | None = None
+        self.withdrawal: Refusal | None = None
+
+    @property
+    def clock(self) -> Callable[[], float]:
+        """The clock in seconds that deadlines refer to."""
+        return self.gate_client.clock
 
     @property
     def moved_from(self) -> str:
@@ -190,6 +210,17 @@
         self.cancel_attempt()
         self.stop_timer()
 
+    def withdraw(self, refusal: Refusal) -> None:
+        """Make no further attempt, and take the request back if it waits.
+
+        The caller gets ``refusal`` if the request has not run.
+        """
+        if self.withdrawal:
+            return
+        self.withdrawal = refusal
+        if self.attempt and self.attempt.at_gate:
+            self.attempt.at_gate.withdraw()
+
     def expire(self) -> None:
         """Refuse the request, because its deadline has passed."""
         had_attempt = self.attempt is not None
@@ -240,7 +271,7 @@
         has_move = bool(self.admitted.call.moves_left)
         attempt = Attempt(chosen, now, has_move)
         self.attempt = attempt
-        cancel = self.gate_client.start_attempt(
+        at_gate = self.gate_client.start_attempt(
             chosen,
             self.admitted,
             lambda attempt_result: self.handle_attempt_result(
@@ -248,7 +279,7 @@
             ),
         )
         if not attempt.is_over:
-            attempt.cancel = cancel
+            attempt.at_gate = at_gate
 
     def handle_attempt_result(
         self, attempt: Attempt, attempt_result: AttemptResult
@@ -258,7 +289,7 @@
             return
         attempt.is_over = True
         # The attempt at the gate refers to this one, and to the body.
-        attempt.cancel = None
+        attempt.at_gate = None
         self.attempt = None
         self.update_router(attempt, attempt_result)
         result = attempt_result.result
@@ -305,7 +336,9 @@
             self.target_attempts += 1
         if refusal.reason in OVERLOAD_REASONS:
             self.overload_refusals += 1
-        if self.reserve_next_attempt(refusal):
+        if self.withdrawal:
+            self.finish(self.choose_refusal(self.withdrawal))
+        elif self.reserve_next_attempt(refusal):
             self.try_next_gate()
         else:
             self.finish(self.refusal)
@@ -361,10 +394,10 @@
             return
         attempt.is_over = True
         self.router.record_abandoned(attempt.member)
-        cancel = attempt.cancel
-        attempt.cancel = None
-        if cancel is not None:
-            cancel()
+        at_gate = attempt.at_gate
+        attempt.at_gate = None
+        if at_gate is not None:
+            at_gate.cancel()
 
     def stop_timer(self) -> None:
         """Cancel the timer of the deadline."""
--- a/tests/cover/test_mesh_gate.py
+++ b/tests/cover/test_mesh_gate.py
@@ -291,6 +291,17 @@
     assert gate.pool.sends[0].is_cancelled
 
 
+def test_what_is_withdrawn_from_a_gate_is_refused_only_if_it_waits(clock):
+    """Guards against runs that the end of their caller's node breaks off."""
+    gate = create_mesh_gate(clock, slots=1)
+    results = offer_calls(gate, clock, 2)
+    for number in range(2):
+        gate.cancel(f'call-{number}', spares_running=True)
+    assert [result.call_id for result in results] == ['call-1']
+    assert find_refusal(results).outcome is Outcome.NOT_RUN
+    assert not gate.pool.sends[0].is_cancelled
+
+
 def test_a_non_idempotent_request_continues_without_its_caller(clock):
     """Guards against cancelling a payment halfway."""
     gate = create_mesh_gate(clock)
--- a/tests/cover/test_mesh_run.py
+++ b/tests/cover/test_mesh_run.py
@@ -20,6 +20,7 @@
     AttemptResult,
     GateClient,
     MeshRequestRun,
+    OpenAttempt,
 )
 from ebonycleat.internal.request.refusal import (
     refuse_not_run,
@@ -31,8 +32,13 @@
 MEMBERS = tuple(Member(f'node-{number}', 'a') for number in range(6))
 
 
-class ScriptedGates(GateClient):
-    """Gates that end each attempt with the next result of a script."""
+class ScriptedGates(GateClient, OpenAttempt):
+    """Gates that end each attempt with the next result of a script.
+
+    An attempt that is withdrawn ends with ``withdrawn_result``.
+    """
+
+    withdrawn_result = None
 
     def __init__(self, clock, results):
         self.clock = clock
@@ -45,15 +51,20 @@
 
     def start_attempt(self, member, admitted, on_result):
         self.offered.append(member.node)
+        self.on_result = on_result
         if self.results:
             result = self.results.pop(0)
             load = None if result is CONNECTION_LOST else LOAD
             on_result(AttemptResult(result, load))
-        return self.cancel
+        return self
 
     def cancel(self):
         self.cancelled += 1
 
+    def withdraw(self):
+        if self.withdrawn_result is not None:
+            self.on_result(AttemptResult(self.withdrawn_result, LOAD))
+
 
 def make_answer(status=200):
     return Answer('call', status)
@@ -70,10 +81,18 @@
 CONNECTION_LOST = make_unknown(Reason.CONNECTION_LOST)
 
 
-def run_request(*results, attempts=2, budget=None, after_start=None, **options):
+def run_request(
+    *results,
+    attempts=2,
+    budget=None,
+    after_start=None,
+    withdrawn_result=None,
+    **options,
+):
     """Run one request; return its final results and the gates."""
     clock = ManualClock()
     gates = ScriptedGates(clock, results)
+    gates.withdrawn_result = withdrawn_result
     final_results = []
 
     async def run_once():
@@ -95,6 +114,43 @@
     return final_results, gates
 
 
+@pytest.mark.parametrize(
+    ('earlier', 'withdrawn', 'reason'),
+    [
+        ((), 'waits', Reason.EVACUATED),
+        ((), 'runs', Reason.TARGET_FAILED),
+        (('runs',), 'waits', Reason.TARGET_FAILED),
+    ],
+)
+def test_a_withdrawn_request_is_answered_by_whether_it_has_run(
+    earlier, withdrawn, reason
+):
+    """Guards against a request without an answer at the end of a node.
+
+    It must not be offered to another gate, and "not run" must be true.
+    """
+    results = {
+        'waits': make_not_run(Reason.CANCELLED),
+        'runs': make_unknown(),
+    }
+    final_results, gates = run_request(
+        *(results[one] for one in earlier),
+        withdrawn_result=results[withdrawn],
+        after_start=lambda run: run.withdraw(refuse_not_run(Reason.EVACUATED)),
+    )
+    assert [result.reason for result in final_results] == [reason]
+    assert len(gates.offered) == len(earlier) + 1
+
+
+def test_an_answer_to_a_withdrawn_request_is_passed_on():
+    """Guards against an answer that is replaced by a refusal."""
+    final_results, _ = run_request(
+        withdrawn_result=make_answer(),
+        after_start=lambda run: run.withdraw(refuse_not_run(Reason.EVACUATED)),
+    )
+    assert isinstance(final_results[0], Answer)
+
+
 def test_an_answer_ends_the_request():
     """Guards against running a request again after an answer."""
     final_results, gates = run_request(make_answer(500))
--- a/tests/cover/test_moved_calls.py
+++ b/tests/cover/test_moved_calls.py
@@ -17,6 +17,7 @@
 from ebonycleat.internal.process.gate_calls import GateCall
 from ebonycleat.internal.process.mesh_admission import AdmittedRequest
 from ebonycleat.internal.process.mesh_gate_client import (
+    LocalAttempt,
     LocalNode,
     RemoteAttempt,
 )
@@ -90,7 +91,7 @@
                 AttemptResult(result, gate.load_reporter.load_for_route(''))
             ),
         )
-        return lambda: gate.cancel(call.call_id)
+        return LocalAttempt(call, gate, on_result)
 
 
 @pytest.fixture(name='clock')
--- a/tests/cover/test_remote_refusals.py
+++ b/tests/cover/test_remote_refusals.py
@@ -73,3 +73,31 @@
     assert results[0].result.refusal.outcome is Outcome.NOT_RUN
     assert not link.reply_handlers
     assert not link.transport.written
+
+
+def test_a_request_withdrawn_before_its_link_opens_is_not_sent():
+    """Guards against "not run" for a request that is sent later."""
+    results = []
+    link = MeshLink(MeshMessageRouter(), ManualClock())
+    link.connection_made(RecordingTransport())
+    attempt = create_attempt(results.append)
+    attempt.withdraw()
+    attempt.send(link)
+    assert results[0].result.refusal.outcome is Outcome.NOT_RUN
+    assert not link.transport.written
+    assert len(results) == 1
+
+
+def test_a_withdrawn_request_awaits_the_reply_of_the_other_node():
+    """Guards against "not run" that the gate has not stated."""
+    results = []
+    link = MeshLink(MeshMessageRouter(), ManualClock())
+    link.connection_made(RecordingTransport())
+    attempt = create_attempt(results.append)
+    attempt.send(link)
+    attempt.withdraw()
+    assert not results
+    link.resolve_reply(
+        attempt.request_number, CallRefusal(1, 'cancelled', True, 200, LOAD)
+    )
+    assert results[0].result.refusal.outcome is Outcome.NOT_RUN
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -4,12 +4,23 @@
 import dataclasses
 import socket
 
-from ebonycleat.internal.connection.http_messages import find_header
+from ebonycleat.internal.connection.http_messages import (
+    HttpResponse,
+    find_header,
+)
 from ebonycleat.internal.process.clocks import boottime_s
-from ebonycleat.internal.process.mesh_runner import MIN_DRAIN_S
+from ebonycleat.internal.process.mesh_runner import (
+    MIN_DRAIN_S,
+    STOP_RESERVE_S,
+    WITHDRAWAL_S,
+)
 from ebonycleat_tools.platform.store import CONFIGURATION_TOPIC
 from tests.loopback_http import run_with_timeout
-from tests.mesh_environment import create_configuration, run_mesh
+from tests.mesh_environment import (
+    MESH_LIMITS,
+    create_configuration,
+    run_mesh,
+)
 
 
 def list_received_ids(environment):
@@ -235,6 +246,48 @@
     assert find_header(late.headers, 'retry-after')
 
 
+def test_what_waits_at_another_node_is_refused_before_a_node_ends():
+    """Guards against requests that run nowhere and get no answer."""
+    clock = AdvancedClock()
+
+    async def scenario():
+        async with run_mesh(('a', 'a'), work_s=3, clock=clock) as environment:
+            node = environment.nodes[0]
+            node.settings = dataclasses.replace(
+                node.settings,
+                mesh_limits=dataclasses.replace(MESH_LIMITS, stop_grace_s=2.6),
+            )
+            node.gate.gate.drain()
+            other = environment.nodes[1].gate.gate
+            sent = [
+                asyncio.ensure_future(
+                    environment.send_and_wait(0, f'/renew/{number}')
+                )
+                for number in range(6)
+            ]
+            await environment.wait_until(
+                lambda: len(other.running) == 4 and len(other.queue) == 2
+            )
+            node.stop_requested.set()
+            await asyncio.sleep(0)
+            clock.advance_s = 2.6 - STOP_RESERVE_S - WITHDRAWAL_S
+            await asyncio.wait(environment.tasks[:1])
+            answers = await asyncio.gather(*sent)
+            return (
+                [
+                    (answer.status, find_header(answer.headers, 'retry-after'))
+                    for answer in answers
+                    if isinstance(answer, HttpResponse)
+                ],
+                len(list_received_ids(environment)),
+            )
+
+    answers, received = run_with_timeout(scenario())
+    assert [status for status, _ in answers] == [503, 503]
+    assert all(float(retry_after) > 0 for _, retry_after in answers)
+    assert received == 4
+
+
 async def open_slow_reader(address, request):
     """Send a request on a connection that buffers little of the answer."""
     slow_socket = socket.socket()
