Figures of load are bounded, and no service is reported as behind itself

Cause: a node reports how many calls at an overloaded service one of its requests causes: its own calls per run times what other nodes report. A request without a key counts as a call of the node's own target, so the service was found behind itself, and each report multiplied the figure by requests per run. Past 2**64 / 1000 it cannot be encoded. MeshLink.send knew ValueError only, so the OverflowError ended whatever the loop was doing: a caller's connection, a link with all its calls, the answer of a target, a tick and with it the process.

Change: a gate does not report its own service as one behind itself. All figures of a load are limited where they are computed and where they come in, also shares, times, pace and counts; the encoding failed as well for a latency of infinity, which a tiny warm-up rate of the configuration gives. A reply that cannot be encoded is replaced by a refusal with its true outcome; before, the other node waited until the deadline.

The fix holds because no factor above one is left in a circle of one service, and any other figure stays within bounds that every message can hold.

--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -238,8 +238,8 @@
             return False
         try:
             parts = encode_frame_parts(message)
-        except ValueError:
-            # For example a text with half of a surrogate pair.
+        except (ValueError, OverflowError):
+            # Half of a surrogate pair, or a number of more than 64 bits.
             logger.exception('message cannot be encoded')
             return False
         self.last_sent_at = self.clock()
--- a/src/ebonycleat/internal/process/backpressure.py
+++ b/src/ebonycleat/internal/process/backpressure.py
@@ -37,6 +37,11 @@
 UNLIMITED_SHARE = 0.995
 """Larger shares are not published: the service can take all requests."""
 
+MAX_CALLS_PER_REQUEST = 1000.0
+"""Limit of the calls at a service that one request causes. The figure is the
+product of what several nodes report, so it has no limit of its own where the
+calls of services form a circle."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissibleShares:
--- a/src/ebonycleat/internal/process/entry_backpressure.py
+++ b/src/ebonycleat/internal/process/entry_backpressure.py
@@ -18,6 +18,7 @@
     TeamShares,
 )
 from ebonycleat.internal.process.backpressure import (
+    MAX_CALLS_PER_REQUEST,
     UNLIMITED_SHARE,
     AdmissibleShares,
 )
@@ -313,7 +314,7 @@
             for route in self.call_counts.calls.get(parent, ())
             if route in calls_by_route
         )
-        return caused or 1
+        return min(caused, MAX_CALLS_PER_REQUEST) or 1
 
     def record_call(self, admitted: AdmittedRequest, now: float) -> None:
         """Count a call that the local target makes; ignore other requests."""
--- a/src/ebonycleat/internal/process/load_codec.py
+++ b/src/ebonycleat/internal/process/load_codec.py
@@ -1,9 +1,17 @@
-"""Converts the load of a gate to and from load reports between mesh nodes."""
+"""Converts the load of a gate to and from load reports between mesh nodes.
+
+Figures are limited on both sides. What a node computes from the reports of
+others goes out again with its own, and another version of a node may send
+anything that the encoding allows.
+"""
 
 import itertools
 
 from ebonycleat.internal.connection.mesh_messages import LoadReport
-from ebonycleat.internal.process.backpressure import AdmissibleShares
+from ebonycleat.internal.process.backpressure import (
+    MAX_CALLS_PER_REQUEST,
+    AdmissibleShares,
+)
 from ebonycleat.internal.process.gate_decisions import GateLoad
 from ebonycleat.internal.process.placement.target_pace import (
     USUAL_PACE,
@@ -15,46 +23,62 @@
 PACE_SCALE = 100
 
 
+MAX_COUNT = 1_000_000
+"""Limit of counted calls and of the admission level."""
+
+MAX_TIME_MS = 3_600_000
+"""Limit of times in milliseconds: an hour, longer than any deadline."""
+
+
+def limit_figure(figure: float, largest: float) -> float:
+    """Return a figure between 0 and ``largest``; 0 for one that is no number."""
+    return min(figure, largest) if figure > 0 else 0
+
+
 def encode_load(load: GateLoad) -> LoadReport:
     """Encode the load of a gate; shares become integers in thousandths."""
     return LoadReport(
         load.queued,
         load.running,
         load.limit,
-        int(load.latency_s * MILLISECONDS_PER_S),
+        int(limit_figure(load.latency_s * MILLISECONDS_PER_S, MAX_TIME_MS)),
         load.admission_level,
         load.draining,
         tuple(
             (
                 overloaded.service,
-                int(overloaded.direct * SHARE_SCALE),
-                int(overloaded.called * SHARE_SCALE),
+                int(limit_figure(overloaded.direct, 1) * SHARE_SCALE),
+                int(limit_figure(overloaded.called, 1) * SHARE_SCALE),
             )
             for overloaded in load.shares
         ),
         tuple(
-            int(overloaded.calls * SHARE_SCALE) for overloaded in load.shares
+            int(
+                limit_figure(overloaded.calls, MAX_CALLS_PER_REQUEST)
+                * SHARE_SCALE
+            )
+            for overloaded in load.shares
         ),
-        round(load.pace * PACE_SCALE),
-        round(load.service_s * MILLISECONDS_PER_S),
+        round(check_pace(load.pace) * PACE_SCALE),
+        round(limit_figure(load.service_s * MILLISECONDS_PER_S, MAX_TIME_MS)),
     )
 
 
 def decode_load(report: LoadReport) -> GateLoad:
     """Decode the load of another node's gate."""
     return GateLoad(
-        report.queued,
-        report.running,
-        report.limit,
-        report.latency_ms / MILLISECONDS_PER_S,
-        report.level,
+        int(limit_figure(report.queued, MAX_COUNT)),
+        int(limit_figure(report.running, MAX_COUNT)),
+        int(limit_figure(report.limit, MAX_COUNT)),
+        limit_figure(report.latency_ms, MAX_TIME_MS) / MILLISECONDS_PER_S,
+        int(limit_figure(report.level, MAX_COUNT)),
         report.is_draining,
         tuple(
             AdmissibleShares(
                 name,
-                direct / SHARE_SCALE,
-                called / SHARE_SCALE,
-                calls / SHARE_SCALE,
+                limit_figure(direct / SHARE_SCALE, 1),
+                limit_figure(called / SHARE_SCALE, 1),
+                limit_figure(calls / SHARE_SCALE, MAX_CALLS_PER_REQUEST),
             )
             for (name, direct, called), calls in zip(
                 report.shares,
@@ -66,5 +90,5 @@
         USUAL_PACE
         if report.pace_percent == PACE_SCALE
         else check_pace(report.pace_percent / PACE_SCALE),
-        max(0, report.service_ms) / MILLISECONDS_PER_S,
+        limit_figure(report.service_ms, MAX_TIME_MS) / MILLISECONDS_PER_S,
     )
--- a/src/ebonycleat/internal/process/load_reporter.py
+++ b/src/ebonycleat/internal/process/load_reporter.py
@@ -107,11 +107,18 @@
     def overloaded_services(self, route: str) -> tuple[AdmissibleShares, ...]:
         """Return the overloaded services that a route reaches from here.
 
-        The gate's own service comes first if it is overloaded.
+        The gate's own service comes first if it is overloaded. It is not
+        reported as behind itself: the figure would be multiplied each time
+        that it comes back.
         """
-        own = self.backpressure.published_shares(self.target.service)
-        behind = self.overloaded_behind_target(route)
-        return tuple(behind) if own is None else (own, *behind)
+        service = self.target.service
+        own = self.backpressure.published_shares(service)
+        behind = tuple(
+            shares
+            for shares in self.overloaded_behind_target(route)
+            if shares.service != service
+        )
+        return behind if own is None else (own, *behind)
 
 
 def no_overloaded_services(route: str) -> tuple[()]:
--- a/src/ebonycleat/internal/process/mesh_gate_client.py
+++ b/src/ebonycleat/internal/process/mesh_gate_client.py
@@ -19,8 +19,10 @@
 from ebonycleat.internal.process.gate_calls import GateCall
 from ebonycleat.internal.process.gate_decisions import GateLoad
 from ebonycleat.internal.process.load_codec import (
+    MAX_TIME_MS,
     MILLISECONDS_PER_S,
     decode_load,
+    limit_figure,
 )
 from ebonycleat.internal.process.mesh_admission import AdmittedRequest
 from ebonycleat.internal.process.mesh_gate import MeshGate
@@ -288,7 +290,8 @@
         return refuse_not_run(
             reason,
             "refused by the gate of the target's node",
-            message.retry_after_ms / MILLISECONDS_PER_S,
+            limit_figure(message.retry_after_ms, MAX_TIME_MS)
+            / MILLISECONDS_PER_S,
         )
     return refuse_outcome_unknown(
         reason,
--- a/src/ebonycleat/internal/process/peer_calls.py
+++ b/src/ebonycleat/internal/process/peer_calls.py
@@ -13,6 +13,7 @@
     DroppedMessage,
 )
 from ebonycleat.internal.connection.mesh_link import (
+    UNKNOWN_LOAD,
     LinkHandler,
     LinkPool,
     MeshLink,
@@ -23,6 +24,7 @@
     CallRequest,
     CallResponse,
     CancelCall,
+    LoadReport,
 )
 from ebonycleat.internal.process.gate_calls import GateCall
 from ebonycleat.internal.process.load_codec import MILLISECONDS_PER_S
@@ -33,6 +35,7 @@
     Call,
     CallResult,
     Priority,
+    RefusedCall,
 )
 from ebonycleat.internal.request.refusal import Outcome, Reason
 
@@ -148,32 +151,28 @@
         message: CallRequest,
         result: CallResult,
     ) -> None:
-        """Send back the result of a call, with the gate's present load."""
-        number = message.number
-        self.calls_by_link.get(link, {}).pop(number, None)
+        """Send back the result of a call, with the gate's present load.
+
+        A result that cannot be encoded is replaced by a refusal, so that the
+        other node does not wait for it until the deadline.
+        """
+        self.calls_by_link.get(link, {}).pop(message.number, None)
         self.account.release(HeldKind.REQUESTS, len(message.body))
         load = self.gate.load_reporter.report_for_route(message.route)
-        if isinstance(result, Answer):
+        if not link.send(create_reply(message.number, result, load)):
+            has_not_run = (
+                isinstance(result, RefusedCall)
+                and result.refusal.outcome is Outcome.NOT_RUN
+            )
             link.send(
-                CallResponse(
-                    number,
-                    result.status,
-                    result.headers,
-                    result.body,
-                    load,
-                ),
+                CallRefusal(
+                    message.number,
+                    Reason.TARGET_FAILED.value,
+                    has_not_run=has_not_run,
+                    retry_after_ms=0,
+                    load=UNKNOWN_LOAD,
+                )
             )
-            return
-        refusal = result.refusal
-        link.send(
-            CallRefusal(
-                number,
-                refusal.reason.value,
-                refusal.outcome is Outcome.NOT_RUN,
-                int(refusal.retry_after_s * MILLISECONDS_PER_S),
-                load,
-            ),
-        )
 
     def cancel(self, link: MeshLink, message: CancelCall) -> None:
         """Cancel a call whose sender no longer needs the result."""
@@ -187,6 +186,24 @@
             self.gate.cancel(call_id)
 
 
+def create_reply(
+    number: int, result: CallResult, load: LoadReport
+) -> CallResponse | CallRefusal:
+    """Create the message that answers call ``number`` of another node."""
+    if isinstance(result, Answer):
+        return CallResponse(
+            number, result.status, result.headers, result.body, load
+        )
+    refusal = result.refusal
+    return CallRefusal(
+        number,
+        refusal.reason.value,
+        refusal.outcome is Outcome.NOT_RUN,
+        int(refusal.retry_after_s * MILLISECONDS_PER_S),
+        load,
+    )
+
+
 class MeshMessageRouter(LinkHandler):
     """Hands the messages that arrive on links to their receivers."""
 
--- a/tests/cover/test_remote_refusals.py
+++ b/tests/cover/test_remote_refusals.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from ebonycleat import Outcome, Reason
+from ebonycleat import Answer, Outcome, Reason
+from ebonycleat.internal.connection.mesh_frames import FrameDecoder
 from ebonycleat.internal.connection.mesh_link import MeshLink
 from ebonycleat.internal.connection.mesh_messages import (
     CallRefusal,
@@ -13,12 +14,16 @@
     LocalNode,
     RemoteAttempt,
 )
-from ebonycleat.internal.process.peer_calls import MeshMessageRouter
+from ebonycleat.internal.process.peer_calls import (
+    MeshMessageRouter,
+    PeerCallServer,
+)
 from tests.mesh_fakes import (
     SERVICE,
     ManualClock,
     RecordingTransport,
     create_call,
+    create_mesh_gate,
 )
 
 LOAD = LoadReport(0, 0, 4, 10, 1280, is_draining=False)
@@ -101,3 +106,23 @@
         attempt.request_number, CallRefusal(1, 'cancelled', True, 200, LOAD)
     )
     assert results[0].result.refusal.outcome is Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        Answer('call', 200, (('x-name', 'half \ud800'),)),
+        Answer('call', 2**64),
+    ],
+)
+def test_an_answer_that_cannot_be_sent_is_refused_at_once(answer):
+    """Guards against entries that wait for a lost answer until the deadline."""
+    clock = ManualClock()
+    link = MeshLink(MeshMessageRouter(), clock)
+    link.connection_made(RecordingTransport())
+    request = create_attempt(None).create_message(clock())
+    server = PeerCallServer(create_mesh_gate(clock))
+    server.finish(link, request, answer)
+    reply = FrameDecoder().feed(b''.join(link.transport.written))[0]
+    assert isinstance(reply, CallRefusal)
+    assert (reply.number, reply.has_not_run) == (request.number, False)
