A connection that has carried a key is a caller's, not the target's

Callers saw: requests without a key on open routes went before those of paying callers of the same priority, were never shed at the entry, and made the services that they reach look like services behind the node's own target: requests of others on that target's routes were shed for their sake.

Cause: on a route that needs no key a request was always taken for a call of the local target (UNKNOWN_PARENT_DEPTH), even if it came with a key or on a connection on which keys had come before.

Change: targets never get a key, so a connection that has carried one belongs to a caller, and its requests have depth 0 and no parent (RequestOrigin). A connection that never carries a key is still taken for the target's: the platform's messages do not tell the two apart.

Evidence: test_a_connection_that_has_carried_a_key_makes_no_calls_of_the_target fails before with a key and passes now.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -311,7 +311,8 @@
     ``receiver`` parses what is read and decides about refusals of what is
     malformed, too large or too late; the connection then closes. A connection
     that ``is_surplus`` came beyond the limit and closes with its first answer.
-    ``unread`` is what its client has not read of the responses.
+    ``unread`` is what its client has not read of the responses. The handler of
+    requests sets ``has_carried_key`` once one of them had a key.
     """
 
     def __init__(self, listener: HttpListener) -> None:
@@ -323,6 +324,7 @@
         self.last_activity_at = listener.clock()
         self.is_paused = False
         self.is_surplus = False
+        self.has_carried_key = False
         self.is_start_due = False
         self.unread = UnreadData(listener.slow_clients)
         self.writing_bytes = 0
--- a/src/ebonycleat/internal/process/mesh_admission.py
+++ b/src/ebonycleat/internal/process/mesh_admission.py
@@ -5,6 +5,7 @@
 nothing has been sent yet.
 """
 
+import dataclasses
 import itertools
 
 import msgspec
@@ -39,8 +40,8 @@
 repeated about this often."""
 
 UNKNOWN_PARENT_DEPTH = 1
-"""Depth of a request without a key whose parent is not known. Targets make
-such requests, and earlier hops have already worked for them."""
+"""Depth of a request without a key that no caller is known to have made.
+Targets make such requests, and earlier hops have already worked for them."""
 
 
 class AdmittedRequest(msgspec.Struct, frozen=True):
@@ -62,6 +63,19 @@
     parent_route: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestOrigin:
+    """Who makes a request, as far as this node can tell.
+
+    It is a caller if ``is_caller``, and otherwise a caller without a key or the
+    local target. ``parent`` is the request at the target for which the target
+    makes this one; None if there is none or it is not known.
+    """
+
+    is_caller: bool = False
+    parent: Call | None = None
+
+
 class WeightedServices:
     """Divides the requests of routes between services by their weights.
 
@@ -117,14 +131,10 @@
         self,
         http_request: HttpRequest,
         caller: CallerRequest,
-        parent: Call | None,
+        origin: RequestOrigin,
         now: float,
     ) -> AdmittedRequest | Refusal:
-        """Admit a request or refuse it.
-
-        ``parent`` is the request at the local target for which the target
-        makes this one; None if there is none or it is not known.
-        """
+        """Admit a request or refuse it."""
         index = self.holder.index
         if index is None:
             return _NO_CONFIGURATION
@@ -135,7 +145,7 @@
         if isinstance(team, Refusal):
             return team
         return self.build_admitted(
-            http_request, caller, index, route, team, parent, now
+            http_request, caller, index, route, team, origin, now
         )
 
     def find_team(
@@ -164,14 +174,15 @@
         index: ConfigurationIndex,
         route: MeshRoute,
         team: MeshTeam | None,
-        parent: Call | None,
+        origin: RequestOrigin,
         now: float,
     ) -> AdmittedRequest:
         """Create the admitted request, with its priority and deadline."""
         priority = priority_of(index, route, team)
         depth = 0
         parent_route = ''
-        if team is None:
+        parent = origin.parent
+        if team is None and not origin.is_caller:
             depth = UNKNOWN_PARENT_DEPTH
             if parent is not None:
                 # A call has the priority of the request for which it is made.
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -24,6 +24,7 @@
 from ebonycleat.internal.process.mesh_admission import (
     AdmittedRequest,
     MeshAdmission,
+    RequestOrigin,
 )
 from ebonycleat.internal.process.mesh_metrics import MeshMetrics
 from ebonycleat.internal.process.retry_budget import RetryBudget
@@ -107,11 +108,10 @@
         if connection.is_surplus and connection.listener.is_full():
             self.refuse_surplus(exchange, caller_request.request_id)
             return
-        parent = components.find_parent(caller_request.ancestor_ids)
         admitted = components.admission.admit(
             exchange.request,
             caller_request,
-            None if parent is None else parent.call,
+            self.find_origin(exchange, caller_request),
             components.clock(),
         )
         if isinstance(admitted, Refusal):
@@ -130,6 +130,22 @@
             ),
         )
 
+    def find_origin(
+        self, exchange: Exchange, caller_request: CallerRequest
+    ) -> RequestOrigin:
+        """Tell whether a caller makes a request, or for what a target may.
+
+        Targets never get a key, so a connection that has carried one belongs
+        to a caller.
+        """
+        connection = exchange.connection
+        if caller_request.key:
+            connection.has_carried_key = True
+        if connection.has_carried_key:
+            return RequestOrigin(is_caller=True)
+        parent = self.components.find_parent(caller_request.ancestor_ids)
+        return RequestOrigin(parent=None if parent is None else parent.call)
+
     def refuse_dropped_body(self, exchange: Exchange) -> None:
         """Refuse a request whose body found no room, as not run."""
         caller_request = self.components.protocol.parse_request(
--- a/tests/nocover/test_whole_mesh.py
+++ b/tests/nocover/test_whole_mesh.py
@@ -4,6 +4,8 @@
 import dataclasses
 import socket
 
+import pytest
+
 from ebonycleat.internal.connection.http_messages import (
     HttpResponse,
     find_header,
@@ -46,6 +48,30 @@
     assert not find_header(received.headers, 'authorization')
 
 
+@pytest.mark.parametrize('first_key', ['key-1', ''])
+def test_a_connection_that_has_carried_a_key_makes_no_calls_of_the_target(
+    first_key,
+):
+    """Guards against callers of open routes that go before paying ones.
+
+    Their requests passed for calls of the target, which are never shed, and
+    the services that they reach for services behind the target.
+    """
+
+    async def scenario():
+        async with run_mesh() as environment:
+            node = environment.nodes[0]
+            path = '/fetch/1' if first_key else '/open/1'
+            await environment.send_and_wait(0, path, key=first_key)
+            await environment.send_and_wait(0, '/open/2', key='')
+            return (
+                len(node.listener.connections),
+                bool(node.gate.call_counts.calls),
+            )
+
+    assert run_with_timeout(scenario()) == (1, not first_key)
+
+
 def test_a_node_reaches_the_targets_of_other_nodes():
     """Guards against a node that sends requests only to its own target."""
 
