An unexpected error ends one call, not all that shares its connection

Cause: the event loop closes a connection if an error leaves data_received, and a node stops if one leaves a background task. Only the encoding of requests was contained.

Change: each place that carries the work of several callers contains the errors of one: a caller's request, a message or reply of a link, a result of the target, a decision of the gate, a token decision, a tick. The call frees its slot and gets one truthful result (`node-failed`: not run if it was not sent, else unknown). The error is logged with its place (1st, 2nd, 4th, 8th time and so on) and counted in the metric errors.PLACE, and a test in which one is contained fails unless it asks for that.

--- a/src/ebonycleat/internal/connection/http_listener.py
+++ b/src/ebonycleat/internal/connection/http_listener.py
@@ -23,6 +23,7 @@
     HeldKind,
     MemoryAccount,
 )
+from ebonycleat.internal.connection.contained_errors import call_contained
 from ebonycleat.internal.connection.http_messages import (
     HttpRequest,
     HttpResponse,
@@ -38,6 +39,8 @@
 from ebonycleat.internal.connection.slow_clients import SlowClients
 from ebonycleat.internal.connection.unsent_data import UnreadData, has_unsent
 
+BAD_GATEWAY = 502
+
 MAX_CONCURRENT_REQUESTS = 8
 """Requests of one connection that may run side by side."""
 
@@ -343,7 +346,7 @@
         self.unread.end_after_close()
         self.drop_unread_requests()
         while self.exchanges:
-            self.exchanges.popleft().abandon()
+            call_contained('disconnect', self.exchanges.popleft().abandon)
 
     def eof_received(self) -> bool:
         """Close when the client ends its sending side (asyncio callback).
@@ -395,10 +398,7 @@
         while queued_requests and self.may_start(queued_requests[0]):
             exchange = Exchange(self, queued_requests.popleft())
             self.exchanges.append(exchange)
-            if exchange.request.is_body_dropped:
-                self.listener.handler.refuse_dropped_body(exchange)
-            else:
-                self.listener.handler.handle_exchange(exchange)
+            self.handle_contained(exchange)
         if receiver.unparsed and not receiver.must_queue_shrink():
             # One client's many requests must not hold up those of others.
             receiver.parse_in_parts(receiver.unparsed)
@@ -410,6 +410,15 @@
             self.write_refusal(receiver.refusal_status)
             self.transport.close()
 
+    def handle_contained(self, exchange: Exchange) -> None:
+        """Handle a request; one that fails may have been passed on."""
+        handler = self.listener.handler
+        on_request = handler.handle_exchange
+        if exchange.request.is_body_dropped:
+            on_request = handler.refuse_dropped_body
+        if not call_contained('request', on_request, exchange):
+            exchange.respond(HttpResponse(BAD_GATEWAY))
+
     def start_soon(self) -> None:
         """Start requests in the next iteration of the event loop, once."""
         if not self.is_start_due:
@@ -463,7 +472,13 @@
         while self.exchanges and self.exchanges[0].response is not None:
             exchange = self.exchanges.popleft()
             if exchange.response is not None:
-                self.write_response(exchange.request, exchange.response)
+                if not call_contained(
+                    'response',
+                    self.write_response,
+                    exchange.request,
+                    exchange.response,
+                ):
+                    self.close()
                 # Whoever still knows the exchange must not keep the body.
                 exchange.response = None
                 if exchange.waiting_bytes:
--- a/src/ebonycleat/internal/connection/mesh_link.py
+++ b/src/ebonycleat/internal/connection/mesh_link.py
@@ -20,6 +20,7 @@
     MemoryAccount,
     held_bytes_limit,
 )
+from ebonycleat.internal.connection.contained_errors import call_contained
 from ebonycleat.internal.connection.errors import MalformedMessage
 from ebonycleat.internal.connection.link_memory import LinkMemory
 from ebonycleat.internal.connection.mesh_frames import (
@@ -92,6 +93,12 @@
 It limits the number of attempts to reach a dead node.
 """
 
+MESSAGE_PLACE = 'message of a node'
+REPLY_PLACE = 'reply of a node'
+LINK_PLACE = 'opened link'
+CHECK_PLACE = 'check of a link'
+"""Places of contained errors."""
+
 logger = logging.getLogger('ebonycleat.links')
 
 
@@ -177,13 +184,14 @@
         reply_handlers = self.reply_handlers
         self.reply_handlers = {}
         for on_reply in reply_handlers.values():
-            on_reply(None)
+            call_contained(REPLY_PLACE, on_reply, None)
         self.handler.link_closed(self)
 
     def data_received(self, received: bytes) -> None:
         """Handle complete messages (asyncio callback).
 
-        Malformed data closes the link.
+        Malformed data closes the link. An error in handling one message does
+        not end the others.
         """
         self.last_received_at = self.clock()
         self.silent_since = None
@@ -193,7 +201,7 @@
             self.close()
             return
         for message in messages:
-            self.deliver(message)
+            call_contained(MESSAGE_PLACE, self.deliver, message)
         if self.memory.receiving_bytes:
             # The room has gone over to whoever has taken the message.
             self.memory.release_received(self.decoder.large_length)
@@ -281,7 +289,7 @@
         on_reply = self.reply_handlers.pop(number, None)
         self.patient_numbers.discard(number)
         if on_reply is not None:
-            on_reply(message)
+            call_contained(REPLY_PLACE, on_reply, message)
 
     def give_up_replies(self) -> None:
         """Resolve as lost the replies that silence ends; close if none is left."""
@@ -294,7 +302,7 @@
         for number in given_up:
             on_reply = self.reply_handlers.pop(number, None)
             if on_reply is not None:
-                on_reply(None)
+                call_contained(REPLY_PLACE, on_reply, None)
         if not self.reply_handlers:
             self.close()
 
@@ -456,7 +464,7 @@
         else:
             self.register(address, link)
         for on_link in self.link_receivers.pop(address, ()):
-            on_link(link)
+            call_contained(LINK_PLACE, on_link, link)
 
     def register(self, address: str, link: MeshLink) -> None:
         """Add a link that this node opened, and send its hello."""
@@ -528,7 +536,7 @@
         for link in self.list_links():
             if was_paused:
                 link.restart_silence_timer()
-            link.check_silence()
+            call_contained(CHECK_PLACE, link.check_silence)
 
     def close(self) -> None:
         """Cancel running connects and close all links."""
--- a/src/ebonycleat/internal/process/decision_queue.py
+++ b/src/ebonycleat/internal/process/decision_queue.py
@@ -14,9 +14,18 @@
     consequence of the one before.
     """
 
-    def __init__(self, carry_out: Callable[[GateDecision], None]) -> None:
-        """Pass each decision to ``carry_out``, which may add others."""
+    def __init__(
+        self,
+        carry_out: Callable[[GateDecision], None],
+        on_error: Callable[[GateDecision, Exception], None],
+    ) -> None:
+        """Pass each decision to ``carry_out``, which may add others.
+
+        ``on_error`` gets the decisions that could not be carried out; the
+        others go on.
+        """
         self.carry_out = carry_out
+        self.on_error = on_error
         self.waiting: collections.deque[GateDecision] = collections.deque()
         self.is_active = False
 
@@ -27,7 +36,11 @@
             return
         with self:
             while self.waiting:
-                self.carry_out(self.waiting.popleft())
+                decision = self.waiting.popleft()
+                try:
+                    self.carry_out(decision)
+                except Exception as error:
+                    self.on_error(decision, error)
 
     def __enter__(self) -> None:
         """Keep back decisions that follow from others.
--- a/src/ebonycleat/internal/process/mesh_entry.py
+++ b/src/ebonycleat/internal/process/mesh_entry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
+from ebonycleat.internal.connection.contained_errors import call_contained
 from ebonycleat.internal.connection.http_listener import (
     REFUSED_BODY_RETRY_AFTER_S,
     Exchange,
@@ -45,6 +46,7 @@
     Reason,
     Refusal,
     refuse_not_run,
+    refuse_outcome_unknown,
 )
 
 ParentFinder: TypeAlias = Callable[[Iterable[str]], GateCall | None]
@@ -59,6 +61,10 @@
 the second times the fraction that is shed. Callers wait at most a third of the
 time that they have left, about 1.5 s."""
 
+FAILED_REFUSAL = refuse_outcome_unknown(
+    Reason.NODE_FAILED, 'the node failed while it handled the request'
+)
+
 TEAM_LIMIT_LOG_INTERVAL_S = 10.0
 """A team that stays over its share is logged once in this time."""
 
@@ -125,11 +131,30 @@
             return
         components.tokens.acquire(
             admitted.call.team,
-            lambda granted: self.handle_token_decision(
-                exchange, admitted, granted
+            lambda granted: self.answer_errors(
+                exchange, self.handle_token_decision, admitted, granted
             ),
         )
 
+    def answer_errors(
+        self,
+        exchange: Exchange,
+        action: Callable[..., None],
+        *details: object,
+    ) -> None:
+        """Go on with a request; answer it if that fails.
+
+        A target may have run it by then.
+        """
+        if not call_contained(
+            'request of a caller', action, exchange, *details
+        ):
+            request = self.components.protocol.parse_request(exchange.request)
+            request_id = (
+                '' if isinstance(request, Refusal) else request.request_id
+            )
+            self.refuse(exchange, request_id, FAILED_REFUSAL)
+
     def find_origin(
         self, exchange: Exchange, caller_request: CallerRequest
     ) -> RequestOrigin:
@@ -336,7 +361,9 @@
                 load.shares,
                 components.clock(),
             ),
-            lambda ended, result: self.finish(exchange, ended, result),
+            lambda ended, result: self.answer_errors(
+                exchange, self.finish, ended, result
+            ),
         )
         exchange.on_abandoned = lambda: self.abandon(run)
         self.runs.add(run)
--- a/src/ebonycleat/internal/process/mesh_gate.py
+++ b/src/ebonycleat/internal/process/mesh_gate.py
@@ -7,6 +7,7 @@
 right before a call is sent.
 """
 
+import functools
 from collections.abc import Callable, Iterable
 
 from ebonycleat.internal.connection.client_requests import (
@@ -57,6 +58,11 @@
     DispatchCall,
     GateDecision,
 )
+from ebonycleat.internal.process.gate_errors import (
+    end_decided,
+    end_offered,
+    handle_result,
+)
 from ebonycleat.internal.process.gate_log import (
     log_failed_run,
     log_handed_back,
@@ -141,7 +147,9 @@
         self.unix_time_ms = unix_time_ms
         self.pending_calls: dict[str, PendingCall] = {}
         self.running_by_request_id: dict[str, GateCall] = {}
-        self.decisions = DecisionQueue(self.apply_decision)
+        self.decisions = DecisionQueue(
+            self.apply_decision, functools.partial(end_decided, self)
+        )
         self.backpressure = GateBackpressure(clock())
         self.call_counts = RouteCallCounts()
         self.crashes = CrashCounts()
@@ -245,7 +253,12 @@
         self.pending_calls[gate_call.call.call_id] = PendingCall(
             gate_call, on_result
         )
-        self.decisions.add(self.gate.offer(gate_call.call, self.clock()))
+        try:
+            decisions = self.gate.offer(gate_call.call, self.clock())
+        except Exception as error:
+            end_offered(self, gate_call.call, error)
+        else:
+            self.decisions.add(decisions)
 
     def cancel(self, call_id: str, *, spares_running: bool = False) -> None:
         """Drop a call whose caller has disconnected or got its answer.
@@ -342,7 +355,7 @@
         self.backpressure.load_of_depth(call.depth).change_running(1, now)
         pending_call.in_flight = self.pool.send(
             prepared,
-            lambda result: self.send_finished(call, result),
+            functools.partial(handle_result, self, call),
         )
 
     def prepare_request(
--- a/src/ebonycleat/internal/process/mesh_runner.py
+++ b/src/ebonycleat/internal/process/mesh_runner.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from ebonycleat.internal.connection.acceptor import open_acceptor
+from ebonycleat.internal.connection.contained_errors import call_contained
 from ebonycleat.internal.connection.http_listener import (
     ExchangeHandler,
     HttpListener,
@@ -169,7 +170,7 @@
 async def _tick(interval_s: float, action: Callable[[], None]) -> None:
     while True:
         await asyncio.sleep(interval_s)
-        action()
+        call_contained('tick', action)
 
 
 async def _tick_queues(node: MeshNode) -> None:
@@ -180,7 +181,7 @@
         if node.has_waiting_requests():
             await asyncio.sleep(QUEUE_TICK_S)
         node.wait_started.clear()
-        node.tick_queues()
+        call_contained('tick of the queues', node.tick_queues)
 
 
 async def _write_first_record(node: MeshNode) -> None:
@@ -215,7 +216,7 @@
     while clock() < end_by:
         await asyncio.sleep(STOP_TICK_S)
         if clock() >= end_by - WITHDRAWAL_S:
-            _refuse_waiting(node)
+            call_contained('refusals at the end', _refuse_waiting, node)
         if clock() - stopped_at > MIN_DRAIN_S:
             node.listener.close_idle()
             if not node.has_unfinished_work():
--- a/src/ebonycleat/internal/process/node_gauges.py
+++ b/src/ebonycleat/internal/process/node_gauges.py
@@ -2,6 +2,9 @@
 
 import typing
 
+from ebonycleat.internal.connection.contained_errors import (
+    contained_error_counts,
+)
 from ebonycleat.internal.process.placement.spillover_log import (
     describe_spillover,
 )
@@ -18,6 +21,15 @@
         **target_gauges(node),
         **caller_gauges(node),
         **fleet_gauges(node),
+        **error_gauges(),
+    }
+
+
+def error_gauges() -> dict[str, float]:
+    """Return how many unexpected errors were contained, by place."""
+    return {
+        f'errors.{place.replace(" ", "_")}': count
+        for place, count in sorted(contained_error_counts.items())
     }
 
 
--- a/src/ebonycleat/internal/request/refusal.py
+++ b/src/ebonycleat/internal/request/refusal.py
@@ -55,6 +55,7 @@
     UNSENDABLE = 'unsendable'
     ELSEWHERE = 'elsewhere'
     EVACUATED = 'evacuated'
+    NODE_FAILED = 'node-failed'
 
 
 HTTP_STATUS_BY_REASON: Mapping[Reason, HTTPStatus] = types.MappingProxyType({
@@ -86,6 +87,7 @@
     Reason.UNSENDABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.ELSEWHERE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.EVACUATED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NODE_FAILED: HTTPStatus.BAD_GATEWAY,
 })
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,13 @@
 
 import pathlib
 
+import pytest
 from hypothesis import HealthCheck, settings
 
+from ebonycleat.internal.connection.contained_errors import (
+    contained_error_counts,
+)
+
 KNOWN_FAILURES_FILE = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 settings.register_profile(
@@ -31,6 +36,21 @@
             items.remove(item)
 
 
+@pytest.fixture(autouse=True)
+def fixture_no_contained_errors():
+    """Fail a test in which an unexpected error was contained."""
+    contained_error_counts.clear()
+    yield
+    assert not contained_error_counts
+
+
+@pytest.fixture(name='contained_errors')
+def fixture_contained_errors():
+    """Let a test cause unexpected errors; the places where they came up."""
+    yield contained_error_counts
+    contained_error_counts.clear()
+
+
 def pytest_report_header():
     """Print the tests that are left out."""
     return [
