A departure shows that targets which started earlier have ended

Reading again: a departure of a later start than the known one was kept beside it, and the known one stayed in use until its target answered 421; before a node that knew no target took the departed one for the known one, so that a late heartbeat of an earlier, crashed target was ignored.

Change: a departure that names a later start becomes the known incarnation, leaving.

--- a/src/ebonycleat/internal/process/departed_instances.py
+++ b/src/ebonycleat/internal/process/departed_instances.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 
 MAX_DEPARTURES = 16
-"""Departures that are remembered. Only instances that started after the known
-one are, so a few suffice unless each of them leaves before it is heard of."""
+"""Departures that are remembered. They are forgotten once a later start is
+known, so a few suffice."""
 
 
 class DepartedInstances:
--- a/src/ebonycleat/internal/process/load_codec.py
+++ b/src/ebonycleat/internal/process/load_codec.py
@@ -22,7 +22,6 @@
 SHARE_SCALE = 1000
 PACE_SCALE = 100
 
-
 MAX_COUNT = 1_000_000
 """Limit of counted calls and of the admission level."""
 
--- a/src/ebonycleat/internal/process/local_target.py
+++ b/src/ebonycleat/internal/process/local_target.py
@@ -43,8 +43,8 @@
 
     ``is_leaving`` is true if this incarnation gets no more requests: it is
     draining or has deregistered, says in an answer that it leaves, or another
-    instance answers at its address. ``departures`` has other incarnations that
-    have announced that they leave.
+    instance answers at its address. ``departures`` has starts that have
+    announced that they leave and that the node may not have heard of yet.
     """
 
     def __init__(self, service: str) -> None:
@@ -145,15 +145,16 @@
     ) -> None:
         """Record that an instance leaves, whether it is the known one or not.
 
-        A message that does not name a start means any start before now.
+        A message that does not name a start means any start before now. One
+        that names a later start than the known one shows that this has ended.
         """
-        started_ms = message.started_ms
         known = self.incarnation
-        if not started_ms:
-            started_ms = now_ms
-            if known is not None and message.instance == known.instance:
-                started_ms = max(now_ms, known.started_ms)
-        self.departures.record(message.instance, started_ms)
+        known_start_ms = 0 if known is None else known.started_ms
+        latest_start_ms = message.started_ms or max(now_ms, known_start_ms)
+        self.departures.record(message.instance, latest_start_ms)
+        if message.started_ms > known_start_ms:
+            self.incarnation = Incarnation(message.instance, latest_start_ms)
+            self.sequence = -1
         self.is_leaving = self.is_leaving or known is None
         self.apply_departures()
 
