--- a/tests/nocover/test_checker_sees_faults.py
+++ b/tests/nocover/test_checker_sees_faults.py
@@ -8,7 +8,9 @@
 import math
 import random
 
-from bench.history import find_violations
+import pytest
+
+from bench.history import Admission, BudgetChange, History, find_violations
 from bench.schedules import create_random_plan, draw_attack, run_plan
 from bench.slot_attacks import (
     EXPIRED_GRANTS,
@@ -123,3 +125,26 @@
 def test_a_refill_that_ignores_outstanding_tokens_is_detected(monkeypatch):
     monkeypatch.setattr(TokenBucket, '_cap_level', cap_level_by_burst_only)
     assert 'rate x t + burst' in find_first_violations()
+
+
+@pytest.mark.parametrize(
+    ('early', 'late', 'excess'),
+    [
+        # The burst in force at the first admission may be used whole.
+        (6, 0, 0),
+        (7, 0, 1),
+        # A burst that rises later is no gift.
+        (1, 5, 0),
+        (1, 8, 3),
+    ],
+)
+def test_admissions_beyond_the_burst_in_force_are_detected(early, late, excess):
+    """The burst rises from 2 to 6 before the first admission, then to 9."""
+    history = History()
+    for at, burst in ((0, 2), (1, 6), (20, 9)):
+        history.budget_changes.append(BudgetChange(at, 'a', 0, burst))
+    for at, count in ((2, early), (21, late)):
+        history.admissions.extend(
+            Admission(at, 'a', 'node') for _ in range(count)
+        )
+    assert len(find_violations(history)) == excess
--- a/tests/nocover/test_schedules.py
+++ b/tests/nocover/test_schedules.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from bench.history import find_violations
@@ -44,5 +44,6 @@
 
 @settings(max_examples=100, deadline=None, derandomize=True, database=None)
 @given(plans)
+@example(Plan(20, 4, (Fault('change_rates', 0, 0.5, 0),)))
 def test_any_mix_of_faults_violates_no_guarantee(plan):
     assert find_violations(run_plan(plan)) == []
